Start: build, error table, peer messages, records and rings

The bounded ring, the closed list of error kinds with its table of answers, the Thrift messages between hosts, the records of the platform's table and the interfaces that the modules share. docs/PROTOCOLS.md fixes what the platform's and the upstreams' stand-ins speak.

--- /dev/null
+++ b/src/protocol/internal/errorkind.cpp
@@ -0,0 +1,182 @@
+// The table from error kind to answer.
+
+#include "protocol/errorkind.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <string>
+
+namespace kumquat::protocol {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr auto kNotRun = Outcome::kNotRun;
+constexpr auto kUnknown = Outcome::kUnknown;
+constexpr auto kRan = Outcome::kRan;
+
+constexpr std::array kAnswers = {
+  ErrorAnswer{ ErrorKind::kNone, "none", 200, kRan, false, {} },
+  ErrorAnswer{ ErrorKind::kMalformedRequest,
+               "malformed-request",
+               400,
+               kNotRun,
+               false,
+               {} },
+  ErrorAnswer{ ErrorKind::kHeaderTooLarge,
+               "header-too-large",
+               431,
+               kNotRun,
+               false,
+               {} },
+  ErrorAnswer{ ErrorKind::kBodyTooLarge,
+               "body-too-large",
+               413,
+               kNotRun,
+               false,
+               {} },
+  ErrorAnswer{ ErrorKind::kUnknownService,
+               "unknown-service",
+               404,
+               kNotRun,
+               false,
+               {} },
+  ErrorAnswer{ ErrorKind::kMissingKey, "missing-key", 400, kNotRun, false, {} },
+  ErrorAnswer{ ErrorKind::kTooManyConnections, "too-many-connections", 503,
+               kNotRun, false, seconds(1) },
+  ErrorAnswer{ ErrorKind::kDeadlineExpired, "deadline-expired", 504, kNotRun,
+               false, seconds(1) },
+  ErrorAnswer{ ErrorKind::kRingFull, "ring-full", 503, kNotRun, false,
+               seconds(1) },
+  ErrorAnswer{ ErrorKind::kQueueFull, "queue-full", 503, kNotRun, false,
+               seconds(1) },
+  ErrorAnswer{ ErrorKind::kDeferred, "deferred", 503, kNotRun, false,
+               seconds(5) },
+  ErrorAnswer{ ErrorKind::kNoUpstream, "no-upstream", 503, kNotRun, true,
+               seconds(1) },
+  ErrorAnswer{ ErrorKind::kNoSteward, "no-steward", 503, kNotRun, true,
+               seconds(1) },
+  ErrorAnswer{ ErrorKind::kNoLease, "no-lease", 503, kNotRun, true,
+               seconds(2) },
+  ErrorAnswer{ ErrorKind::kNotSteward, "not-steward", 503, kNotRun, true,
+               seconds(1) },
+  ErrorAnswer{ ErrorKind::kStaleSender, "stale-sender", 503, kNotRun, false,
+               seconds(2) },
+  ErrorAnswer{ ErrorKind::kUpstreamShed, "upstream-shed", 503, kNotRun, true,
+               seconds(1) },
+  ErrorAnswer{ ErrorKind::kUpstreamCold, "upstream-cold", 503, kNotRun, true,
+               seconds(1) },
+  ErrorAnswer{ ErrorKind::kUpstreamUnreachable, "upstream-unreachable", 503,
+               kNotRun, true, seconds(1) },
+  ErrorAnswer{ ErrorKind::kUpstreamFenced, "upstream-fenced", 503, kNotRun,
+               true, seconds(1) },
+  ErrorAnswer{ ErrorKind::kUpstreamBroken, "upstream-broken", 502, kUnknown,
+               true, seconds(1) },
+  ErrorAnswer{ ErrorKind::kUpstreamTruncated, "upstream-truncated", 502,
+               kUnknown, true, seconds(1) },
+  ErrorAnswer{ ErrorKind::kUpstreamCrossed, "upstream-crossed", 502, kUnknown,
+               true, seconds(1) },
+  ErrorAnswer{ ErrorKind::kUpstreamTimeout, "upstream-timeout", 504, kUnknown,
+               true, seconds(1) },
+  ErrorAnswer{ ErrorKind::kPeerUnreachable, "peer-unreachable", 503, kNotRun,
+               true, seconds(1) },
+  ErrorAnswer{ ErrorKind::kPeerLost, "peer-lost", 502, kUnknown, true,
+               seconds(1) },
+  ErrorAnswer{ ErrorKind::kOutcomeUnknown, "outcome-unknown", 409, kUnknown,
+               false, seconds(5) },
+  ErrorAnswer{ ErrorKind::kDuplicateRunning, "duplicate-running", 409, kUnknown,
+               false, seconds(1) },
+  ErrorAnswer{ ErrorKind::kStopping, "stopping", 503, kNotRun, true,
+               seconds(1) },
+  ErrorAnswer{ ErrorKind::kRetryBudgetSpent, "retry-budget-spent", 503, kNotRun,
+               false, seconds(2) },
+  ErrorAnswer{ ErrorKind::kStoreUnavailable, "store-unavailable", 503, kUnknown,
+               true, seconds(5) },
+  ErrorAnswer{ ErrorKind::kConflict, "conflict", 409, kNotRun, false, {} },
+  ErrorAnswer{ ErrorKind::kInvalidConfiguration,
+               "invalid-configuration",
+               422,
+               kNotRun,
+               false,
+               {} },
+  ErrorAnswer{ ErrorKind::kUnauthorized,
+               "unauthorized",
+               401,
+               kNotRun,
+               false,
+               {} },
+  ErrorAnswer{ ErrorKind::kInternal, "internal", 500, kUnknown, false, {} },
+};
+
+constexpr bool InOrder()
+{
+  for (std::size_t i = 0; i < kAnswers.size(); ++i) {
+    if (static_cast<std::size_t>(kAnswers[i].kind) != i) {
+      return false;
+    }
+  }
+  return true;
+}
+
+static_assert(InOrder(), "the table follows the order of ErrorKind");
+static_assert(kAnswers.size() ==
+              static_cast<std::size_t>(ErrorKind::kInternal) + 1);
+
+class Category : public std::error_category
+{
+public:
+  const char* name() const noexcept override { return "kumquat"; }
+
+  std::string message(int aNumber) const override
+  {
+    return std::string(AnswerFor(ErrorKindFromNumber(aNumber)).name);
+  }
+};
+
+} // namespace
+
+std::span<const ErrorAnswer> ErrorAnswers()
+{
+  return kAnswers;
+}
+
+const ErrorAnswer& AnswerFor(ErrorKind aKind)
+{
+  return kAnswers.at(static_cast<std::size_t>(aKind));
+}
+
+ErrorKind ErrorKindFromNumber(int aNumber)
+{
+  if (aNumber < 0 || aNumber > static_cast<int>(ErrorKind::kInternal)) {
+    return ErrorKind::kInternal;
+  }
+  return static_cast<ErrorKind>(aNumber);
+}
+
+std::string_view OutcomeName(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::kNotRun:
+      return "not-run";
+    case Outcome::kUnknown:
+      return "unknown";
+    case Outcome::kRan:
+      return "ran";
+  }
+  return "unknown";
+}
+
+const std::error_category& ErrorKindCategory()
+{
+  static const Category kCategory;
+  return kCategory;
+}
+
+std::error_code make_error_code(ErrorKind aKind)
+{
+  return { static_cast<int>(aKind), ErrorKindCategory() };
+}
+
+} // namespace kumquat::protocol
--- /dev/null
+++ b/src/protocol/peer.thrift
@@ -0,0 +1,200 @@
+// Messages between kumquatd processes. Each travels as one Frame, encoded with
+// Thrift's compact protocol, behind a 4-byte big-endian length.
+//
+// Times on the wire are durations in microseconds, never points in time: the
+// hosts' clocks are not compared with each other.
+
+namespace cpp kumquat.protocol
+
+// A host as one process run: a restart gives a new incarnation.
+struct HostRef {
+  1: string host
+  2: i64 incarnation
+}
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+// First frame in each direction on a new connection.
+struct Hello {
+  1: HostRef sender
+  2: string dataCentre
+}
+
+// A lease holder asks a guard to confirm it (its heartbeat).
+struct ConfirmRequest {
+  1: HostRef holder
+  2: i64 guardIncarnation
+}
+
+struct ConfirmReply {
+  1: bool confirmed
+}
+
+// A host that wants to depose `holder` asks a guard to stop confirming it.
+struct ReleaseRequest {
+  1: HostRef holder
+  2: i64 guardIncarnation
+}
+
+struct ReleaseReply {
+  1: bool released
+  // How long the guard's last confirmation may still be relied on.
+  2: i64 remainingMicros
+}
+
+struct UpstreamRef {
+  1: string serviceName
+  2: string upstream
+}
+
+// One caller's request on its way to the steward of an upstream.
+struct Forward {
+  1: HostRef sender
+  2: string serviceName
+  3: string key
+  4: string idempotencyKey
+  5: i64 remainingMicros
+  6: string method
+  7: string target
+  8: list<Header> headers
+  9: binary body
+  10: UpstreamRef upstream
+  11: i32 hops
+  // Set where `sender` owns the idempotency key's slice.
+  12: i64 ownerEpoch
+  // What the map of the sender says of the upstream: a stale one is refused.
+  13: i64 stewardEpoch
+}
+
+// Free slots of one upstream, counted by its steward.
+struct SlotDigest {
+  1: UpstreamRef upstream
+  2: i32 freeSlots
+  3: i32 queued
+  4: i64 stewardEpoch
+}
+
+struct ForwardReply {
+  // An ErrorKind; 0 means the upstream answered.
+  1: i32 error
+  2: i32 status
+  3: list<Header> headers
+  4: binary body
+  5: list<SlotDigest> digests
+  6: i64 retryAfterMicros
+  // Set where this steward has no free slot and another may: try there once.
+  7: optional UpstreamRef redirect
+  // More of the body follows in BodyPart frames with the same correlation.
+  8: bool more
+}
+
+struct BodyPart {
+  1: binary data
+  2: bool last
+  // An ErrorKind: the body ends here, cut short.
+  3: i32 error
+}
+
+// The receiver of a streamed body lets the sender go on by that much.
+struct BodyCredit {
+  1: i64 bytes
+}
+
+struct CancelForward {
+  1: HostRef sender
+}
+
+struct Digests {
+  1: list<SlotDigest> digests
+}
+
+// Tells a witness of an idempotency key before the key's work is dispatched.
+struct WitnessNote {
+  1: HostRef owner
+  2: string serviceName
+  3: string idempotencyKey
+}
+
+struct WitnessReply {
+  1: bool noted
+}
+
+// A successor asks what was forwarded to, told by or run for `predecessor`.
+// Answering is also a fence: from then on nothing of it is accepted.
+struct CollectRequest {
+  1: HostRef predecessor
+  2: string serviceName
+}
+
+struct CollectReply {
+  1: bool complete
+  2: list<string> idempotencyKeys
+}
+
+// Rows of the table that changed; the receiver keeps the highest versions.
+struct RowChange {
+  1: string partition
+  2: string name
+  3: i64 version
+  4: string body
+  5: bool removed
+}
+
+struct MapChange {
+  1: list<RowChange> rows
+}
+
+struct ConfigurationOffer {
+  1: i64 version
+  2: string text
+}
+
+struct ConfigurationQuery {
+  1: i64 knownVersion
+}
+
+// A planned stop hands a stewardship over with exact running counts.
+struct HandOver {
+  1: UpstreamRef upstream
+  2: i64 stewardEpoch
+  3: i32 running
+  4: i32 allowedSlots
+}
+
+struct HandOverReply {
+  1: bool accepted
+}
+
+struct Leaving {
+  1: HostRef sender
+}
+
+// Exactly one of the optional members is set.
+struct Frame {
+  1: i64 correlation
+  2: bool reply
+  10: optional Hello hello
+  11: optional ConfirmRequest confirmRequest
+  12: optional ConfirmReply confirmReply
+  13: optional ReleaseRequest releaseRequest
+  14: optional ReleaseReply releaseReply
+  15: optional Forward forward
+  16: optional ForwardReply forwardReply
+  17: optional BodyPart bodyPart
+  18: optional BodyCredit bodyCredit
+  19: optional CancelForward cancelForward
+  20: optional Digests digests
+  21: optional WitnessNote witnessNote
+  22: optional WitnessReply witnessReply
+  23: optional CollectRequest collectRequest
+  24: optional CollectReply collectReply
+  25: optional MapChange mapChange
+  26: optional ConfigurationOffer configurationOffer
+  27: optional ConfigurationQuery configurationQuery
+  28: optional HandOver handOver
+  29: optional HandOverReply handOverReply
+  30: optional Leaving leaving
+}
