Transport: HTTP server and client, connections between hosts

Beast and Asio coroutines behind headers without either. Every side is bounded: header, body, time, connections, queued bytes. A connection whose call was given up on is closed; a body that breaks off closes the caller's connection before its end.

--- a/Makefile
+++ b/Makefile
@@ -29,4 +29,5 @@
 	@tools/lint $(BUILD)
 
 generate: packages
-	@thrift --gen cpp:no_skeleton -out src/protocol/gen src/protocol/peer.thrift
+	@thrift --gen cpp:no_skeleton,moveable_types \
+	  -out generated/protocol/gen src/protocol/peer.thrift
--- /dev/null
+++ b/src/transport/http.h
@@ -0,0 +1,76 @@
+// HTTP messages as the rest of the program sees them, without Beast.
+
+#pragma once
+
+#include "framework/result.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace kumquat::transport {
+
+struct HttpHeader
+{
+  std::string name;
+  std::string value;
+};
+
+// Asks for the next piece of a body. An empty piece ends the body; an error
+// says that it was cut short. One call at a time.
+using BodyReader =
+  std::function<void(std::function<void(Result<std::string>)>)>;
+
+struct HttpRequest
+{
+  std::string method = "GET";
+  std::string target = "/";
+  std::vector<HttpHeader> headers;
+  std::string body;
+
+  // Empty where there is none; names are compared without case.
+  std::string_view Header(std::string_view aName) const;
+};
+
+struct HttpResponse
+{
+  int status = 200;
+  std::vector<HttpHeader> headers;
+  std::string body;
+  // Where set, the rest of the body, after `body`, comes from here.
+  BodyReader rest;
+  // Length of the whole body, where it is known before `rest` is read.
+  std::optional<std::uint64_t> length;
+
+  std::string_view Header(std::string_view aName) const;
+};
+
+enum class TransportError
+{
+  kNone = 0,
+  // No byte was sent.
+  kUnreachable,
+  // The connection broke before a whole head came back.
+  kBroken,
+  // The body ended before its length.
+  kTruncated,
+  kTimeout,
+  kCancelled,
+  // Not HTTP, or beyond the bounds.
+  kMalformed,
+};
+
+const std::error_category& TransportCategory();
+
+std::error_code make_error_code(TransportError aError);
+
+} // namespace kumquat::transport
+
+template<>
+struct std::is_error_code_enum<kumquat::transport::TransportError>
+  : std::true_type
+{};
--- /dev/null
+++ b/src/transport/httpclient.h
@@ -0,0 +1,62 @@
+// An HTTP/1.1 client on one event loop. Connections are kept alive and carry
+// one request at a time; one whose request was given up on is closed and never
+// used again, so that a late answer cannot meet another request.
+
+#pragma once
+
+#include "framework/result.h"
+#include "transport/http.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kumquat::transport {
+
+class HttpClient
+{
+public:
+  using CallId = std::uint64_t;
+  using Done = std::function<void(Result<HttpResponse>)>;
+
+  struct Options
+  {
+    // Bodies up to this size come whole; of longer ones the rest is read
+    // through HttpResponse::rest.
+    std::size_t wholeBodyBytes = 64U << 10U;
+    std::size_t pieceBytes = 64U << 10U;
+    std::size_t maxHeaderBytes = 16U << 10U;
+    // Idle connections kept to one address.
+    std::size_t maxIdle = 130;
+    std::chrono::milliseconds connectTimeout{ 1000 };
+    // Without progress on a streamed body.
+    std::chrono::milliseconds pieceTimeout{ 10'000 };
+    // Where set, connections leave from this IP number.
+    std::string localAddress;
+  };
+
+  HttpClient(boost::asio::io_context& aContext, Options aOptions);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // aDone runs once, on the client's thread, after Send has returned. The
+  // timeout covers connecting, sending and the answer's head and first part.
+  CallId Send(const std::string& aAddress, HttpRequest aRequest,
+              std::chrono::milliseconds aTimeout, Done aDone);
+
+  // Closes the call's connection; its aDone gets kCancelled. Nothing happens
+  // where the call is over.
+  void Cancel(CallId aCall);
+
+private:
+  class State;
+  std::shared_ptr<State> state;
+};
+
+} // namespace kumquat::transport
--- /dev/null
+++ b/src/transport/httpserver.h
@@ -0,0 +1,74 @@
+// An HTTP/1.1 server on one event loop, bounded in everything a caller can
+// make large: header, body, time, connections.
+
+#pragma once
+
+#include "framework/result.h"
+#include "transport/http.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+namespace kumquat::transport {
+
+// Why a connection's request never reached the handler.
+enum class ServerRefusal
+{
+  kMalformed,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+  kTooSlow,
+  kTooManyConnections,
+};
+
+class HttpServer
+{
+public:
+  // Called once, on the server's thread or any other.
+  using Respond = std::function<void(HttpResponse)>;
+  // Runs on the server's thread.
+  using Handler = std::function<void(HttpRequest, Respond)>;
+
+  struct Options
+  {
+    std::string address;
+    std::size_t maxHeaderBytes = 16U << 10U;
+    std::size_t maxBodyBytes = 1U << 20U;
+    std::size_t maxConnections = 4096;
+    // From a request's first byte to its last.
+    std::chrono::milliseconds readTimeout{ 10'000 };
+    // For each piece of an answer.
+    std::chrono::milliseconds writeTimeout{ 10'000 };
+    std::chrono::milliseconds idleTimeout{ 60'000 };
+    Handler handler;
+    // Makes the answer to a request that was refused; may be empty.
+    std::function<HttpResponse(ServerRefusal)> refuse;
+  };
+
+  // Throws nothing; the error says why the address cannot be had.
+  static Result<std::unique_ptr<HttpServer>> Listen(
+    boost::asio::io_context& aContext, Options aOptions);
+
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Takes no more connections; each open one ends after its current answer.
+  void StopAccepting();
+  // Server's thread only.
+  std::size_t OpenConnections() const;
+
+private:
+  class State;
+  explicit HttpServer(std::shared_ptr<State> aState);
+
+  std::shared_ptr<State> state;
+};
+
+} // namespace kumquat::transport
--- /dev/null
+++ b/src/transport/internal/httpclient.cpp
@@ -0,0 +1,368 @@
+// Calls of the HTTP client, as coroutines over Beast.
+
+#include "transport/httpclient.h"
+
+#include "transport/address.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace kumquat::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+struct Connection
+{
+  explicit Connection(asio::io_context& aContext)
+    : stream(aContext)
+  {
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+using ResponseParser = http::response_parser<http::buffer_body>;
+
+http::request<http::string_body> MakeMessage(const std::string& aAddress,
+                                             HttpRequest&& aRequest)
+{
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(aRequest.method);
+  message.target(aRequest.target);
+  message.set(http::field::host, aAddress);
+  for (const HttpHeader& header : aRequest.headers) {
+    message.insert(header.name, header.value);
+  }
+  message.body() = std::move(aRequest.body);
+  message.prepare_payload();
+  return message;
+}
+
+// An upstream that closed an idle connection leaves an end of stream in it;
+// a request sent there would be lost with its fate unknown.
+bool IsUsable(Connection& aConnection)
+{
+  tcp::socket& socket = aConnection.stream.socket();
+  beast::error_code error;
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                 error);
+  return error == asio::error::would_block;
+}
+
+bool IsTimeout(const beast::error_code& aError)
+{
+  return aError == beast::error::timeout;
+}
+
+} // namespace
+
+class HttpClient::State : public std::enable_shared_from_this<State>
+{
+public:
+  State(asio::io_context& aContext, Options aOptions)
+    : context(aContext)
+    , options(std::move(aOptions))
+  {
+  }
+
+  CallId Start(const std::string& aAddress, HttpRequest aRequest,
+               std::chrono::milliseconds aTimeout, Done aDone)
+  {
+    const CallId call = ++this->lastCall;
+    this->running.emplace(call, nullptr);
+    asio::co_spawn(this->context,
+                   this->Run(this->shared_from_this(), call, aAddress,
+                             std::move(aRequest), aTimeout, std::move(aDone)),
+                   asio::detached);
+    return call;
+  }
+
+  void Cancel(CallId aCall)
+  {
+    const auto found = this->running.find(aCall);
+    if (found == this->running.end()) {
+      return;
+    }
+    const ConnectionPtr connection = found->second;
+    this->running.erase(found);
+    if (connection) {
+      connection->stream.cancel();
+    }
+  }
+
+private:
+  // A body whose rest the receiver reads at its own pace.
+  class Pieces : public std::enable_shared_from_this<Pieces>
+  {
+  public:
+    Pieces(std::shared_ptr<State> aState, std::string aAddress,
+           ConnectionPtr aConnection, std::shared_ptr<ResponseParser> aParser)
+      : state(std::move(aState))
+      , address(std::move(aAddress))
+      , connection(std::move(aConnection))
+      , parser(std::move(aParser))
+    {
+    }
+
+    // Not read to its end: what is left in the connection is nobody's.
+    ~Pieces()
+    {
+      beast::error_code ignored;
+      this->connection->stream.socket().close(ignored);
+    }
+
+    Pieces(const Pieces&) = delete;
+    Pieces& operator=(const Pieces&) = delete;
+
+    void Read(std::function<void(Result<std::string>)> aTake)
+    {
+      asio::co_spawn(
+        this->state->context,
+        [](std::shared_ptr<Pieces> aSelf,
+           std::function<void(Result<std::string>)> aThen)
+          -> asio::awaitable<void> {
+          aSelf->connection->stream.expires_after(
+            aSelf->state->options.pieceTimeout);
+          aThen(co_await ReadPiece(*aSelf->connection, *aSelf->parser,
+                                   aSelf->state->options.pieceBytes));
+        }(this->shared_from_this(), std::move(aTake)),
+        asio::detached);
+    }
+
+  private:
+    std::shared_ptr<State> state;
+    std::string address;
+    ConnectionPtr connection;
+    std::shared_ptr<ResponseParser> parser;
+  };
+
+  asio::awaitable<void> Run([[maybe_unused]] std::shared_ptr<State> aSelf,
+                            CallId aCall, std::string aAddress,
+                            HttpRequest aRequest,
+                            std::chrono::milliseconds aTimeout, Done aDone)
+  {
+    const auto deadline = std::chrono::steady_clock::now() + aTimeout;
+    Result<HttpResponse> result =
+      co_await this->Exchange(aCall, aAddress, std::move(aRequest), deadline);
+    if (this->running.erase(aCall) == 0) {
+      result = make_error_code(TransportError::kCancelled);
+    }
+    aDone(std::move(result));
+  }
+
+  asio::awaitable<Result<HttpResponse>> Exchange(
+    CallId aCall, const std::string& aAddress, HttpRequest aRequest,
+    std::chrono::steady_clock::time_point aDeadline)
+  {
+    ConnectionPtr connection = this->TakeIdle(aAddress);
+    if (!connection) {
+      auto connected = co_await this->Connect(aAddress, aDeadline);
+      if (!connected) {
+        co_return connected.error();
+      }
+      connection = std::move(*connected);
+    }
+    const auto found = this->running.find(aCall);
+    if (found == this->running.end()) {
+      this->PutIdle(aAddress, connection);
+      co_return make_error_code(TransportError::kCancelled);
+    }
+    found->second = connection;
+    connection->stream.expires_at(aDeadline);
+    const auto message = MakeMessage(aAddress, std::move(aRequest));
+    const auto [error, bytes] =
+      co_await http::async_write(connection->stream, message, kAwait);
+    if (error) {
+      co_return make_error_code(IsTimeout(error) ? TransportError::kTimeout
+                                                 : TransportError::kBroken);
+    }
+    co_return co_await this->ReadAnswer(aAddress, connection);
+  }
+
+  asio::awaitable<Result<ConnectionPtr>> Connect(
+    const std::string& aAddress,
+    std::chrono::steady_clock::time_point aDeadline)
+  {
+    const auto endpoint = ParseAddress(aAddress);
+    if (!endpoint) {
+      co_return make_error_code(TransportError::kUnreachable);
+    }
+    auto connection = std::make_shared<Connection>(this->context);
+    if (!this->BindLocal(*connection, *endpoint)) {
+      co_return make_error_code(TransportError::kUnreachable);
+    }
+    connection->stream.expires_at(
+      std::min(aDeadline, std::chrono::steady_clock::now() +
+                            this->options.connectTimeout));
+    const auto [error] =
+      co_await connection->stream.async_connect(*endpoint, kAwait);
+    if (error) {
+      co_return make_error_code(TransportError::kUnreachable);
+    }
+    beast::error_code ignored;
+    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return connection;
+  }
+
+  bool BindLocal(Connection& aConnection, const tcp::endpoint& aTarget)
+  {
+    if (this->options.localAddress.empty()) {
+      return true;
+    }
+    beast::error_code error;
+    const auto address =
+      asio::ip::make_address(this->options.localAddress, error);
+    tcp::socket& socket = aConnection.stream.socket();
+    if (!error) {
+      socket.open(aTarget.protocol(), error);
+    }
+    if (!error) {
+      socket.bind(tcp::endpoint(address, 0), error);
+    }
+    return !error;
+  }
+
+  asio::awaitable<Result<HttpResponse>> ReadAnswer(std::string aAddress,
+                                                   ConnectionPtr aConnection)
+  {
+    auto parser = std::make_shared<ResponseParser>();
+    parser->header_limit(
+      static_cast<std::uint32_t>(this->options.maxHeaderBytes));
+    parser->body_limit(boost::none);
+    const auto [error, bytes] = co_await http::async_read_header(
+      aConnection->stream, aConnection->buffer, *parser, kAwait);
+    if (error) {
+      co_return make_error_code(IsTimeout(error) ? TransportError::kTimeout
+                                                 : TransportError::kBroken);
+    }
+    HttpResponse response;
+    response.status = static_cast<int>(parser->get().result_int());
+    for (const auto& field : parser->get()) {
+      response.headers.push_back(
+        { std::string(field.name_string()), std::string(field.value()) });
+    }
+    if (const auto length = parser->content_length()) {
+      response.length = *length;
+    }
+    while (!parser->is_done() &&
+           response.body.size() < this->options.wholeBodyBytes) {
+      Result<std::string> piece =
+        co_await ReadPiece(*aConnection, *parser, this->options.pieceBytes);
+      if (!piece) {
+        co_return piece.error();
+      }
+      response.body += *piece;
+    }
+    if (parser->is_done()) {
+      if (parser->get().keep_alive()) {
+        this->PutIdle(aAddress, std::move(aConnection));
+      }
+      co_return response;
+    }
+    auto pieces =
+      std::make_shared<Pieces>(this->shared_from_this(), std::move(aAddress),
+                               std::move(aConnection), std::move(parser));
+    response.rest = [pieces](std::function<void(Result<std::string>)> aTake) {
+      pieces->Read(std::move(aTake));
+    };
+    co_return response;
+  }
+
+  // An empty piece: the body is whole.
+  static asio::awaitable<Result<std::string>> ReadPiece(Connection& aConnection,
+                                                        ResponseParser& aParser,
+                                                        std::size_t aMost)
+  {
+    std::string piece;
+    while (piece.empty() && !aParser.is_done()) {
+      piece.resize(aMost);
+      aParser.get().body().data = piece.data();
+      aParser.get().body().size = piece.size();
+      const auto [error, bytes] = co_await http::async_read(
+        aConnection.stream, aConnection.buffer, aParser, kAwait);
+      piece.resize(piece.size() - aParser.get().body().size);
+      if (error && error != http::error::need_buffer) {
+        co_return make_error_code(IsTimeout(error)
+                                    ? TransportError::kTimeout
+                                    : TransportError::kTruncated);
+      }
+    }
+    co_return piece;
+  }
+
+  ConnectionPtr TakeIdle(const std::string& aAddress)
+  {
+    std::vector<ConnectionPtr>& idle = this->idleByAddress[aAddress];
+    while (!idle.empty()) {
+      ConnectionPtr connection = std::move(idle.back());
+      idle.pop_back();
+      if (IsUsable(*connection)) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  void PutIdle(const std::string& aAddress, ConnectionPtr aConnection)
+  {
+    std::vector<ConnectionPtr>& idle = this->idleByAddress[aAddress];
+    if (idle.size() >= this->options.maxIdle) {
+      return;
+    }
+    aConnection->stream.expires_never();
+    idle.push_back(std::move(aConnection));
+  }
+
+  asio::io_context& context;
+  const Options options;
+  std::unordered_map<std::string, std::vector<ConnectionPtr>> idleByAddress;
+  // Calls whose aDone has not run; null until there is a connection.
+  std::unordered_map<CallId, ConnectionPtr> running;
+  CallId lastCall = 0;
+};
+
+HttpClient::HttpClient(asio::io_context& aContext, Options aOptions)
+  : state(std::make_shared<State>(aContext, std::move(aOptions)))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::CallId HttpClient::Send(const std::string& aAddress,
+                                    HttpRequest aRequest,
+                                    std::chrono::milliseconds aTimeout,
+                                    Done aDone)
+{
+  return this->state->Start(aAddress, std::move(aRequest), aTimeout,
+                            std::move(aDone));
+}
+
+void HttpClient::Cancel(CallId aCall)
+{
+  this->state->Cancel(aCall);
+}
+
+} // namespace kumquat::transport
--- /dev/null
+++ b/src/transport/internal/peernetwork.cpp
@@ -0,0 +1,377 @@
+// Connections between hosts over Asio TCP.
+
+#include "transport/peernetwork.h"
+
+#include "protocol/codec.h"
+#include "transport/address.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace kumquat::transport {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr auto kAcceptPause = std::chrono::milliseconds(10);
+
+struct Link
+{
+  explicit Link(tcp::socket aSocket)
+    : socket(std::move(aSocket))
+  {
+  }
+
+  tcp::socket socket;
+  // Encoded frames; the writer takes them all at once.
+  std::vector<std::string> queue;
+  std::size_t queuedBytes = 0;
+  bool writing = false;
+  // Known after the peer's Hello.
+  std::optional<protocol::HostRef> peer;
+};
+
+using LinkPtr = std::shared_ptr<Link>;
+
+void Close(Link& aLink)
+{
+  boost::system::error_code ignored;
+  aLink.socket.close(ignored);
+}
+
+} // namespace
+
+class PeerNetwork::State : public std::enable_shared_from_this<State>
+{
+public:
+  State(asio::io_context& aContext, Options aOptions)
+    : context(aContext)
+    , options(std::move(aOptions))
+    , acceptor(aContext)
+  {
+  }
+
+  std::error_code Open()
+  {
+    const auto endpoint = ParseAddress(this->options.address);
+    if (!endpoint) {
+      return endpoint.error();
+    }
+    this->local = tcp::endpoint(endpoint->address(), 0);
+    boost::system::error_code error;
+    this->acceptor.open(endpoint->protocol(), error);
+    if (!error) {
+      this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+      this->acceptor.bind(*endpoint, error);
+    }
+    if (!error) {
+      this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    return error;
+  }
+
+  void Start()
+  {
+    asio::co_spawn(this->context, this->Accept(this->shared_from_this()),
+                   asio::detached);
+  }
+
+  void Stop()
+  {
+    this->stopping = true;
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (const auto& [host, link] : this->links) {
+      Close(*link);
+    }
+  }
+
+  void SetAddress(const std::string& aHost, const std::string& aAddress)
+  {
+    std::string& known = this->addresses[aHost];
+    if (known == aAddress) {
+      return;
+    }
+    known = aAddress;
+    if (!this->links.contains(aHost)) {
+      this->Dial(aHost);
+    }
+  }
+
+  void Forget(const std::string& aHost)
+  {
+    this->addresses.erase(aHost);
+    const auto found = this->links.find(aHost);
+    if (found != this->links.end()) {
+      Close(*found->second);
+    }
+  }
+
+  bool Send(const std::string& aHost, const protocol::Frame& aFrame)
+  {
+    const auto found = this->links.find(aHost);
+    if (found == this->links.end()) {
+      this->Dial(aHost);
+      return false;
+    }
+    return this->Enqueue(found->second, aFrame);
+  }
+
+private:
+  bool Enqueue(const LinkPtr& aLink, const protocol::Frame& aFrame)
+  {
+    if (aLink->queuedBytes > this->options.maxQueuedBytes) {
+      return false;
+    }
+    std::string bytes = protocol::EncodeFrame(aFrame);
+    aLink->queuedBytes += bytes.size();
+    aLink->queue.push_back(std::move(bytes));
+    if (!aLink->writing) {
+      aLink->writing = true;
+      asio::co_spawn(this->context, WriteQueue(aLink), asio::detached);
+    }
+    return true;
+  }
+
+  static asio::awaitable<void> WriteQueue(LinkPtr aLink)
+  {
+    while (!aLink->queue.empty()) {
+      const std::vector<std::string> batch = std::exchange(aLink->queue, {});
+      aLink->queuedBytes = 0;
+      std::vector<asio::const_buffer> buffers;
+      buffers.reserve(batch.size());
+      for (const std::string& bytes : batch) {
+        buffers.push_back(asio::buffer(bytes));
+      }
+      const auto [error, written] =
+        co_await asio::async_write(aLink->socket, buffers, kAwait);
+      if (error) {
+        Close(*aLink);
+        break;
+      }
+    }
+    aLink->writing = false;
+  }
+
+  asio::awaitable<void> Accept([[maybe_unused]] std::shared_ptr<State> aSelf)
+  {
+    asio::steady_timer pause(this->context);
+    while (!this->stopping) {
+      auto [error, socket] = co_await this->acceptor.async_accept(kAwait);
+      if (error) {
+        pause.expires_after(kAcceptPause);
+        co_await pause.async_wait(kAwait);
+        continue;
+      }
+      this->Run(std::make_shared<Link>(std::move(socket)));
+    }
+  }
+
+  void Dial(const std::string& aHost)
+  {
+    if (this->stopping || !this->addresses.contains(aHost) ||
+        !this->dialling.try_emplace(aHost, true).second) {
+      return;
+    }
+    asio::co_spawn(this->context,
+                   this->DialUntilUp(this->shared_from_this(), aHost),
+                   asio::detached);
+  }
+
+  asio::awaitable<void> DialUntilUp(
+    [[maybe_unused]] std::shared_ptr<State> aSelf, std::string aHost)
+  {
+    asio::steady_timer pause(this->context);
+    while (!this->stopping && !this->links.contains(aHost)) {
+      const auto address = this->addresses.find(aHost);
+      if (address == this->addresses.end()) {
+        break;
+      }
+      if (co_await this->DialOnce(address->second)) {
+        // Its Hello makes it the host's link; until then no second dial.
+        pause.expires_after(this->options.connectTimeout);
+      } else {
+        pause.expires_after(this->options.redialPause);
+      }
+      co_await pause.async_wait(kAwait);
+    }
+    this->dialling.erase(aHost);
+  }
+
+  asio::awaitable<bool> DialOnce(std::string aAddress)
+  {
+    const auto endpoint = ParseAddress(aAddress);
+    if (!endpoint) {
+      co_return false;
+    }
+    auto link = std::make_shared<Link>(tcp::socket(this->context));
+    boost::system::error_code bindError;
+    link->socket.open(endpoint->protocol(), bindError);
+    if (!bindError) {
+      link->socket.bind(this->local, bindError);
+    }
+    asio::steady_timer timeout(this->context);
+    timeout.expires_after(this->options.connectTimeout);
+    timeout.async_wait([link](const boost::system::error_code& aError) {
+      if (!aError) {
+        Close(*link);
+      }
+    });
+    const auto [error] = co_await link->socket.async_connect(*endpoint, kAwait);
+    timeout.cancel();
+    if (error || bindError) {
+      co_return false;
+    }
+    this->Run(link);
+    co_return true;
+  }
+
+  void Run(const LinkPtr& aLink)
+  {
+    boost::system::error_code ignored;
+    aLink->socket.set_option(tcp::no_delay(true), ignored);
+    protocol::Frame frame;
+    frame.__set_hello(this->options.hello);
+    static_cast<void>(this->Enqueue(aLink, frame));
+    asio::co_spawn(this->context, this->Read(this->shared_from_this(), aLink),
+                   asio::detached);
+  }
+
+  asio::awaitable<void> Read([[maybe_unused]] std::shared_ptr<State> aSelf,
+                             LinkPtr aLink)
+  {
+    std::array<char, protocol::kLengthBytes> length{};
+    std::string body;
+    for (;;) {
+      const auto [lengthError, lengthBytes] =
+        co_await asio::async_read(aLink->socket, asio::buffer(length), kAwait);
+      if (lengthError) {
+        break;
+      }
+      const std::uint32_t size =
+        protocol::DecodeLength({ length.data(), length.size() });
+      if (size > protocol::kMaxFrameBytes) {
+        break;
+      }
+      body.resize(size);
+      const auto [bodyError, bodyBytes] =
+        co_await asio::async_read(aLink->socket, asio::buffer(body), kAwait);
+      if (bodyError) {
+        break;
+      }
+      Result<protocol::Frame> frame = protocol::DecodeFrame(body);
+      if (!frame || !this->Take(aLink, std::move(*frame))) {
+        break;
+      }
+    }
+    this->Drop(aLink);
+  }
+
+  // False where the connection has to be closed.
+  bool Take(const LinkPtr& aLink, protocol::Frame aFrame)
+  {
+    if (aLink->peer) {
+      this->options.onFrame(*aLink->peer, std::move(aFrame));
+      return true;
+    }
+    if (!aFrame.__isset.hello ||
+        (this->options.accept && !this->options.accept(aFrame.hello))) {
+      return false;
+    }
+    aLink->peer = aFrame.hello.sender;
+    this->Adopt(aLink);
+    return true;
+  }
+
+  // Where both sides connected at once both connections stay usable for
+  // reading; sending goes over the newer one, which a restarted peer made.
+  void Adopt(const LinkPtr& aLink)
+  {
+    const auto [place, inserted] =
+      this->links.insert_or_assign(aLink->peer->host, aLink);
+    this->options.onUp(*place->second->peer, true);
+  }
+
+  void Drop(const LinkPtr& aLink)
+  {
+    Close(*aLink);
+    if (!aLink->peer) {
+      return;
+    }
+    const auto found = this->links.find(aLink->peer->host);
+    if (found == this->links.end() || found->second != aLink) {
+      return;
+    }
+    this->links.erase(found);
+    this->options.onUp(*aLink->peer, false);
+    this->Dial(aLink->peer->host);
+  }
+
+  asio::io_context& context;
+  const Options options;
+  tcp::acceptor acceptor;
+  tcp::endpoint local;
+  // By host: the connection that Send uses.
+  std::unordered_map<std::string, LinkPtr> links;
+  std::unordered_map<std::string, std::string> addresses;
+  std::unordered_map<std::string, bool> dialling;
+  bool stopping = false;
+};
+
+PeerNetwork::PeerNetwork(std::shared_ptr<State> aState)
+  : state(std::move(aState))
+{
+}
+
+PeerNetwork::~PeerNetwork()
+{
+  this->state->Stop();
+}
+
+Result<std::unique_ptr<PeerNetwork>> PeerNetwork::Listen(
+  asio::io_context& aContext, Options aOptions)
+{
+  auto state = std::make_shared<State>(aContext, std::move(aOptions));
+  if (const std::error_code error = state->Open()) {
+    return error;
+  }
+  state->Start();
+  return std::unique_ptr<PeerNetwork>(new PeerNetwork(std::move(state)));
+}
+
+void PeerNetwork::SetAddress(const std::string& aHost,
+                             const std::string& aAddress)
+{
+  this->state->SetAddress(aHost, aAddress);
+}
+
+void PeerNetwork::Forget(const std::string& aHost)
+{
+  this->state->Forget(aHost);
+}
+
+bool PeerNetwork::Send(const std::string& aHost, const protocol::Frame& aFrame)
+{
+  return this->state->Send(aHost, aFrame);
+}
+
+} // namespace kumquat::transport
--- /dev/null
+++ b/src/transport/peernetwork.h
@@ -0,0 +1,65 @@
+// Long-lived connections between hosts, each carrying many frames at once. A
+// pair shares one: whoever has something to say first connects, and the other
+// answers and asks over the same connection.
+
+#pragma once
+
+#include "framework/result.h"
+#include "protocol/gen/peer_types.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kumquat::transport {
+
+class PeerNetwork
+{
+public:
+  struct Options
+  {
+    // Where peers connect to, as "ip:port"; connections to them leave from the
+    // same IP number.
+    std::string address;
+    protocol::Hello hello;
+    // Frames that wait in one connection, in bytes; beyond it Send refuses.
+    std::size_t maxQueuedBytes = 16U << 20U;
+    std::chrono::milliseconds connectTimeout{ 500 };
+    // From a failed connection to the next try.
+    std::chrono::milliseconds redialPause{ 100 };
+    // All on the network's thread.
+    std::function<void(const protocol::HostRef&, protocol::Frame)> onFrame;
+    std::function<void(const protocol::HostRef&, bool)> onUp;
+    // Whether this peer may speak with us at all.
+    std::function<bool(const protocol::Hello&)> accept;
+  };
+
+  static Result<std::unique_ptr<PeerNetwork>> Listen(
+    boost::asio::io_context& aContext, Options aOptions);
+
+  ~PeerNetwork();
+  PeerNetwork(const PeerNetwork&) = delete;
+  PeerNetwork& operator=(const PeerNetwork&) = delete;
+
+  // Where a host can be reached; a connection is made when first needed and
+  // made again while the address is known.
+  void SetAddress(const std::string& aHost, const std::string& aAddress);
+  void Forget(const std::string& aHost);
+
+  // False where the frame was surely not sent: no connection, or its queue is
+  // full. True does not mean that it arrives.
+  [[nodiscard]] bool Send(const std::string& aHost,
+                          const protocol::Frame& aFrame);
+
+private:
+  class State;
+  explicit PeerNetwork(std::shared_ptr<State> aState);
+
+  std::shared_ptr<State> state;
+};
+
+} // namespace kumquat::transport
