--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -65,7 +65,7 @@
     this->thread.emplace();
     HttpServer::Options options;
     options.address = kAddress;
-    options.handler = [this](HttpRequest aRequest,
+    options.handler = [this](const HttpRequest& aRequest,
                              const HttpServer::Respond& aRespond) {
       aRespond(this->answer(aRequest));
     };
