--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -62,6 +62,8 @@
   kCancelled,
   // Not HTTP, or beyond the bounds.
   kMalformed,
+  // The answer belongs to another request.
+  kCrossed,
 };
 
 const std::error_category& TransportCategory();
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -38,6 +38,10 @@
     std::chrono::milliseconds pieceTimeout{ 10'000 };
     // Where set, connections leave from this IP number.
     std::string localAddress;
+    // Whether an answer is the request's own, by the header that must come
+    // back as it was sent; empty: not checked. An answer that is another
+    // request's closes the connection, as more of the kind may follow.
+    std::string echoHeader;
   };
 
   HttpClient(boost::asio::io_context& aContext, Options aOptions);
--- a/src/transport/internal/http.cpp
+++ b/src/transport/internal/http.cpp
@@ -42,6 +42,8 @@
         return "cancelled";
       case TransportError::kMalformed:
         return "malformed";
+      case TransportError::kCrossed:
+        return "another request's answer";
     }
     return "unknown";
   }
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -192,6 +192,7 @@
     }
     found->second = connection;
     connection->stream.expires_at(aDeadline);
+    const std::string echo(aRequest.Header(this->options.echoHeader));
     const auto message = MakeMessage(aAddress, std::move(aRequest));
     const auto [error, bytes] =
       co_await http::async_write(connection->stream, message, kAwait);
@@ -199,7 +200,7 @@
       co_return make_error_code(IsTimeout(error) ? TransportError::kTimeout
                                                  : TransportError::kBroken);
     }
-    co_return co_await this->ReadAnswer(aAddress, connection);
+    co_return co_await this->ReadAnswer(aAddress, connection, echo);
   }
 
   asio::awaitable<Result<ConnectionPtr>> Connect(
@@ -246,7 +247,8 @@
   }
 
   asio::awaitable<Result<HttpResponse>> ReadAnswer(std::string aAddress,
-                                                   ConnectionPtr aConnection)
+                                                   ConnectionPtr aConnection,
+                                                   std::string aEcho)
   {
     auto parser = std::make_shared<ResponseParser>();
     parser->header_limit(
@@ -264,6 +266,9 @@
       response.headers.push_back(
         { std::string(field.name_string()), std::string(field.value()) });
     }
+    if (response.Header(this->options.echoHeader) != aEcho) {
+      co_return make_error_code(TransportError::kCrossed);
+    }
     if (const auto length = parser->content_length()) {
       response.length = *length;
     }
