--- a/src/coordination/choosing.h
+++ b/src/coordination/choosing.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "coordination/steward.h"
+#include "protocol/gen/peer_types.h"
 #include "state/types.h"
 
 #include <cstdint>
@@ -41,6 +42,10 @@
   std::unordered_map<state::UpstreamRef, Known> known;
 };
 
+// Room counts as they travel between hosts.
+protocol::SlotDigest ToWire(const SlotCount& aCount);
+SlotCount FromWire(const protocol::SlotDigest& aDigest);
+
 struct Candidate
 {
   state::UpstreamRef upstream;
--- a/src/coordination/entry.h
+++ b/src/coordination/entry.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "coordination/choosing.h"
+#include "coordination/peercalls.h"
 #include "coordination/requests.h"
 #include "coordination/retrybudget.h"
 #include "coordination/steward.h"
@@ -34,9 +35,9 @@
     RandomBelow random;
     state::HostRef self;
     state::DataCentre dataCentre;
-    // False: surely not sent.
-    std::function<bool(const state::HostId&, const protocol::Frame&)> send;
-    std::function<std::uint64_t()> nextCorrelation;
+    // Makes the reader of a streamed body, for a reply that says "more".
+    std::function<transport::BodyReader(const state::HostId&, std::uint64_t)>
+      readBody;
     // Whether a host holds its lease, as far as is known here.
     std::function<bool(const state::HostRef&)> isLive;
     // Told of each retry, with its reason.
@@ -46,21 +47,17 @@
   };
 
   Entry(Hooks aHooks, const state::RoutingMap& aMap, RoomView& aRooms,
-        Steward& aSteward);
+        Steward& aSteward, PeerCalls& aCalls);
 
   // aDone runs once: at once where the request is refused, else when there is
   // an answer or nothing more to hope for.
   void Run(const state::ServiceConfiguration& aService, CallerRequest aRequest,
            Done aDone);
 
-  void OnForwardReply(std::uint64_t aCorrelation,
-                      protocol::ForwardReply&& aReply,
-                      transport::BodyReader aRest);
-  // The connection broke: what was sent there has an unknown fate.
-  void OnPeerLost(const state::HostId& aHost);
   void OnTimer();
 
-  std::size_t InFlight() const { return this->pending.size(); }
+  // Requests that have no answer yet.
+  std::size_t InFlight() const { return this->inFlight; }
 
 private:
   struct Pending
@@ -72,9 +69,6 @@
     // Tried before in this request.
     std::set<state::UpstreamRef> tried;
     state::UpstreamRef target;
-    // Set while a frame is out; empty while we are the steward or wait.
-    std::optional<state::HostId> sentTo;
-    std::uint64_t correlation = 0;
   };
 
   using PendingPtr = std::shared_ptr<Pending>;
@@ -85,8 +79,10 @@
   void SendTo(const PendingPtr& aPending,
               const state::UpstreamRecord& aUpstream);
   void SubmitHere(const PendingPtr& aPending);
-  bool Forward(const PendingPtr& aPending,
+  void Forward(const PendingPtr& aPending,
                const state::UpstreamRecord& aUpstream);
+  RequestResult TakeReply(const state::HostId& aSteward,
+                          Result<protocol::Frame> aReply) const;
   void OnResult(const PendingPtr& aPending, RequestResult aResult);
   bool MayRetry(const Pending& aPending, protocol::ErrorKind aKind) const;
   void RetryLater(const PendingPtr& aPending);
@@ -97,14 +93,20 @@
   RoomView& rooms;
   Steward& steward;
   RetryBudget budget;
-  // By correlation: a frame is out for each.
-  std::unordered_map<std::uint64_t, PendingPtr> pending;
+  PeerCalls& calls;
+  // Before their next try.
   std::multimap<TimePoint, PendingPtr> waiting;
-  // Frames whose reply is late beyond the caller's deadline.
-  std::multimap<TimePoint, std::uint64_t> deadlines;
+  std::size_t inFlight = 0;
 };
 
-protocol::Forward MakeForward(const CallerRequest& aRequest, TimePoint aNow);
+// A reply may be on its way while the deadline passes here.
+constexpr std::chrono::milliseconds kReplyGrace{ 50 };
+
+protocol::Forward MakeForward(const CallerRequest& aRequest,
+                              const state::HostRef& aSender, TimePoint aNow);
 CallerRequest FromForward(protocol::Forward&& aForward, TimePoint aNow);
 
+protocol::ForwardReply MakeReply(RequestResult&& aResult);
+RequestResult FromReply(protocol::ForwardReply&& aReply);
+
 } // namespace kumquat::coordination
--- a/src/coordination/internal/choosing.cpp
+++ b/src/coordination/internal/choosing.cpp
@@ -53,6 +53,30 @@
   return entry.freeSlots - entry.queued - entry.sentSince;
 }
 
+protocol::SlotDigest ToWire(const SlotCount& aCount)
+{
+  protocol::SlotDigest digest;
+  digest.upstream.__set_serviceName(aCount.upstream.service.value);
+  digest.upstream.__set_upstream(aCount.upstream.upstream.value);
+  digest.__set_freeSlots(aCount.freeSlots);
+  digest.__set_queued(aCount.queued);
+  digest.__set_stewardEpoch(aCount.epoch);
+  digest.__set_lost(aCount.lost);
+  return digest;
+}
+
+SlotCount FromWire(const protocol::SlotDigest& aDigest)
+{
+  SlotCount count;
+  count.upstream.service.value = aDigest.upstream.serviceName;
+  count.upstream.upstream.value = aDigest.upstream.upstream;
+  count.freeSlots = aDigest.freeSlots;
+  count.queued = aDigest.queued;
+  count.epoch = aDigest.stewardEpoch;
+  count.lost = aDigest.lost;
+  return count;
+}
+
 std::optional<state::UpstreamRef> Choose(
   const std::vector<Candidate>& aCandidates, const RoomView& aRooms,
   const RandomBelow& aRandom)
--- a/src/coordination/internal/entry.cpp
+++ b/src/coordination/internal/entry.cpp
@@ -22,8 +22,6 @@
 // Before each retry that waits for the map to catch up.
 constexpr std::array kBackoff = { milliseconds(20), milliseconds(60),
                                   milliseconds(180) };
-// A reply may be on its way while the deadline passes here.
-constexpr milliseconds kReplyGrace{ 50 };
 
 // Kinds after which another try at once would meet the same state.
 bool WaitsForMap(ErrorKind aKind)
@@ -43,11 +41,40 @@
   return near ? 0 : 1;
 }
 
+std::vector<protocol::Header> ToWire(
+  const std::vector<transport::HttpHeader>& aHeaders)
+{
+  std::vector<protocol::Header> wire;
+  std::ranges::transform(aHeaders, std::back_inserter(wire),
+                         [](const transport::HttpHeader& aHeader) {
+                           protocol::Header header;
+                           header.__set_name(aHeader.name);
+                           header.__set_value(aHeader.value);
+                           return header;
+                         });
+  return wire;
+}
+
+std::vector<transport::HttpHeader> FromWire(
+  std::vector<protocol::Header>&& aWire)
+{
+  std::vector<transport::HttpHeader> headers;
+  std::ranges::transform(
+    aWire, std::back_inserter(headers), [](protocol::Header& aHeader) {
+      return transport::HttpHeader{ std::move(aHeader.name),
+                                    std::move(aHeader.value) };
+    });
+  return headers;
+}
+
 } // namespace
 
-protocol::Forward MakeForward(const CallerRequest& aRequest, TimePoint aNow)
+protocol::Forward MakeForward(const CallerRequest& aRequest,
+                              const state::HostRef& aSender, TimePoint aNow)
 {
   protocol::Forward forward;
+  forward.sender.__set_host(aSender.host.value);
+  forward.sender.__set_incarnation(aSender.incarnation);
   forward.__set_serviceName(aRequest.service.value);
   forward.__set_key(aRequest.key);
   forward.__set_idempotencyKey(aRequest.idempotencyKey);
@@ -56,13 +83,7 @@
   forward.__set_method(aRequest.method);
   forward.__set_target(aRequest.target);
   forward.__set_body(aRequest.body);
-  std::ranges::transform(aRequest.headers, std::back_inserter(forward.headers),
-                         [](const transport::HttpHeader& aHeader) {
-                           protocol::Header header;
-                           header.__set_name(aHeader.name);
-                           header.__set_value(aHeader.value);
-                           return header;
-                         });
+  forward.__set_headers(ToWire(aRequest.headers));
   return forward;
 }
 
@@ -76,21 +97,51 @@
   request.method = std::move(aForward.method);
   request.target = std::move(aForward.target);
   request.body = std::move(aForward.body);
-  std::ranges::transform(aForward.headers, std::back_inserter(request.headers),
-                         [](protocol::Header& aHeader) {
-                           return transport::HttpHeader{
-                             std::move(aHeader.name), std::move(aHeader.value)
-                           };
-                         });
+  request.headers = FromWire(std::move(aForward.headers));
   return request;
 }
 
+protocol::ForwardReply MakeReply(RequestResult&& aResult)
+{
+  protocol::ForwardReply reply;
+  reply.__set_error(static_cast<int>(aResult.error));
+  reply.__set_status(aResult.response.status);
+  reply.__set_headers(ToWire(aResult.response.headers));
+  reply.__set_body(std::move(aResult.response.body));
+  reply.__set_more(static_cast<bool>(aResult.response.rest));
+  if (aResult.response.length) {
+    reply.__set_length(static_cast<std::int64_t>(*aResult.response.length));
+  }
+  if (aResult.retryAfter) {
+    reply.__set_retryAfterMicros(microseconds(*aResult.retryAfter).count());
+  }
+  return reply;
+}
+
+RequestResult FromReply(protocol::ForwardReply&& aReply)
+{
+  RequestResult result;
+  result.error = protocol::ErrorKindFromNumber(aReply.error);
+  if (aReply.retryAfterMicros > 0) {
+    result.retryAfter =
+      std::chrono::ceil<milliseconds>(microseconds(aReply.retryAfterMicros));
+  }
+  result.response.status = aReply.status;
+  result.response.headers = FromWire(std::move(aReply.headers));
+  result.response.body = std::move(aReply.body);
+  if (aReply.__isset.length) {
+    result.response.length = static_cast<std::uint64_t>(aReply.length);
+  }
+  return result;
+}
+
 Entry::Entry(Hooks aHooks, const state::RoutingMap& aMap, RoomView& aRooms,
-             Steward& aSteward)
+             Steward& aSteward, PeerCalls& aCalls)
   : hooks(std::move(aHooks))
   , map(aMap)
   , rooms(aRooms)
   , steward(aSteward)
+  , calls(aCalls)
 {
 }
 
@@ -98,6 +149,7 @@
                 CallerRequest aRequest, Done aDone)
 {
   this->budget.OnRequest();
+  ++this->inFlight;
   auto pendingRequest = std::make_shared<Pending>();
   pendingRequest->service = aService;
   pendingRequest->request = std::move(aRequest);
@@ -175,15 +227,13 @@
     this->OnResult(aPending, MakeError(ErrorKind::kNoSteward));
     return;
   }
-  if (!this->Forward(aPending, aUpstream)) {
-    this->OnResult(aPending, MakeError(ErrorKind::kPeerUnreachable));
-  }
+  this->Forward(aPending, aUpstream);
 }
 
 void Entry::SubmitHere(const PendingPtr& aPending)
 {
   Work work;
-  work.id = this->hooks.nextCorrelation();
+  work.id = this->calls.NextCorrelation();
   work.request = aPending->request;
   work.done = [this, aPending](RequestResult aResult) {
     this->OnResult(aPending, std::move(aResult));
@@ -191,76 +241,42 @@
   this->steward.Submit(aPending->target, std::move(work));
 }
 
-bool Entry::Forward(const PendingPtr& aPending, const UpstreamRecord& aUpstream)
+void Entry::Forward(const PendingPtr& aPending, const UpstreamRecord& aUpstream)
 {
   const TimePoint now = this->hooks.now();
-  protocol::Forward forward = MakeForward(aPending->request, now);
-  forward.sender.__set_host(this->hooks.self.host.value);
-  forward.sender.__set_incarnation(this->hooks.self.incarnation);
+  protocol::Forward forward =
+    MakeForward(aPending->request, this->hooks.self, now);
   forward.upstream.__set_serviceName(aUpstream.ref.service.value);
   forward.upstream.__set_upstream(aUpstream.ref.upstream.value);
   forward.__set_stewardEpoch(aUpstream.epoch);
   protocol::Frame frame;
-  frame.__set_correlation(
-    static_cast<std::int64_t>(this->hooks.nextCorrelation()));
   frame.__set_forward(std::move(forward));
-  if (!this->hooks.send(aUpstream.steward.host, frame)) {
-    return false;
-  }
-  aPending->sentTo = aUpstream.steward.host;
-  aPending->correlation = static_cast<std::uint64_t>(frame.correlation);
-  this->pending.emplace(aPending->correlation, aPending);
-  this->deadlines.emplace(aPending->request.deadline + kReplyGrace,
-                          aPending->correlation);
+  const state::HostId host = aUpstream.steward.host;
   this->rooms.OnSent(aUpstream.ref);
-  return true;
+  this->calls.Ask(
+    host, std::move(frame), aPending->request.deadline - now + kReplyGrace,
+    [this, aPending, host](Result<protocol::Frame> aReply) {
+      this->rooms.OnAnswered(aPending->target);
+      this->OnResult(aPending, this->TakeReply(host, std::move(aReply)));
+    });
 }
 
-void Entry::OnForwardReply(std::uint64_t aCorrelation,
-                           protocol::ForwardReply&& aReply,
-                           transport::BodyReader aRest)
+RequestResult Entry::TakeReply(const state::HostId& aSteward,
+                               Result<protocol::Frame> aReply) const
 {
-  const auto found = this->pending.find(aCorrelation);
-  if (found == this->pending.end()) {
-    return;
+  if (!aReply) {
+    return MakeError(static_cast<ErrorKind>(aReply.error().value()));
   }
-  const PendingPtr request = found->second;
-  this->pending.erase(found);
-  request->sentTo.reset();
-  this->rooms.OnAnswered(request->target);
-  RequestResult result;
-  result.error = protocol::ErrorKindFromNumber(aReply.error);
-  if (aReply.retryAfterMicros > 0) {
-    result.retryAfter =
-      std::chrono::ceil<milliseconds>(microseconds(aReply.retryAfterMicros));
+  const auto correlation = static_cast<std::uint64_t>(aReply->correlation);
+  const bool more = aReply->forwardReply.more;
+  for (const protocol::SlotDigest& digest : aReply->forwardReply.digests) {
+    this->rooms.OnCount(FromWire(digest));
   }
-  result.response.status = aReply.status;
-  result.response.body = std::move(aReply.body);
-  result.response.rest = std::move(aRest);
-  std::ranges::transform(
-    aReply.headers, std::back_inserter(result.response.headers),
-    [](protocol::Header& aHeader) {
-      return transport::HttpHeader{ std::move(aHeader.name),
-                                    std::move(aHeader.value) };
-    });
-  this->OnResult(request, std::move(result));
-}
-
-void Entry::OnPeerLost(const state::HostId& aHost)
-{
-  std::vector<PendingPtr> lost;
-  std::erase_if(this->pending, [&](const auto& aEntry) {
-    if (aEntry.second->sentTo != aHost) {
-      return false;
-    }
-    lost.push_back(aEntry.second);
-    return true;
-  });
-  for (const PendingPtr& request : lost) {
-    request->sentTo.reset();
-    this->rooms.OnAnswered(request->target);
-    this->OnResult(request, MakeError(ErrorKind::kPeerLost));
+  RequestResult result = FromReply(std::move(aReply->forwardReply));
+  if (more) {
+    result.response.rest = this->hooks.readBody(aSteward, correlation);
   }
+  return result;
 }
 
 void Entry::OnResult(const PendingPtr& aPending, RequestResult aResult)
@@ -270,16 +286,19 @@
     this->Finish(aPending, std::move(aResult));
     return;
   }
-  if (!this->budget.Spend()) {
-    this->Finish(aPending, std::move(aResult));
-    return;
-  }
-  this->hooks.retried(kind);
+  // A move of the upstream's steward is no sign of overload, and the tries are
+  // bounded: a handover must not use up what real failures need.
   if (WaitsForMap(kind)) {
+    this->hooks.retried(kind);
     this->hooks.refreshMap();
     this->RetryLater(aPending);
     return;
   }
+  if (!this->budget.Spend()) {
+    this->Finish(aPending, std::move(aResult));
+    return;
+  }
+  this->hooks.retried(kind);
   if (aPending->service.keyed) {
     this->RetryLater(aPending);
     return;
@@ -311,6 +330,7 @@
 
 void Entry::Finish(const PendingPtr& aPending, RequestResult aResult)
 {
+  --this->inFlight;
   const Done done = std::move(aPending->done);
   done(std::move(aResult));
 }
@@ -323,17 +343,6 @@
     this->waiting.erase(this->waiting.begin());
     this->Try(due);
   }
-  while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
-    const auto found = this->pending.find(this->deadlines.begin()->second);
-    this->deadlines.erase(this->deadlines.begin());
-    if (found == this->pending.end()) {
-      continue;
-    }
-    const PendingPtr late = found->second;
-    this->pending.erase(found);
-    this->rooms.OnAnswered(late->target);
-    this->Finish(late, MakeError(ErrorKind::kUpstreamTimeout));
-  }
 }
 
 } // namespace kumquat::coordination
--- a/src/coordination/steward.h
+++ b/src/coordination/steward.h
@@ -30,6 +30,8 @@
   int running = 0;
   int allowed = 0;
   int served = 0;
+  // Nothing but failures came back for a while: to be planned around.
+  bool lost = false;
 };
 
 struct Work
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -75,6 +75,8 @@
   2: i32 freeSlots
   3: i32 queued
   4: i64 stewardEpoch
+  // The steward gets nothing but failures from it.
+  5: bool lost
 }
 
 struct ForwardReply {
@@ -89,6 +91,8 @@
   7: optional UpstreamRef redirect
   // More of the body follows in BodyPart frames with the same correlation.
   8: bool more
+  // Of the whole body, where it is known.
+  9: optional i64 length
 }
 
 struct BodyPart {
@@ -168,6 +172,20 @@
   1: bool accepted
 }
 
+// A planner asks the steward of a slice's owner to end its grant, so that the
+// table may name another owner.
+struct RevokeSlice {
+  1: UpstreamRef upstream
+  2: i64 stewardEpoch
+  3: string part
+  4: i64 sliceEpoch
+}
+
+struct RevokeSliceReply {
+  // The grant is surely in force nowhere.
+  1: bool revoked
+}
+
 struct Leaving {
   1: HostRef sender
 }
@@ -197,4 +215,6 @@
   28: optional HandOver handOver
   29: optional HandOverReply handOverReply
   30: optional Leaving leaving
+  31: optional RevokeSlice revokeSlice
+  32: optional RevokeSliceReply revokeSliceReply
 }
--- a/src/state/internal/rows.cpp
+++ b/src/state/internal/rows.cpp
@@ -149,6 +149,7 @@
     { "last", std::to_string(aRecord.last) },
     { "upstream", aRecord.upstream.value },
     { "host", RefToJson(aRecord.host) },
+    { "predecessor", RefToJson(aRecord.predecessor) },
     { "epoch", aRecord.epoch }
   }.dump();
 }
@@ -217,6 +218,7 @@
     record.last = HashFromText(aJson.at("last").get<std::string>());
     record.upstream.value = aJson.at("upstream").get<std::string>();
     record.host = RefFromJson(aJson.at("host"));
+    record.predecessor = RefFromJson(aJson.at("predecessor"));
     record.epoch = aJson.at("epoch").get<Epoch>();
     return record;
   });
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -84,6 +84,8 @@
   // The owner: an upstream, or for idempotency keys a host.
   UpstreamId upstream;
   HostRef host;
+  // The host that owned it before; empty where there was none.
+  HostRef predecessor;
   // Raised with each change of owner.
   Epoch epoch = 0;
   Version version = 0;
