--- /dev/null
+++ b/src/state/internal/settings.cpp
@@ -0,0 +1,136 @@
+// Checks a process's settings before it starts.
+
+#include "state/settings.h"
+
+#include "state/internal/textreader.h"
+#include "transport/address.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+
+namespace kumquat::state {
+
+namespace {
+
+// A lock-free ring of fixed size numbers its nodes with 16 bits.
+constexpr IntegerBounds kRingBounds{ 16, 65'534 };
+constexpr IntegerBounds kConnectionsBounds{ 1, 65'536 };
+constexpr std::size_t kLeastToken = 8;
+
+constexpr std::array<std::string_view, 5> kLogLevels = { "trace", "debug",
+                                                         "info", "warn",
+                                                         "error" };
+
+std::string ReadName(ObjectReader& aFields, std::string_view aName)
+{
+  std::string name = aFields.NeededString(aName);
+  const auto visible = [](char aLetter) {
+    return aLetter > ' ' && aLetter <= '~' && aLetter != '/';
+  };
+  if (!std::ranges::all_of(name, visible)) {
+    aFields.AddFault(aName, "must be visible ASCII letters without '/'");
+  }
+  return name;
+}
+
+std::string ReadAddress(ObjectReader& aFields, std::string_view aName)
+{
+  std::string address = aFields.NeededString(aName);
+  if (address.empty()) {
+    return address;
+  }
+  const auto endpoint = transport::ParseAddress(address);
+  if (endpoint.has_error() || endpoint->port() == 0) {
+    aFields.AddFault(aName, "must be an IP number and a port, as "
+                            "\"127.0.1.1:7000\", not \"" +
+                              address + "\"");
+  }
+  return address;
+}
+
+std::string ReadToken(ObjectReader& aFields)
+{
+  std::string token = aFields.NeededString("operator_token");
+  const auto visible = [](char aLetter) {
+    return aLetter > ' ' && aLetter <= '~';
+  };
+  if (token.size() < kLeastToken || !std::ranges::all_of(token, visible)) {
+    aFields.AddFault("operator_token",
+                     "must be 8 or more visible ASCII letters");
+  }
+  return token;
+}
+
+std::string ReadLogLevel(ObjectReader& aFields, std::string aDefault)
+{
+  std::string level = aFields.String("log_level").value_or(std::move(aDefault));
+  if (std::ranges::find(kLogLevels, level) == kLogLevels.end()) {
+    aFields.AddFault("log_level",
+                     "must be one of trace, debug, info, warn, error, not \"" +
+                       level + "\"");
+  }
+  return level;
+}
+
+std::size_t ReadSize(ObjectReader& aFields, std::string_view aName,
+                     IntegerBounds aBounds, std::size_t aDefault)
+{
+  const std::optional<std::int64_t> size = aFields.Integer(aName, aBounds);
+  return size ? static_cast<std::size_t>(*size) : aDefault;
+}
+
+} // namespace
+
+CheckedSettings ParseSettings(std::string_view aText)
+{
+  TextReader reader(aText);
+  if (!reader.IsSyntaxRight()) {
+    return reader.TakeFaults();
+  }
+  ObjectReader fields(reader, reader.Root(), JsonPointer());
+  Settings settings;
+  settings.host.value = ReadName(fields, "host");
+  settings.dataCentre.value = ReadName(fields, "data_centre");
+  settings.callerAddress = ReadAddress(fields, "caller_address");
+  settings.peerAddress = ReadAddress(fields, "peer_address");
+  settings.operatorAddress = ReadAddress(fields, "operator_address");
+  settings.tableAddress = ReadAddress(fields, "table_address");
+  settings.objectAddress = ReadAddress(fields, "object_address");
+  settings.listAddress = ReadAddress(fields, "list_address");
+  settings.operatorToken = ReadToken(fields);
+  settings.ringSize =
+    ReadSize(fields, "ring_size", kRingBounds, settings.ringSize);
+  settings.maxConnections = ReadSize(
+    fields, "max_connections", kConnectionsBounds, settings.maxConnections);
+  settings.logLevel = ReadLogLevel(fields, settings.logLevel);
+  settings.logJson = fields.Boolean("log_json").value_or(settings.logJson);
+  fields.Finish();
+  if (reader.HasFaults()) {
+    return reader.TakeFaults();
+  }
+  return settings;
+}
+
+std::string PrintSettings(const Settings& aSettings)
+{
+  const nlohmann::ordered_json text = {
+    { "host", aSettings.host.value },
+    { "data_centre", aSettings.dataCentre.value },
+    { "caller_address", aSettings.callerAddress },
+    { "peer_address", aSettings.peerAddress },
+    { "operator_address", aSettings.operatorAddress },
+    { "table_address", aSettings.tableAddress },
+    { "object_address", aSettings.objectAddress },
+    { "list_address", aSettings.listAddress },
+    // Printed settings end up in tickets and logs; the token must not.
+    { "operator_token", "(set)" },
+    { "ring_size", aSettings.ringSize },
+    { "max_connections", aSettings.maxConnections },
+    { "log_level", aSettings.logLevel },
+    { "log_json", aSettings.logJson },
+  };
+  return text.dump(2);
+}
+
+} // namespace kumquat::state
