At most once: headers of the filter, the witnesses' log and the collection

Repeats of an idempotency key have to meet at one host, and a successor has to learn which keys may have run before it.

CollectRequest gets the range of hashes and the successor's epoch, so that a slice that moves from a live host needs no fence of its incarnation and a chain of two takeovers is covered by one question; the reply carries hashes of 8 bytes, where a collision only makes the successor more careful. WitnessNote gets the owner's epoch. All are additions.

--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -116,6 +116,7 @@
   1: HostRef owner
   2: string serviceName
   3: string idempotencyKey
+  4: i64 ownerEpoch
 }
 
 struct WitnessReply {
@@ -125,13 +126,22 @@
 // A successor asks what was forwarded to, told by or run for `predecessor`.
 // Answering is also a fence: from then on nothing of it is accepted.
 struct CollectRequest {
+  // No host: the slice moved from a live host, and only older epochs are fenced.
   1: HostRef predecessor
   2: string serviceName
+  // The range of key hashes that the successor took, as unsigned numbers.
+  3: i64 first
+  4: i64 last
+  // The successor's; in the range, forwards of a lower one are refused from now.
+  5: i64 epoch
 }
 
 struct CollectReply {
   1: bool complete
+  // Not in use: keyHashes says the same in fewer bytes.
   2: list<string> idempotencyKeys
+  // The 64-bit hashes of the keys known in the range, whoever owned them.
+  3: list<i64> keyHashes
 }
 
 // Rows of the table that changed; the receiver keeps the highest versions.
