At most once: the filter, the witnesses' log and the collection

The filter keeps whole keys, so that no caller gets another's answer; the log keeps hashes, where a collision only makes a successor say 'unknown' once too often. Memory that is full refuses with 'not run' and never drops a key before its horizon.

--- a/src/coordination/duplicatefilter.h
+++ b/src/coordination/duplicatefilter.h
@@ -153,7 +153,7 @@
 
   // The final answer. Where it is "not run" the key is free again, otherwise it
   // is remembered for the horizon. Must follow each aRun once.
-  void Finish(const Ticket& aTicket, Answer aAnswer);
+  void Finish(const Ticket& aTicket, const Answer& aAnswer);
 
   // Due every 50 ms: repeats' deadlines, horizons, collections.
   void Tick();
--- a/src/coordination/witnesslog.h
+++ b/src/coordination/witnesslog.h
@@ -12,6 +12,7 @@
 #include "protocol/gen/peer_types.h"
 #include "state/types.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -69,7 +70,8 @@
 
   protocol::WitnessReply Answer(const protocol::WitnessNote& aNote);
 
-  // Also the fence: from here on this host accepts nothing of the predecessor's
+  // Names the keys noted under a lower epoch than the successor's. Also the
+  // fence: from here on this host accepts nothing of the predecessor's
   // incarnation, nor of a lower epoch in the range.
   protocol::CollectReply Answer(const protocol::CollectRequest& aRequest);
 
@@ -93,8 +95,15 @@
     std::uint64_t hash = 0;
   };
 
-  // Hash of the key to the end of its horizon.
-  using Hashes = std::unordered_map<std::uint64_t, TimePoint>;
+  struct Known
+  {
+    TimePoint expires;
+    // The lowest that the key was noted under: a successor needs to hear only
+    // of keys from before its own epoch.
+    state::Epoch epoch = 0;
+  };
+
+  using Hashes = std::unordered_map<std::uint64_t, Known>;
 
   bool Omits(DuplicateRule aRule) const;
   bool IsFenced(const KeyOwner& aOwner, const state::ServiceName& aService,
@@ -103,7 +112,8 @@
                   std::uint64_t aHash) const;
   void FenceHost(const state::HostRef& aHost);
   void FenceRange(const state::ServiceName& aService, const Range& aRange);
-  bool Remember(const state::ServiceName& aService, std::uint64_t aHash);
+  bool Remember(const state::ServiceName& aService, std::uint64_t aHash,
+                state::Epoch aEpoch);
 
   Options options;
   std::unordered_map<state::ServiceName, Hashes> known;
