--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -13,6 +13,7 @@
 
 #pragma once
 
+#include "coordination/hostdirectory.h"
 #include "coordination/leasetiming.h"
 #include "framework/channel.h"
 #include "framework/clock.h"
@@ -38,13 +39,6 @@
   std::function<bool(const state::HostId&, protocol::Frame)> send;
 };
 
-// An endpoint of the platform's list of the system's own hosts.
-struct ListedHost
-{
-  state::HostId host;
-  bool leaving = false;
-};
-
 enum class HostPhase
 {
   kIdle,
