--- a/src/coordination/choosing.h
+++ b/src/coordination/choosing.h
@@ -28,6 +28,8 @@
   // Free slots less what we have sent since the steward counted; an upstream
   // of which nothing is known is taken to have one.
   int Room(const state::UpstreamRef& aRef) const;
+  // Its steward says that it cannot be used now.
+  bool IsLost(const state::UpstreamRef& aRef) const;
 
 private:
   struct Known
@@ -37,6 +39,7 @@
     int queued = 0;
     // Requests of ours that the count does not hold yet.
     int sentSince = 0;
+    bool lost = false;
   };
 
   std::unordered_map<state::UpstreamRef, Known> known;
--- a/src/coordination/entry.h
+++ b/src/coordination/entry.h
@@ -49,10 +49,21 @@
   Entry(Hooks aHooks, const state::RoutingMap& aMap, RoomView& aRooms,
         Steward& aSteward, PeerCalls& aCalls);
 
+  // For requests that this host runs as the owner of their idempotency key.
+  struct Ownership
+  {
+    state::Epoch epoch = 0;
+    // Asked before each dispatch, with the steward that it goes to; the
+    // dispatch goes on only where it answers kNone.
+    std::function<void(const state::HostRef&,
+                       std::function<void(protocol::ErrorKind)>)>
+      prepare;
+  };
+
   // aDone runs once: at once where the request is refused, else when there is
   // an answer or nothing more to hope for.
   void Run(const state::ServiceConfiguration& aService, CallerRequest aRequest,
-           Done aDone);
+           Ownership aOwnership, Done aDone);
 
   void OnTimer();
 
@@ -64,6 +75,7 @@
   {
     state::ServiceConfiguration service;
     CallerRequest request;
+    Ownership ownership;
     Done done;
     int tries = 0;
     // Tried before in this request.
@@ -78,6 +90,8 @@
   std::vector<Candidate> Candidates(const Pending& aPending) const;
   void SendTo(const PendingPtr& aPending,
               const state::UpstreamRecord& aUpstream);
+  void Dispatch(const PendingPtr& aPending,
+                const state::UpstreamRecord& aUpstream);
   void SubmitHere(const PendingPtr& aPending);
   void Forward(const PendingPtr& aPending,
                const state::UpstreamRecord& aUpstream);
--- a/src/coordination/internal/choosing.cpp
+++ b/src/coordination/internal/choosing.cpp
@@ -30,6 +30,7 @@
   entry.freeSlots = aCount.freeSlots;
   entry.queued = aCount.queued;
   entry.sentSince = 0;
+  entry.lost = aCount.lost;
 }
 
 void RoomView::OnSent(const state::UpstreamRef& aRef)
@@ -77,6 +78,12 @@
   return count;
 }
 
+bool RoomView::IsLost(const state::UpstreamRef& aRef) const
+{
+  const auto found = this->known.find(aRef);
+  return found != this->known.end() && found->second.lost;
+}
+
 std::optional<state::UpstreamRef> Choose(
   const std::vector<Candidate>& aCandidates, const RoomView& aRooms,
   const RandomBelow& aRandom)
--- a/src/coordination/internal/entry.cpp
+++ b/src/coordination/internal/entry.cpp
@@ -146,13 +146,14 @@
 }
 
 void Entry::Run(const state::ServiceConfiguration& aService,
-                CallerRequest aRequest, Done aDone)
+                CallerRequest aRequest, Ownership aOwnership, Done aDone)
 {
   this->budget.OnRequest();
   ++this->inFlight;
   auto pendingRequest = std::make_shared<Pending>();
   pendingRequest->service = aService;
   pendingRequest->request = std::move(aRequest);
+  pendingRequest->ownership = std::move(aOwnership);
   pendingRequest->done = std::move(aDone);
   this->Try(pendingRequest);
 }
@@ -219,14 +220,31 @@
 
 void Entry::SendTo(const PendingPtr& aPending, const UpstreamRecord& aUpstream)
 {
-  if (aUpstream.steward == this->hooks.self) {
-    this->SubmitHere(aPending);
-    return;
-  }
   if (!this->hooks.isLive(aUpstream.steward)) {
     this->OnResult(aPending, MakeError(ErrorKind::kNoSteward));
     return;
   }
+  if (!aPending->ownership.prepare) {
+    this->Dispatch(aPending, aUpstream);
+    return;
+  }
+  aPending->ownership.prepare(aUpstream.steward,
+                              [this, aPending, aUpstream](ErrorKind aKind) {
+                                if (aKind == ErrorKind::kNone) {
+                                  this->Dispatch(aPending, aUpstream);
+                                  return;
+                                }
+                                this->OnResult(aPending, MakeError(aKind));
+                              });
+}
+
+void Entry::Dispatch(const PendingPtr& aPending,
+                     const UpstreamRecord& aUpstream)
+{
+  if (aUpstream.steward == this->hooks.self) {
+    this->SubmitHere(aPending);
+    return;
+  }
   this->Forward(aPending, aUpstream);
 }
 
@@ -249,6 +267,7 @@
   forward.upstream.__set_serviceName(aUpstream.ref.service.value);
   forward.upstream.__set_upstream(aUpstream.ref.upstream.value);
   forward.__set_stewardEpoch(aUpstream.epoch);
+  forward.__set_ownerEpoch(aPending->ownership.epoch);
   protocol::Frame frame;
   frame.__set_forward(std::move(forward));
   const state::HostId host = aUpstream.steward.host;
--- a/src/coordination/internal/slotramp.cpp
+++ b/src/coordination/internal/slotramp.cpp
@@ -34,6 +34,11 @@
   this->resumeAt = TimePoint();
 }
 
+void SlotRamp::StartAt(int aAllowed)
+{
+  this->allowed = std::clamp(aAllowed, this->allowed, this->slots);
+}
+
 void SlotRamp::OnGood(bool aCold)
 {
   this->failuresInRow = 0;
--- a/src/coordination/internal/steward.cpp
+++ b/src/coordination/internal/steward.cpp
@@ -58,7 +58,6 @@
   if (!place) {
     place = std::make_unique<Upstream>();
     place->ramp = SlotRamp(aService.slots);
-    place->open = true;
   }
   place->record = aRecord;
   place->service = aService;
@@ -90,6 +89,25 @@
   this->roomChanged.Send(this->Count(*upstream));
 }
 
+void Steward::SetForeign(const UpstreamRef& aRef, int aRunning, int aAllowed)
+{
+  Upstream* upstream = this->Find(aRef);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->foreign = aRunning;
+  upstream->ramp.StartAt(aAllowed);
+  this->Dispatch(*upstream);
+  this->roomChanged.Send(this->Count(*upstream));
+}
+
+int Steward::RunningAt(const UpstreamRef& aRef) const
+{
+  return static_cast<int>(std::ranges::count_if(
+    this->running | std::views::values,
+    [&aRef](const Running& aRunning) { return aRunning.upstream == aRef; }));
+}
+
 void Steward::OnRestarted(const UpstreamRef& aRef)
 {
   Upstream* upstream = this->Find(aRef);
@@ -143,8 +161,8 @@
     return 0;
   }
   const int waiting = static_cast<int>(aUpstream.queue.size());
-  return std::max(0,
-                  aUpstream.ramp.Allowed(aNow) - aUpstream.running - waiting);
+  return std::max(0, aUpstream.ramp.Allowed(aNow) - aUpstream.running -
+                       aUpstream.foreign - waiting);
 }
 
 SlotCount Steward::Count(const Upstream& aUpstream) const
@@ -181,7 +199,7 @@
     aWork.done(MakeError(ErrorKind::kDeadlineExpired));
     return;
   }
-  if (upstream->ramp.IsLeftAlone(now)) {
+  if (upstream->ramp.IsLeftAlone(now) || !upstream->open) {
     aWork.done(MakeError(ErrorKind::kUpstreamUnreachable));
     return;
   }
@@ -214,7 +232,8 @@
 void Steward::Dispatch(Upstream& aUpstream)
 {
   while (aUpstream.open && !aUpstream.queue.empty() &&
-         aUpstream.running < aUpstream.ramp.Allowed(this->hooks.now())) {
+         aUpstream.running + aUpstream.foreign <
+           aUpstream.ramp.Allowed(this->hooks.now())) {
     if (!this->StartNext(aUpstream)) {
       return;
     }
@@ -279,6 +298,11 @@
   headers.push_back(
     { "Kumquat-Epoch", std::to_string(aUpstream.record.epoch) });
   headers.push_back({ "Kumquat-Steward", this->hooks.name });
+  if (aUpstream.service.keyed) {
+    const state::Epoch epoch =
+      this->hooks.sliceEpoch(request.service, request.key);
+    headers.push_back({ "Kumquat-Slice-Epoch", std::to_string(epoch) });
+  }
   return call;
 }
 
@@ -288,6 +312,9 @@
   if (found == this->running.end()) {
     return;
   }
+  if (aAnswer) {
+    this->hooks.answered(found->second.upstream, *aAnswer);
+  }
   RequestResult result = JudgeUpstreamAnswer(std::move(aAnswer));
   if (Upstream* upstream = this->Find(found->second.upstream)) {
     this->Learn(*upstream, found->second, result);
@@ -349,6 +376,7 @@
 
 void Steward::FreeSlot(const UpstreamRef& aRef)
 {
+  this->requestEnded.Send(aRef);
   Upstream* upstream = this->Find(aRef);
   if (upstream == nullptr) {
     return;
--- a/src/coordination/slotramp.h
+++ b/src/coordination/slotramp.h
@@ -14,6 +14,8 @@
 
   // The upstream is new, or back from a restart: nothing is known of it.
   void Reset();
+  // The steward before this one had come to allow that many.
+  void StartAt(int aAllowed);
   void OnGood(bool aCold);
   // It refused as full: it bears less than we sent.
   void OnShed(int aRunning);
--- a/src/coordination/steward.h
+++ b/src/coordination/steward.h
@@ -55,6 +55,13 @@
     // does the upstream still hold the key's slice?
     std::function<bool()> holdsLease;
     std::function<bool(const state::UpstreamRef&, const std::string&)> mayRun;
+    // Of the slice that the key falls into; 0 where there is none.
+    std::function<state::Epoch(const state::ServiceName&, const std::string&)>
+      sliceEpoch;
+    // An answer of an upstream, for what it says of the upstream's state.
+    std::function<void(const state::UpstreamRef&,
+                       const transport::HttpResponse&)>
+      answered;
     // The name that upstreams know the steward by.
     std::string name;
   };
@@ -66,12 +73,18 @@
             const state::ServiceConfiguration& aService);
   // What waits is refused as not run; what runs ends here.
   void Release(const state::UpstreamRef& aRef, protocol::ErrorKind aWhy);
-  // While false, nothing is sent: the upstream is being fenced, drains, or
-  // is in a place that is out.
+  // While false, nothing is sent and nothing new is taken: the upstream is
+  // being fenced, drains, is lost, or is in a place that is out. It starts so.
   void SetOpen(const state::UpstreamRef& aRef, bool aOpen);
+  // Requests of the steward before this one that still run there, and the
+  // slots that it had come to allow.
+  void SetForeign(const state::UpstreamRef& aRef, int aRunning, int aAllowed);
   // The upstream came back as a new process: it starts cold.
   void OnRestarted(const state::UpstreamRef& aRef);
 
+  // Requests sent to the upstream and not answered; also after Release.
+  int RunningAt(const state::UpstreamRef& aRef) const;
+  std::size_t RunningInAll() const { return this->running.size(); }
   bool Holds(const state::UpstreamRef& aRef) const;
   state::Epoch EpochOf(const state::UpstreamRef& aRef) const;
   std::vector<state::UpstreamRef> Held() const;
@@ -89,6 +102,8 @@
 
   // Told of each upstream whose room changed, at most once for each event.
   Channel<SlotCount>& RoomChanged() { return this->roomChanged; }
+  // A request has ended, at an upstream that this host may no longer hold.
+  Channel<state::UpstreamRef>& RequestEnded() { return this->requestEnded; }
 
 private:
   using Queue = std::multimap<TimePoint, Work>;
@@ -109,6 +124,8 @@
     SlotRamp ramp{ 1 };
     Queue queue;
     int running = 0;
+    // Of the predecessor's; they hold slots here until it says they ended.
+    int foreign = 0;
     int served = 0;
     bool open = false;
     // Of its answers, in seconds; 0 until there is one.
@@ -136,6 +153,7 @@
   // Every id here holds one slot of its upstream.
   std::unordered_map<RequestId, Running> running;
   Channel<SlotCount> roomChanged;
+  Channel<state::UpstreamRef> requestEnded;
 };
 
 } // namespace kumquat::coordination
