--- /dev/null
+++ b/src/node/callers.h
@@ -0,0 +1,24 @@
+// Between callers' HTTP and the core's requests: headers in, answers out. See
+// docs/CALLERS.md.
+
+#pragma once
+
+#include "coordination/requests.h"
+#include "framework/clock.h"
+#include "transport/http.h"
+#include "transport/httpserver.h"
+
+namespace kumquat::node {
+
+// kMalformedRequest where a header that steers the request cannot be read.
+Result<coordination::CallerRequest> ToCallerRequest(
+  transport::HttpRequest&& aRequest, TimePoint aNow);
+
+transport::HttpResponse ToHttpResponse(coordination::RequestResult&& aResult);
+
+transport::HttpResponse ErrorResponse(protocol::ErrorKind aKind);
+
+// For requests that the HTTP server itself refuses.
+protocol::ErrorKind KindOf(transport::ServerRefusal aRefusal);
+
+} // namespace kumquat::node
--- /dev/null
+++ b/src/node/internal/node.cpp
@@ -0,0 +1,32 @@
+// The host's public face.
+
+#include "node/node.h"
+
+#include "node/internal/nodeimpl.h"
+
+#include <utility>
+
+namespace kumquat::node {
+
+Node::Node(std::unique_ptr<Impl> aImpl)
+  : impl(std::move(aImpl))
+{
+}
+
+Node::~Node() = default;
+
+Result<std::unique_ptr<Node>> Node::Start(const state::Settings& aSettings)
+{
+  auto impl = std::make_unique<Impl>(aSettings);
+  if (const std::error_code error = impl->Start()) {
+    return error;
+  }
+  return std::unique_ptr<Node>(new Node(std::move(impl)));
+}
+
+bool Node::Stop(std::chrono::milliseconds aMost)
+{
+  return this->impl->Stop(aMost);
+}
+
+} // namespace kumquat::node
--- /dev/null
+++ b/src/node/internal/nodeimpl.cpp
@@ -0,0 +1,550 @@
+// Wiring of a host's threads.
+
+#include "node/internal/nodeimpl.h"
+
+#include "node/callers.h"
+
+#include <absl/cleanup/cleanup.h>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace kumquat::node {
+
+using coordination::RequestId;
+using coordination::RequestResult;
+using coordination::UpstreamCall;
+using protocol::ErrorKind;
+using std::chrono::milliseconds;
+using transport::BodyReader;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+namespace {
+
+constexpr milliseconds kTick{ 5 };
+constexpr milliseconds kPollEndpointsEvery{ 500 };
+constexpr milliseconds kStopCheck{ 10 };
+// The balancer reads /ready; so long it may still send after that turned.
+constexpr milliseconds kQuietBeforeStop{ 1000 };
+constexpr std::size_t kCallerBodyBytes = 16U << 20U;
+constexpr std::size_t kOperatorBodyBytes = 4U << 20U;
+constexpr std::size_t kOperatorConnections = 256;
+
+TimePoint Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+milliseconds UnixTime()
+{
+  return std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+}
+
+state::HostRef FromWire(const protocol::HostRef& aRef)
+{
+  return { { aRef.host }, aRef.incarnation };
+}
+
+std::string IpOf(const std::string& aAddress)
+{
+  return aAddress.substr(0, aAddress.rfind(':'));
+}
+
+HttpResponse PlainText(int aStatus, std::string aText)
+{
+  HttpResponse response;
+  response.status = aStatus;
+  response.headers = { { "Content-Type", "text/plain; charset=utf-8" } };
+  response.body = std::move(aText);
+  return response;
+}
+
+} // namespace
+
+Node::Impl::Impl(const state::Settings& aSettings)
+  : settings(aSettings)
+  , self{ aSettings.host, UnixTime().count() }
+  , metrics(Now)
+  , log({ .level = aSettings.logLevel,
+          .json = aSettings.logJson,
+          .host = aSettings.host.value })
+  , random(std::random_device{}())
+  , callers(aSettings.ringSize)
+  , upstreams(aSettings.ringSize)
+  , coordination(aSettings.ringSize)
+  , platform(aSettings.ringSize)
+  , tick(this->coordination.Context())
+{
+  for (const protocol::ErrorAnswer& answer : protocol::ErrorAnswers()) {
+    const Labels reason{ { "reason", std::string(answer.name) } };
+    this->refusals.push_back(&this->metrics.FindCounter(
+      "kumquat_refusals_total", "Requests answered with an error.", reason));
+    this->retries.push_back(&this->metrics.FindCounter(
+      "kumquat_retries_total", "Tries after a first one, by reason.", reason));
+  }
+  this->answered = &this->metrics.FindCounter(
+    "kumquat_answers_total", "Requests answered by an upstream.");
+}
+
+Node::Impl::~Impl()
+{
+  // Coordination last: until their threads have ended the others hand it work,
+  // and what it hands them in turn finds a ring.
+  this->callers.Stop();
+  this->upstreams.Stop();
+  this->platform.Stop();
+  this->coordination.Stop();
+}
+
+std::error_code Node::Impl::Start()
+{
+  transport::HttpClient::Options upstreamOptions;
+  upstreamOptions.localAddress = IpOf(this->settings.peerAddress);
+  upstreamOptions.echoHeader = "Kumquat-Request-Id";
+  this->upstreamClient = std::make_unique<transport::HttpClient>(
+    this->upstreams.Context(), upstreamOptions);
+  transport::HttpClient::Options controlOptions;
+  controlOptions.localAddress = upstreamOptions.localAddress;
+  this->controlClient = std::make_unique<transport::HttpClient>(
+    this->upstreams.Context(), controlOptions);
+  controlOptions.wholeBodyBytes = 64U << 20U;
+  this->platformClient = std::make_unique<transport::HttpClient>(
+    this->platform.Context(), controlOptions);
+  const state::SendHttp send = [this](const std::string& aAddress,
+                                      HttpRequest aRequest,
+                                      milliseconds aTimeout, HttpDone aDone) {
+    this->platformClient->Send(aAddress, std::move(aRequest), aTimeout,
+                               std::move(aDone));
+  };
+  this->table =
+    std::make_unique<state::TableClient>(this->settings.tableAddress, send);
+  this->objects =
+    std::make_unique<state::ObjectClient>(this->settings.objectAddress, send);
+  this->list = std::make_unique<state::EndpointListClient>(
+    this->settings.listAddress, send);
+  this->router = std::make_unique<coordination::Router>(
+    coordination::Router::Identity{ this->self, this->settings.dataCentre,
+                                    this->settings.peerAddress },
+    this->RouterHooks());
+  for (const std::error_code error :
+       { this->ListenForPeers(), this->ListenForOperators(),
+         this->ListenForCallers() }) {
+    if (error) {
+      return error;
+    }
+  }
+  this->callers.Start("callers");
+  this->upstreams.Start("upstreams");
+  this->platform.Start("platform");
+  this->coordination.Hand([this] {
+    this->router->Start();
+    this->Tick();
+  });
+  this->coordination.Start("coordination");
+  this->log.Write(Event::kStarted, { { "host", this->self.host.value } });
+  return {};
+}
+
+std::error_code Node::Impl::ListenForCallers()
+{
+  transport::HttpServer::Options options;
+  options.address = this->settings.callerAddress;
+  options.maxBodyBytes = kCallerBodyBytes;
+  options.maxConnections = this->settings.maxConnections;
+  options.handler = [this](HttpRequest aRequest,
+                           const transport::HttpServer::Respond& aRespond) {
+    this->OnCaller(std::move(aRequest), aRespond);
+  };
+  options.refuse = [this](transport::ServerRefusal aRefusal) {
+    const ErrorKind kind = KindOf(aRefusal);
+    return this->Count(kind, ErrorResponse(kind));
+  };
+  auto server =
+    transport::HttpServer::Listen(this->callers.Context(), std::move(options));
+  if (!server) {
+    return server.error();
+  }
+  this->callerServer = std::move(*server);
+  return {};
+}
+
+std::error_code Node::Impl::ListenForOperators()
+{
+  transport::HttpServer::Options options;
+  options.address = this->settings.operatorAddress;
+  options.maxBodyBytes = kOperatorBodyBytes;
+  options.maxConnections = kOperatorConnections;
+  options.handler = [this](const HttpRequest& aRequest,
+                           const transport::HttpServer::Respond& aRespond) {
+    this->OnOperator(aRequest, aRespond);
+  };
+  auto server =
+    transport::HttpServer::Listen(this->callers.Context(), std::move(options));
+  if (!server) {
+    return server.error();
+  }
+  this->operatorServer = std::move(*server);
+  return {};
+}
+
+std::error_code Node::Impl::ListenForPeers()
+{
+  transport::PeerNetwork::Options options;
+  options.address = this->settings.peerAddress;
+  options.hello.sender.__set_host(this->self.host.value);
+  options.hello.sender.__set_incarnation(this->self.incarnation);
+  options.hello.__set_dataCentre(this->settings.dataCentre.value);
+  options.onFrame = [this](const protocol::HostRef& aFrom,
+                           protocol::Frame aFrame) {
+    this->OnFrame(aFrom, std::move(aFrame));
+  };
+  options.onUp = [this](const protocol::HostRef& aPeer, bool aUp) {
+    Task task = [this, aPeer, aUp] {
+      if (aUp) {
+        this->reachable.insert(aPeer.host);
+      } else {
+        this->reachable.erase(aPeer.host);
+      }
+      this->router->OnPeer(FromWire(aPeer), aUp);
+    };
+    // It must not be lost, and this thread must not wait.
+    if (!this->coordination.TryHand(task)) {
+      this->coordination.Context().post(
+        [shared = std::make_shared<Task>(std::move(task))] { (*shared)(); });
+    }
+  };
+  auto network =
+    transport::PeerNetwork::Listen(this->callers.Context(), std::move(options));
+  if (!network) {
+    return network.error();
+  }
+  this->peers = std::move(*network);
+  return {};
+}
+
+coordination::Router::Hooks Node::Impl::RouterHooks()
+{
+  coordination::Router::Hooks hooks;
+  hooks.now = Now;
+  hooks.unixTime = UnixTime;
+  hooks.random = [this] { return this->random(); };
+  hooks.table = this->TableHooks();
+  hooks.send = [this](const state::HostId& aHost,
+                      const protocol::Frame& aFrame) {
+    return this->SendToPeer(aHost, aFrame);
+  };
+  hooks.setAddress = [this](const state::HostId& aHost,
+                            const std::string& aAddress) {
+    this->callers.Hand([this, aHost, aAddress] {
+      this->peers->SetAddress(aHost.value, aAddress);
+    });
+  };
+  hooks.sendUpstream = [this](UpstreamCall aCall) {
+    const RequestId id = aCall.id;
+    Task task = [this, call = std::move(aCall)]() mutable {
+      this->SendUpstream(std::move(call));
+    };
+    if (this->upstreams.TryHand(task)) {
+      return;
+    }
+    // Answered from the loop: the steward is in the middle of sending it.
+    this->coordination.Context().post([this, id] {
+      this->router->OnUpstreamAnswer(
+        id, make_error_code(transport::TransportError::kUnreachable));
+    });
+  };
+  hooks.cancelUpstream = [this](RequestId aId) {
+    Task task = [this, aId] {
+      const auto found = this->clientCalls.find(aId);
+      if (found != this->clientCalls.end()) {
+        this->upstreamClient->Cancel(found->second);
+      }
+    };
+    static_cast<void>(this->upstreams.TryHand(task));
+  };
+  hooks.control = [this](const std::string& aAddress, HttpRequest aRequest,
+                         milliseconds aTimeout, HttpDone aDone) {
+    auto done = std::make_shared<HttpDone>(std::move(aDone));
+    Task task = [this, aAddress, request = std::move(aRequest), aTimeout,
+                 done]() mutable {
+      this->controlClient->Send(
+        aAddress, std::move(request), aTimeout,
+        [this, done](Result<HttpResponse> aAnswer) {
+          this->coordination.Hand(
+            [done, answer = std::move(aAnswer)]() mutable {
+              (*done)(std::move(answer));
+            });
+        });
+    };
+    if (!this->upstreams.TryHand(task)) {
+      this->coordination.Context().post([done] {
+        (*done)(make_error_code(transport::TransportError::kUnreachable));
+      });
+    }
+  };
+  hooks.countRetry = [this](ErrorKind aKind) { this->CountTry(aKind); };
+  hooks.configurationHead = [this](const state::Row& aRow) {
+    this->OnConfigurationHead(aRow);
+  };
+  hooks.configurationFrame = [](const state::HostRef&, const protocol::Frame&) {
+  };
+  return hooks;
+}
+
+bool Node::Impl::OnPlatform(Task aTask)
+{
+  return this->platform.TryHand(aTask);
+}
+
+state::TableHooks Node::Impl::TableHooks()
+{
+  state::TableHooks hooks;
+  hooks.query = [this](std::string aPartition,
+                       state::TableHooks::QueryDone aDone) {
+    auto done =
+      std::make_shared<state::TableHooks::QueryDone>(std::move(aDone));
+    const bool handed = this->OnPlatform([this, aPartition, done] {
+      this->table->Query(
+        aPartition, [this, done](Result<std::vector<state::Row>> aRows) {
+          this->coordination.Hand([done, rows = std::move(aRows)]() mutable {
+            (*done)(std::move(rows));
+          });
+        });
+    });
+    if (!handed) {
+      this->coordination.Context().post(
+        [done] { (*done)(make_error_code(ErrorKind::kStoreUnavailable)); });
+    }
+  };
+  hooks.write = [this](std::vector<state::ConditionalWrite> aWrites,
+                       state::TableHooks::WriteDone aDone) {
+    auto done =
+      std::make_shared<state::TableHooks::WriteDone>(std::move(aDone));
+    const bool handed =
+      this->OnPlatform([this, writes = std::move(aWrites), done]() mutable {
+        this->table->Write(
+          std::move(writes), [this, done](state::WriteOutcome aOutcome) {
+            this->coordination.Hand([done, aOutcome] { (*done)(aOutcome); });
+          });
+      });
+    if (!handed) {
+      this->coordination.Context().post(
+        [done] { (*done)(state::WriteOutcome::kUnknown); });
+    }
+  };
+  return hooks;
+}
+
+void Node::Impl::OnCaller(HttpRequest&& aRequest,
+                          const transport::HttpServer::Respond& aRespond)
+{
+  auto request = ToCallerRequest(std::move(aRequest), Now());
+  if (!request) {
+    const auto kind = static_cast<ErrorKind>(request.error().value());
+    aRespond(this->Count(kind, ErrorResponse(kind)));
+    return;
+  }
+  this->callersInFlight.fetch_add(1);
+  this->lastArrival.store(Now().time_since_epoch().count());
+  Task task = [this, request = std::move(*request), aRespond]() mutable {
+    this->router->OnCallerRequest(
+      std::move(request), [this, aRespond](RequestResult aResult) {
+        const ErrorKind kind = aResult.error;
+        this->callersInFlight.fetch_sub(1);
+        aRespond(this->Count(kind, ToHttpResponse(std::move(aResult))));
+      });
+  };
+  if (!this->coordination.TryHand(task)) {
+    this->callersInFlight.fetch_sub(1);
+    aRespond(
+      this->Count(ErrorKind::kRingFull, ErrorResponse(ErrorKind::kRingFull)));
+  }
+}
+
+HttpResponse Node::Impl::Count(ErrorKind aKind, HttpResponse&& aResponse)
+{
+  if (aKind == ErrorKind::kNone) {
+    this->answered->Add();
+  } else {
+    this->refusals.at(static_cast<std::size_t>(aKind))->Add();
+  }
+  return std::move(aResponse);
+}
+
+void Node::Impl::CountTry(ErrorKind aKind)
+{
+  this->retries.at(static_cast<std::size_t>(aKind))->Add();
+}
+
+void Node::Impl::OnOperator(const HttpRequest& aRequest,
+                            const transport::HttpServer::Respond& aRespond)
+{
+  if (aRequest.target == "/ready") {
+    const bool up = this->ready.load() && !this->stopping.load();
+    aRespond(PlainText(up ? 200 : 503, up ? "ready\n" : "not ready\n"));
+    return;
+  }
+  if (aRequest.target == "/metrics") {
+    aRespond(PlainText(200, this->metrics.Text()));
+    return;
+  }
+  aRespond(PlainText(404, "no such page\n"));
+}
+
+void Node::Impl::OnFrame(const protocol::HostRef& aFrom, protocol::Frame aFrame)
+{
+  auto frame = std::make_shared<protocol::Frame>(std::move(aFrame));
+  Task task = [this, from = FromWire(aFrom), frame] {
+    this->router->OnFrame(from, std::move(*frame));
+  };
+  if (!this->coordination.TryHand(task)) {
+    this->RefuseFrame(aFrom, *frame);
+  }
+}
+
+// A forward is refused as not run. Any other frame cannot be refused to its
+// sender; the connection is closed, so that the sender takes it as lost.
+void Node::Impl::RefuseFrame(const protocol::HostRef& aFrom,
+                             const protocol::Frame& aFrame)
+{
+  this->log.Write(Event::kRingFull, { { "ring", "coordination" } });
+  if (!aFrame.__isset.forward) {
+    this->peers->Close(aFrom.host);
+    return;
+  }
+  protocol::ForwardReply reply;
+  reply.__set_error(static_cast<int>(ErrorKind::kRingFull));
+  protocol::Frame frame;
+  frame.__set_correlation(aFrame.correlation);
+  frame.__set_reply(true);
+  frame.__set_forwardReply(reply);
+  static_cast<void>(this->peers->Send(aFrom.host, frame));
+}
+
+void Node::Impl::SendUpstream(UpstreamCall&& aCall)
+{
+  const RequestId id = aCall.id;
+  const auto call = this->upstreamClient->Send(
+    aCall.address, std::move(aCall.request), aCall.timeout,
+    [this, id](Result<HttpResponse> aAnswer) {
+      this->clientCalls.erase(id);
+      this->OnUpstreamAnswer(id, std::move(aAnswer));
+    });
+  this->clientCalls.emplace(id, call);
+}
+
+void Node::Impl::OnUpstreamAnswer(RequestId aId, Result<HttpResponse> aAnswer)
+{
+  if (aAnswer && aAnswer->rest) {
+    aAnswer->rest = this->CarryBody(aId, std::move(aAnswer->rest));
+  }
+  this->coordination.Hand([this, aId, answer = std::move(aAnswer)]() mutable {
+    this->router->OnUpstreamAnswer(aId, std::move(answer));
+  });
+}
+
+// The reader runs on the upstreams' thread, whoever asks for a piece. When it
+// is dropped, read to its end or not, the steward gets its slot back.
+BodyReader Node::Impl::CarryBody(RequestId aId, BodyReader aReader)
+{
+  auto end =
+    std::make_shared<absl::Cleanup<std::function<void()>>>([this, aId] {
+      this->coordination.Context().post(
+        [this, aId] { this->router->OnBodyEnd(aId); });
+    });
+  auto reader = std::make_shared<BodyReader>(std::move(aReader));
+  return [this, end, reader](std::function<void(Result<std::string>)> aTake) {
+    this->upstreams.Context().post(
+      [end, reader, take = std::move(aTake)] { (*reader)(take); });
+  };
+}
+
+bool Node::Impl::SendToPeer(const state::HostId& aHost,
+                            const protocol::Frame& aFrame)
+{
+  if (!this->reachable.contains(aHost.value)) {
+    return false;
+  }
+  this->callers.Hand([this, host = aHost.value, frame = aFrame] {
+    // Not sent after all: closing tells the asker, whose call is then lost.
+    if (!this->peers->Send(host, frame)) {
+      this->peers->Close(host);
+    }
+  });
+  return true;
+}
+
+void Node::Impl::Tick()
+{
+  this->router->OnTimer();
+  this->PollEndpoints();
+  this->Publish();
+  this->tick.expires_after(kTick);
+  this->tick.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      this->Tick();
+    }
+  });
+}
+
+void Node::Impl::Publish()
+{
+  const bool nowReady = this->router->IsReady();
+  if (this->ready.exchange(nowReady) != nowReady) {
+    this->log.Write(nowReady ? Event::kReady : Event::kNotReady);
+  }
+  this->idle.store(this->router->IsIdle());
+}
+
+void Node::Impl::PollEndpoints()
+{
+  if (this->endpointsAsked || Now() < this->endpointsDue) {
+    return;
+  }
+  this->endpointsAsked = true;
+  const bool handed = this->OnPlatform([this] {
+    this->list->Fetch([this](Result<state::EndpointList> aList) {
+      this->coordination.Hand([this, list = std::move(aList)]() mutable {
+        this->endpointsAsked = false;
+        this->endpointsDue = Now() + kPollEndpointsEvery;
+        if (list) {
+          this->router->OnEndpoints(std::move(*list));
+        }
+      });
+    });
+  });
+  this->endpointsAsked = handed;
+}
+
+bool Node::Impl::Stop(milliseconds aMost)
+{
+  const TimePoint latest = Now() + aMost;
+  this->log.Write(Event::kStopping);
+  this->stopping.store(true);
+  this->callerServer->Drain();
+  this->lastArrival.store(Now().time_since_epoch().count());
+  this->coordination.Hand([this] { this->router->Stop(); });
+  const auto isDone = [this] {
+    const TimePoint last{ Duration(this->lastArrival.load()) };
+    return this->idle.load() && this->callersInFlight.load() == 0 &&
+           Now() - last >= kQuietBeforeStop;
+  };
+  while (!isDone() && Now() < latest) {
+    std::this_thread::sleep_for(kStopCheck);
+  }
+  const bool clean = isDone();
+  this->callerServer->StopAccepting();
+  std::promise<void> finished;
+  this->coordination.Hand([this, &finished] {
+    this->router->Finish();
+    finished.set_value();
+  });
+  finished.get_future().wait();
+  this->log.Write(Event::kStopped);
+  return clean;
+}
+
+} // namespace kumquat::node
--- /dev/null
+++ b/src/node/internal/nodeimpl.h
@@ -0,0 +1,128 @@
+// The threads of one host and what each of them owns.
+//
+//   callers       HTTP for callers and operators, connections to peers
+//   upstreams     HTTP towards upstreams
+//   coordination  the core: all decisions, no I/O
+//   platform      the table, the object store, the list of endpoints
+
+#pragma once
+
+#include "coordination/router.h"
+#include "framework/events.h"
+#include "framework/metrics.h"
+#include "node/node.h"
+#include "state/platform.h"
+#include "transport/dutythread.h"
+#include "transport/httpclient.h"
+#include "transport/httpserver.h"
+#include "transport/peernetwork.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <future>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace kumquat::node {
+
+class Node::Impl
+{
+public:
+  explicit Impl(const state::Settings& aSettings);
+  ~Impl();
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  std::error_code Start();
+  bool Stop(std::chrono::milliseconds aMost);
+
+private:
+  using Task = transport::DutyThread::Task;
+  using HttpDone = std::function<void(Result<transport::HttpResponse>)>;
+
+  std::error_code ListenForCallers();
+  std::error_code ListenForOperators();
+  std::error_code ListenForPeers();
+  coordination::Router::Hooks RouterHooks();
+  state::TableHooks TableHooks();
+
+  // Callers' thread.
+  void OnCaller(transport::HttpRequest&& aRequest,
+                const transport::HttpServer::Respond& aRespond);
+  void OnOperator(const transport::HttpRequest& aRequest,
+                  const transport::HttpServer::Respond& aRespond);
+  void OnFrame(const protocol::HostRef& aFrom, protocol::Frame aFrame);
+  void RefuseFrame(const protocol::HostRef& aFrom,
+                   const protocol::Frame& aFrame);
+  transport::HttpResponse Count(protocol::ErrorKind aKind,
+                                transport::HttpResponse&& aResponse);
+
+  // Upstreams' thread.
+  void SendUpstream(coordination::UpstreamCall&& aCall);
+  void OnUpstreamAnswer(coordination::RequestId aId,
+                        Result<transport::HttpResponse> aAnswer);
+  transport::BodyReader CarryBody(coordination::RequestId aId,
+                                  transport::BodyReader aReader);
+
+  // Coordination's thread.
+  bool SendToPeer(const state::HostId& aHost, const protocol::Frame& aFrame);
+  void Tick();
+  void PollEndpoints();
+  void OnConfigurationHead(const state::Row& aRow);
+  void Publish();
+
+  // Runs aTask on the platform's thread; False where its ring is full.
+  bool OnPlatform(Task aTask);
+  void CountTry(protocol::ErrorKind aKind);
+
+  const state::Settings settings;
+  const state::HostRef self;
+  Metrics metrics;
+  std::vector<Counter*> refusals;
+  std::vector<Counter*> retries;
+  Counter* answered = nullptr;
+  EventLog log;
+  std::mt19937_64 random;
+
+  // Of what the coordination thread last knew; read by the others.
+  std::atomic<bool> ready{ false };
+  std::atomic<bool> stopping{ false };
+  std::atomic<bool> idle{ false };
+  std::atomic<std::uint64_t> callersInFlight{ 0 };
+  std::atomic<std::int64_t> lastArrival{ 0 };
+
+  transport::DutyThread callers;
+  transport::DutyThread upstreams;
+  transport::DutyThread coordination;
+  transport::DutyThread platform;
+
+  std::unique_ptr<transport::HttpServer> callerServer;
+  std::unique_ptr<transport::HttpServer> operatorServer;
+  std::unique_ptr<transport::PeerNetwork> peers;
+  std::unique_ptr<transport::HttpClient> upstreamClient;
+  // Control calls: their answers carry no request id.
+  std::unique_ptr<transport::HttpClient> controlClient;
+  std::unique_ptr<transport::HttpClient> platformClient;
+  std::unique_ptr<state::TableClient> table;
+  std::unique_ptr<state::ObjectClient> objects;
+  std::unique_ptr<state::EndpointListClient> list;
+  // By the core's number of the request: the client's. Upstreams' thread.
+  std::unordered_map<coordination::RequestId, transport::HttpClient::CallId>
+    clientCalls;
+
+  std::unique_ptr<coordination::Router> router;
+  boost::asio::steady_timer tick;
+  TimePoint endpointsDue;
+  bool endpointsAsked = false;
+  // Coordination's thread: peers that can be sent to.
+  std::set<std::string> reachable;
+  state::Version configurationVersion = 0;
+  bool configurationAsked = false;
+};
+
+} // namespace kumquat::node
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -59,6 +59,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  // Each answer from here on asks the caller to close the connection; new
+  // connections and requests are still served.
+  void Drain();
   // Takes no more connections; each open one ends after its current answer.
   void StopAccepting();
   // Server's thread only.
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -146,8 +146,11 @@
                    this->Accept(this->shared_from_this()), asio::detached);
   }
 
+  void Drain() { this->draining = true; }
+
   void StopAccepting()
   {
+    this->draining = true;
     this->stopping = true;
     beast::error_code ignored;
     this->acceptor.close(ignored);
@@ -222,7 +225,7 @@
     HttpResponse response =
       co_await Handle(this->options.handler, TakeRequest(parser.release()));
     co_return co_await this->Write(aStream, std::move(response),
-                                   keepAlive && !this->stopping);
+                                   keepAlive && !this->draining);
   }
 
   asio::awaitable<bool> AwaitFirstByte(beast::tcp_stream& aStream)
@@ -339,6 +342,7 @@
   // Connections that wait for a request's first byte.
   std::set<beast::tcp_stream*> idle;
   std::size_t open = 0;
+  bool draining = false;
   bool stopping = false;
 };
 
@@ -360,6 +364,12 @@
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
 
+void HttpServer::Drain()
+{
+  asio::post(this->state->Executor(),
+             [state = this->state] { state->Drain(); });
+}
+
 void HttpServer::StopAccepting()
 {
   asio::post(this->state->Executor(),
--- a/src/transport/internal/peernetwork.cpp
+++ b/src/transport/internal/peernetwork.cpp
@@ -50,7 +50,7 @@
 
 using LinkPtr = std::shared_ptr<Link>;
 
-void Close(Link& aLink)
+void CloseSocket(Link& aLink)
 {
   boost::system::error_code ignored;
   aLink.socket.close(ignored);
@@ -101,7 +101,7 @@
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
     for (const auto& [host, link] : this->links) {
-      Close(*link);
+      CloseSocket(*link);
     }
   }
 
@@ -120,9 +120,14 @@
   void Forget(const std::string& aHost)
   {
     this->addresses.erase(aHost);
+    this->CloseLink(aHost);
+  }
+
+  void CloseLink(const std::string& aHost)
+  {
     const auto found = this->links.find(aHost);
     if (found != this->links.end()) {
-      Close(*found->second);
+      CloseSocket(*found->second);
     }
   }
 
@@ -165,7 +170,7 @@
       const auto [error, written] =
         co_await asio::async_write(aLink->socket, buffers, kAwait);
       if (error) {
-        Close(*aLink);
+        CloseSocket(*aLink);
         break;
       }
     }
@@ -233,7 +238,7 @@
     timeout.expires_after(this->options.connectTimeout);
     timeout.async_wait([link](const boost::system::error_code& aError) {
       if (!aError) {
-        Close(*link);
+        CloseSocket(*link);
       }
     });
     const auto [error] = co_await link->socket.async_connect(*endpoint, kAwait);
@@ -313,7 +318,7 @@
 
   void Drop(const LinkPtr& aLink)
   {
-    Close(*aLink);
+    CloseSocket(*aLink);
     if (!aLink->peer) {
       return;
     }
@@ -369,6 +374,11 @@
   this->state->Forget(aHost);
 }
 
+void PeerNetwork::Close(const std::string& aHost)
+{
+  this->state->CloseLink(aHost);
+}
+
 bool PeerNetwork::Send(const std::string& aHost, const protocol::Frame& aFrame)
 {
   return this->state->Send(aHost, aFrame);
--- a/src/transport/iothread.h
+++ b/src/transport/iothread.h
@@ -25,6 +25,7 @@
   // aName is the thread's name in the system's tools, 15 letters at most.
   void Start(std::string aName);
   void Stop();
+  bool IsStopped() const { return this->context.stopped(); }
 
   // Runs aWork on this thread; safe from any thread.
   void Post(std::function<void()> aWork);
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -49,6 +49,8 @@
   // made again while the address is known.
   void SetAddress(const std::string& aHost, const std::string& aAddress);
   void Forget(const std::string& aHost);
+  // Breaks the connection; it is made again while the address is known.
+  void Close(const std::string& aHost);
 
   // False where the frame was surely not sent: no connection, or its queue is
   // full. True does not mean that it arrives.
