--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -36,6 +36,9 @@
   std::string_view Header(std::string_view aName) const;
 };
 
+// Closes the connection without an answer; only the stand-ins' servers use it.
+constexpr int kNoAnswer = 0;
+
 struct HttpResponse
 {
   int status = 200;
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -221,6 +221,9 @@
     aStream.expires_never();
     HttpResponse response =
       co_await Handle(this->options.handler, TakeRequest(parser.release()));
+    if (response.status == kNoAnswer) {
+      co_return false;
+    }
     co_return co_await this->Write(aStream, std::move(response),
                                    keepAlive && !this->stopping);
   }
