--- a/src/coordination/internal/hostlife.cpp
+++ b/src/coordination/internal/hostlife.cpp
@@ -49,7 +49,8 @@
   template<typename From, LifeEvent Event, typename To>
   using Row = msm::front::Row<From, On<Event>, To, none, none>;
 
-  struct transition_table
+  // The name is MSM's.
+  struct transition_table // NOLINT(readability-identifier-naming)
     : public boost::mpl::vector<
         Row<Idle, LifeEvent::kStarted, Registering>,
         Row<Registering, LifeEvent::kOldRunFound, Replacing>,
--- a/src/coordination/internal/membership.cpp
+++ b/src/coordination/internal/membership.cpp
@@ -74,6 +74,7 @@
   void Reconcile();
   void Register();
   void UpdateRow();
+  bool IsSuspicionRefuted() const;
   void ChooseGuards(state::HostRecord& aWanted);
   void WriteOwn(state::HostRecord aRecord, state::Version aExpected);
   void SendPending();
@@ -259,6 +260,10 @@
 
 void Membership::Impl::Adopt(const state::HostRecord& aRecord)
 {
+  const TimePoint now = this->hooks.now();
+  if (aRecord.guards != this->own.guards) {
+    this->nextGuardChange = now + this->timing.replaceGuardAfter;
+  }
   this->own = aRecord;
   // The row has a later version than any write under way expected: no such
   // write can take effect any more, and the row says which guards count.
@@ -268,8 +273,6 @@
   this->lease.SetChanging(false);
   this->lease.SetCandidates({});
   this->lease.SetGuards(aRecord.guards);
-  const TimePoint now = this->hooks.now();
-  this->nextGuardChange = now + this->timing.replaceGuardAfter;
   this->nextHeartbeat = now;
   if (aRecord.state == state::HostState::kDeposed) {
     this->life.Process(LifeEvent::kEnded);
@@ -422,8 +425,7 @@
     wanted.state = state::HostState::kDeposed;
   } else if (this->stopWanted && this->own.state == state::HostState::kLive) {
     wanted.state = state::HostState::kLeaving;
-  } else if (this->own.state == state::HostState::kSuspected &&
-             this->lease.Holds(this->hooks.now())) {
+  } else if (this->IsSuspicionRefuted()) {
     wanted.state =
       this->stopWanted ? state::HostState::kLeaving : state::HostState::kLive;
   }
@@ -437,6 +439,19 @@
   }
 }
 
+bool Membership::Impl::IsSuspicionRefuted() const
+{
+  if (this->own.state != state::HostState::kSuspected) {
+    return false;
+  }
+  // Failure: a host that is cut off from its guards but not from the table
+  // would take the suspicion back while its last term runs, and put off its
+  // own deposing. Only what the guards confirm after the suspicion refutes it.
+  const KnownHost* const known = this->directory.Find(this->own.ref.host);
+  return known->changed + this->timing.term - this->timing.drift <
+         this->lease.End();
+}
+
 void Membership::Impl::ChooseGuards(state::HostRecord& aWanted)
 {
   const TimePoint now = this->hooks.now();
--- a/src/state/internal/rows.cpp
+++ b/src/state/internal/rows.cpp
@@ -88,10 +88,11 @@
 }
 
 template<typename Record>
-Row MakeRow(std::string aPartition, std::string aName, const Record& aRecord)
+Row MakeRow(std::string_view aPartition, const std::string& aName,
+            const Record& aRecord)
 {
-  return { .partition = std::move(aPartition),
-           .name = std::move(aName),
+  return { .partition = std::string(aPartition),
+           .name = aName,
            .version = aRecord.version + 1,
            .nonce = {},
            .body = ToJson(aRecord) };
@@ -160,7 +161,7 @@
 
 Row ToRow(const HostRecord& aRecord)
 {
-  return MakeRow(std::string(kHostPartition), aRecord.ref.host.value, aRecord);
+  return MakeRow(kHostPartition, aRecord.ref.host.value, aRecord);
 }
 
 Row ToRow(const UpstreamRecord& aRecord)
@@ -176,7 +177,7 @@
 
 Row ToRow(const PlaceRecord& aRecord)
 {
-  return MakeRow(std::string(kPlacePartition), aRecord.name, aRecord);
+  return MakeRow(kPlacePartition, aRecord.name, aRecord);
 }
 
 Result<HostRecord> HostFromJson(const Row& aRow)
