--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -4,8 +4,6 @@
 
 #include "node/callers.h"
 
-#include <absl/cleanup/cleanup.h>
-
 #include <algorithm>
 #include <thread>
 #include <utility>
@@ -450,11 +448,11 @@
 // is dropped, read to its end or not, the steward gets its slot back.
 BodyReader Node::Impl::CarryBody(RequestId aId, BodyReader aReader)
 {
-  auto end =
-    std::make_shared<absl::Cleanup<std::function<void()>>>([this, aId] {
-      this->coordination.Context().post(
-        [this, aId] { this->router->OnBodyEnd(aId); });
-    });
+  // Runs its deleter when the last reader is gone.
+  const std::shared_ptr<void> end(nullptr, [this, aId](void*) {
+    this->coordination.Context().post(
+      [this, aId] { this->router->OnBodyEnd(aId); });
+  });
   auto reader = std::make_shared<BodyReader>(std::move(aReader));
   return [this, end, reader](std::function<void(Result<std::string>)> aTake) {
     this->upstreams.Context().post(
