State: the configuration in force, its spreading and its change

ConfigurationQuery carries the sum of the applied place rows' versions, so that `in force everywhere` can be told of places too.

--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -152,8 +152,12 @@
   2: string text
 }
 
+// Says what the sender has in force, and asks for anything higher.
 struct ConfigurationQuery {
   1: i64 knownVersion
+  // The sum of the versions of all place rows that the sender has applied: it
+  // rises with every write to any of them.
+  2: i64 knownPlaces
 }
 
 // A planned stop hands a stewardship over with exact running counts.
