--- a/src/coordination/choosing.h
+++ b/src/coordination/choosing.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "coordination/steward.h"
+#include "protocol/gen/peer_types.h"
 #include "state/types.h"
 
 #include <cstdint>
@@ -27,6 +28,8 @@
   // Free slots less what we have sent since the steward counted; an upstream
   // of which nothing is known is taken to have one.
   int Room(const state::UpstreamRef& aRef) const;
+  // Its steward says that it cannot be used now.
+  bool IsLost(const state::UpstreamRef& aRef) const;
 
 private:
   struct Known
@@ -36,11 +39,16 @@
     int queued = 0;
     // Requests of ours that the count does not hold yet.
     int sentSince = 0;
+    bool lost = false;
   };
 
   std::unordered_map<state::UpstreamRef, Known> known;
 };
 
+// Room counts as they travel between hosts.
+protocol::SlotDigest ToWire(const SlotCount& aCount);
+SlotCount FromWire(const protocol::SlotDigest& aDigest);
+
 struct Candidate
 {
   state::UpstreamRef upstream;
--- a/src/coordination/internal/choosing.cpp
+++ b/src/coordination/internal/choosing.cpp
@@ -30,6 +30,7 @@
   entry.freeSlots = aCount.freeSlots;
   entry.queued = aCount.queued;
   entry.sentSince = 0;
+  entry.lost = aCount.lost;
 }
 
 void RoomView::OnSent(const state::UpstreamRef& aRef)
@@ -53,6 +54,36 @@
   return entry.freeSlots - entry.queued - entry.sentSince;
 }
 
+protocol::SlotDigest ToWire(const SlotCount& aCount)
+{
+  protocol::SlotDigest digest;
+  digest.upstream.__set_serviceName(aCount.upstream.service.value);
+  digest.upstream.__set_upstream(aCount.upstream.upstream.value);
+  digest.__set_freeSlots(aCount.freeSlots);
+  digest.__set_queued(aCount.queued);
+  digest.__set_stewardEpoch(aCount.epoch);
+  digest.__set_lost(aCount.lost);
+  return digest;
+}
+
+SlotCount FromWire(const protocol::SlotDigest& aDigest)
+{
+  SlotCount count;
+  count.upstream.service.value = aDigest.upstream.serviceName;
+  count.upstream.upstream.value = aDigest.upstream.upstream;
+  count.freeSlots = aDigest.freeSlots;
+  count.queued = aDigest.queued;
+  count.epoch = aDigest.stewardEpoch;
+  count.lost = aDigest.lost;
+  return count;
+}
+
+bool RoomView::IsLost(const state::UpstreamRef& aRef) const
+{
+  const auto found = this->known.find(aRef);
+  return found != this->known.end() && found->second.lost;
+}
+
 std::optional<state::UpstreamRef> Choose(
   const std::vector<Candidate>& aCandidates, const RoomView& aRooms,
   const RandomBelow& aRandom)
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -75,6 +75,8 @@
   2: i32 freeSlots
   3: i32 queued
   4: i64 stewardEpoch
+  // The steward gets nothing but failures from it.
+  5: bool lost
 }
 
 struct ForwardReply {
@@ -89,6 +91,8 @@
   7: optional UpstreamRef redirect
   // More of the body follows in BodyPart frames with the same correlation.
   8: bool more
+  // Of the whole body, where it is known.
+  9: optional i64 length
 }
 
 struct BodyPart {
@@ -116,6 +120,7 @@
   1: HostRef owner
   2: string serviceName
   3: string idempotencyKey
+  4: i64 ownerEpoch
 }
 
 struct WitnessReply {
@@ -125,13 +130,22 @@
 // A successor asks what was forwarded to, told by or run for `predecessor`.
 // Answering is also a fence: from then on nothing of it is accepted.
 struct CollectRequest {
+  // No host: the slice moved from a live host, and only older epochs are fenced.
   1: HostRef predecessor
   2: string serviceName
+  // The range of key hashes that the successor took, as unsigned numbers.
+  3: i64 first
+  4: i64 last
+  // The successor's; in the range, forwards of a lower one are refused from now.
+  5: i64 epoch
 }
 
 struct CollectReply {
   1: bool complete
+  // Not in use: keyHashes says the same in fewer bytes.
   2: list<string> idempotencyKeys
+  // The 64-bit hashes of the keys known in the range, whoever owned them.
+  3: list<i64> keyHashes
 }
 
 // Rows of the table that changed; the receiver keeps the highest versions.
@@ -172,6 +186,20 @@
   1: bool accepted
 }
 
+// A planner asks the steward of a slice's owner to end its grant, so that the
+// table may name another owner.
+struct RevokeSlice {
+  1: UpstreamRef upstream
+  2: i64 stewardEpoch
+  3: string part
+  4: i64 sliceEpoch
+}
+
+struct RevokeSliceReply {
+  // The grant is surely in force nowhere.
+  1: bool revoked
+}
+
 struct Leaving {
   1: HostRef sender
 }
@@ -201,4 +229,6 @@
   28: optional HandOver handOver
   29: optional HandOverReply handOverReply
   30: optional Leaving leaving
+  31: optional RevokeSlice revokeSlice
+  32: optional RevokeSliceReply revokeSliceReply
 }
--- a/src/state/internal/rows.cpp
+++ b/src/state/internal/rows.cpp
@@ -88,10 +88,11 @@
 }
 
 template<typename Record>
-Row MakeRow(std::string aPartition, std::string aName, const Record& aRecord)
+Row MakeRow(std::string_view aPartition, const std::string& aName,
+            const Record& aRecord)
 {
-  return { .partition = std::move(aPartition),
-           .name = std::move(aName),
+  return { .partition = std::string(aPartition),
+           .name = aName,
            .version = aRecord.version + 1,
            .nonce = {},
            .body = ToJson(aRecord) };
@@ -149,6 +150,7 @@
     { "last", std::to_string(aRecord.last) },
     { "upstream", aRecord.upstream.value },
     { "host", RefToJson(aRecord.host) },
+    { "predecessor", RefToJson(aRecord.predecessor) },
     { "epoch", aRecord.epoch }
   }.dump();
 }
@@ -160,7 +162,7 @@
 
 Row ToRow(const HostRecord& aRecord)
 {
-  return MakeRow(std::string(kHostPartition), aRecord.ref.host.value, aRecord);
+  return MakeRow(kHostPartition, aRecord.ref.host.value, aRecord);
 }
 
 Row ToRow(const UpstreamRecord& aRecord)
@@ -176,7 +178,7 @@
 
 Row ToRow(const PlaceRecord& aRecord)
 {
-  return MakeRow(std::string(kPlacePartition), aRecord.name, aRecord);
+  return MakeRow(kPlacePartition, aRecord.name, aRecord);
 }
 
 Result<HostRecord> HostFromJson(const Row& aRow)
@@ -217,6 +219,7 @@
     record.last = HashFromText(aJson.at("last").get<std::string>());
     record.upstream.value = aJson.at("upstream").get<std::string>();
     record.host = RefFromJson(aJson.at("host"));
+    record.predecessor = RefFromJson(aJson.at("predecessor"));
     record.epoch = aJson.at("epoch").get<Epoch>();
     return record;
   });
