--- a/src/coordination/internal/duplicatefilter.cpp
+++ b/src/coordination/internal/duplicatefilter.cpp
@@ -121,7 +121,7 @@
   bool NeedsWitness(const Record& aRecord,
                     const state::HostRef& aSteward) const;
   void AskWitness(std::uint64_t aNumber,
-                  std::vector<state::HostRef> aCandidates, Go aGo);
+                  std::vector<state::HostRef> aCandidates, const Go& aGo);
   void OnWitness(std::uint64_t aNumber, std::vector<state::HostRef> aRest,
                  bool aNoted, const Go& aGo);
   void Keep(std::uint64_t aNumber, Record& aRecord, const Answer& aAnswer);
@@ -311,7 +311,7 @@
   std::erase_if(candidates, [this](const state::HostRef& aHost) {
     return aHost.host == this->options.self.host;
   });
-  this->AskWitness(aTicket.number, std::move(candidates), std::move(aGo));
+  this->AskWitness(aTicket.number, std::move(candidates), aGo);
 }
 
 // A lease that lapsed while its holder was paused, or a slice that went to
@@ -347,7 +347,7 @@
 
 void DuplicateFilter::State::AskWitness(std::uint64_t aNumber,
                                         std::vector<state::HostRef> aCandidates,
-                                        Go aGo)
+                                        const Go& aGo)
 {
   const auto found = this->records.find(aNumber);
   if (found == this->records.end() || aCandidates.empty()) {
@@ -362,7 +362,7 @@
   note.serviceName = record.key.first.value;
   note.idempotencyKey = record.key.second;
   protocol::Frame frame;
-  frame.__set_witnessNote(std::move(note));
+  frame.__set_witnessNote(note);
 
   // Those of other data centres stand first and are fewest to be lost with us;
   // among the first three, chance spreads the notes.
