At most once: a restarted witness does not answer for its earlier run

Questions go to a host's name, and whoever runs under it answers. A witness that was restarted said that it knew of no key, the successor became sure, and a key that the earlier run had dispatched ran twice. The reply now names the run that answers; the successor takes only the one that it asked. The new test ran the key twice before the change, once after it.

--- a/src/coordination/internal/collection.cpp
+++ b/src/coordination/internal/collection.cpp
@@ -6,6 +6,20 @@
 
 namespace kumquat::coordination {
 
+namespace {
+
+// The frame goes to whoever runs under the host's name. Where the witness was
+// restarted, its new run would say in good faith that it knows of nothing, and
+// a key that the earlier run had dispatched would run again.
+bool IsWholeAnswerOf(const protocol::CollectReply& aReply,
+                     const state::HostRef& aWitness)
+{
+  return aReply.complete && aReply.witness.host == aWitness.host.value &&
+         aReply.witness.incarnation == aWitness.incarnation;
+}
+
+} // namespace
+
 Collection::Collection(Options aOptions)
   : options(std::move(aOptions))
   , progress(std::make_shared<Progress>())
@@ -78,8 +92,8 @@
       return;
     }
     held->asking.erase(aWitness);
-    const bool isWhole =
-      aReply && aReply->__isset.collectReply && aReply->collectReply.complete;
+    const bool isWhole = aReply && aReply->__isset.collectReply &&
+                         IsWholeAnswerOf(aReply->collectReply, aWitness);
     if (isWhole) {
       Take(*held, aReply->collectReply);
     }
--- a/src/coordination/internal/witnesslog.cpp
+++ b/src/coordination/internal/witnesslog.cpp
@@ -82,6 +82,8 @@
   }
   protocol::CollectReply reply;
   reply.complete = true;
+  reply.witness.host = this->options.self.host.value;
+  reply.witness.incarnation = this->options.self.incarnation;
   for (const auto& [hash, entry] : this->known[service]) {
     const bool inside = range.first <= hash && hash <= range.last;
     if (inside && entry.epoch < range.epoch) {
--- a/src/coordination/tests/duplicatecluster.h
+++ b/src/coordination/tests/duplicatecluster.h
@@ -158,6 +158,18 @@
     this->At(aName).leased = false;
   }
 
+  // Comes back as a new run that remembers nothing.
+  void Restart(const std::string& aName)
+  {
+    Host& host = this->At(aName);
+    ++host.ref.incarnation;
+    host.log = std::make_unique<WitnessLog>(this->LogOptions(host));
+    host.filter = this->BuildFilter(host);
+    host.alive = true;
+    host.leased = true;
+    this->everLive.push_back(host.ref);
+  }
+
   void Pass(Duration aTime)
   {
     this->now += aTime;
@@ -205,6 +217,7 @@
   WitnessLog::Options LogOptions(Host& aHost)
   {
     WitnessLog::Options options;
+    options.self = aHost.ref;
     options.maxKeys = this->maxKeys;
     options.clock = [this] { return this->now; };
     options.knownEpoch = [&aHost](const state::ServiceName&, std::uint64_t) {
--- a/src/coordination/tests/duplicatefilter_test.cpp
+++ b/src/coordination/tests/duplicatefilter_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(testNoteBeforeDispatch);
   CPPUNIT_TEST(testCollect);
   CPPUNIT_TEST(testAwaitSilentHosts);
+  CPPUNIT_TEST(testRestartedHostDoesNotAnswerForItsEarlierRun);
   CPPUNIT_TEST(testFenceOnCollect);
   CPPUNIT_TEST(testProveKeyIsNew);
   CPPUNIT_TEST(testSurelyNewKeyRunsWhileUnsure);
@@ -194,6 +195,23 @@
     this->ExpectRule(DuplicateRule::kAwaitSilentHosts, run);
   }
 
+  // The key's host, the entry too, and the steward die together. The steward
+  // is replaced at once under its old name and answers the collection: it has
+  // never heard of the key, which its earlier run had dispatched.
+  void testRestartedHostDoesNotAnswerForItsEarlierRun()
+  {
+    const auto run = [](DuplicateCluster& aCluster) {
+      aCluster.Send("a", "a", "d", "k");
+      aCluster.Deliver();
+      aCluster.Kill("a");
+      aCluster.Kill("d");
+      aCluster.Restart("d");
+      aCluster.TakeOver("a", "b");
+      aCluster.Send("c", "b", "d", "k");
+    };
+    this->ExpectRule(DuplicateRule::kAwaitSilentHosts, run);
+  }
+
   // A forward is on the wire to a third host when its sender is deposed. That
   // host answers the collection, with nothing to tell; the camper's second try
   // runs; then the forward arrives.
--- a/src/coordination/witnesslog.h
+++ b/src/coordination/witnesslog.h
@@ -38,6 +38,7 @@
 public:
   struct Options
   {
+    state::HostRef self;
     // From a key's last note; the same on every host.
     Duration horizon = std::chrono::seconds(120);
     // Beyond it new keys are refused: forgetting one early would let it run
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -146,6 +146,8 @@
   2: list<string> idempotencyKeys
   // The 64-bit hashes of the keys known in the range, whoever owned them.
   3: list<i64> keyHashes
+  // Who answers: a restarted host knows nothing of its earlier run's keys.
+  4: HostRef witness
 }
 
 // Rows of the table that changed; the receiver keeps the highest versions.
