--- a/src/coordination/internal/grantkeeper.cpp
+++ b/src/coordination/internal/grantkeeper.cpp
@@ -47,20 +47,20 @@
     aHeld.asking = true;
     const nlohmann::json body = { { "steward", this->self.host.value },
                                   { "epoch", aHeld.record.epoch } };
-    this->hooks.sendControl(
-      ref, "PUT", "/fence", body.dump(),
-      [this, ref](const Result<ControlAnswer>& aAnswer) {
-        const auto found = this->held.find(ref);
-        if (found == this->held.end()) {
-          return;
-        }
-        found->second.asking = false;
-        found->second.retryAt = this->hooks.now() + this->timing.retry;
-        if (aAnswer && aAnswer->status == 200) {
-          found->second.phase = UpstreamPhase::kReady;
-          this->ready.Send({ ref, 0, true });
-        }
-      });
+    this->hooks.sendControl(ref, "PUT", "/fence", body.dump(),
+                            [this, ref](const Result<ControlAnswer>& aAnswer) {
+                              const auto found = this->held.find(ref);
+                              if (found == this->held.end()) {
+                                return;
+                              }
+                              found->second.asking = false;
+                              found->second.retryAt =
+                                this->hooks.now() + this->timing.retry;
+                              if (aAnswer && aAnswer->status == 200) {
+                                found->second.phase = UpstreamPhase::kReady;
+                                this->ready.Send({ ref, 0, true });
+                              }
+                            });
   }
 
   void Renew(Held& aHeld, Grant& aGrant)
@@ -72,15 +72,14 @@
     aGrant.renewAt = now + this->timing.retry;
     const auto termMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(this->timing.term);
-    const nlohmann::json body = {
-      { "epoch", aHeld.record.epoch },
-      { "part", aGrant.slice.part },
-      { "first", std::to_string(aGrant.slice.first) },
-      { "last", std::to_string(aGrant.slice.last) },
-      { "sliceEpoch", epoch },
-      { "sequence", ++aGrant.sequence },
-      { "termMs", termMs.count() }
-    };
+    const nlohmann::json body = { { "epoch", aHeld.record.epoch },
+                                  { "part", aGrant.slice.part },
+                                  { "first",
+                                    std::to_string(aGrant.slice.first) },
+                                  { "last", std::to_string(aGrant.slice.last) },
+                                  { "sliceEpoch", epoch },
+                                  { "sequence", ++aGrant.sequence },
+                                  { "termMs", termMs.count() } };
     this->hooks.sendControl(
       ref, "PUT", "/grant", body.dump(),
       [this, ref, first, epoch, now](const Result<ControlAnswer>& aAnswer) {
@@ -139,8 +138,7 @@
 
 void GrantKeeper::Give(const SliceRecord& aSlice)
 {
-  const auto found =
-    this->impl->held.find({ aSlice.service, aSlice.upstream });
+  const auto found = this->impl->held.find({ aSlice.service, aSlice.upstream });
   if (found != this->impl->held.end()) {
     found->second.grants[aSlice.first].slice = aSlice;
     found->second.grants[aSlice.first].renewAt = TimePoint();
@@ -178,8 +176,7 @@
 
 bool GrantKeeper::MayRun(const SliceRecord& aSlice, TimePoint aNow) const
 {
-  const auto found =
-    this->impl->held.find({ aSlice.service, aSlice.upstream });
+  const auto found = this->impl->held.find({ aSlice.service, aSlice.upstream });
   if (found == this->impl->held.end()) {
     return false;
   }
