--- a/src/coordination/internal/bodystreams.cpp
+++ b/src/coordination/internal/bodystreams.cpp
@@ -57,14 +57,15 @@
   part.__set_last(!aPiece || aPiece->empty());
   if (aPiece) {
     found->second.credit -= static_cast<std::int64_t>(aPiece->size());
-    part.__set_data(std::move(*aPiece));
+    part.data = std::move(*aPiece);
   } else {
     part.__set_error(static_cast<int>(ErrorKind::kUpstreamTruncated));
   }
   const bool last = part.last;
   protocol::Frame frame;
   frame.__set_correlation(static_cast<std::int64_t>(aKey.second));
-  frame.__set_bodyPart(std::move(part));
+  frame.bodyPart = std::move(part);
+  frame.__isset.bodyPart = true;
   const bool sent = this->send(aKey.first, frame);
   if (last || !sent) {
     this->outgoing.erase(aKey);
--- a/src/coordination/internal/entry.cpp
+++ b/src/coordination/internal/entry.cpp
@@ -107,7 +107,7 @@
   reply.__set_error(static_cast<int>(aResult.error));
   reply.__set_status(aResult.response.status);
   reply.__set_headers(ToWire(aResult.response.headers));
-  reply.__set_body(std::move(aResult.response.body));
+  reply.body = std::move(aResult.response.body);
   reply.__set_more(static_cast<bool>(aResult.response.rest));
   if (aResult.response.length) {
     reply.__set_length(static_cast<std::int64_t>(*aResult.response.length));
@@ -205,6 +205,7 @@
   for (const UpstreamRecord* upstream :
        this->map.Upstreams(aPending.service.name)) {
     const bool usable = !aPending.tried.contains(upstream->ref) &&
+                        !this->rooms.IsLost(upstream->ref) &&
                         !this->map.IsOut(upstream->dataCentre.value) &&
                         this->hooks.isLive(upstream->steward);
     if (!usable) {
@@ -269,7 +270,8 @@
   forward.__set_stewardEpoch(aUpstream.epoch);
   forward.__set_ownerEpoch(aPending->ownership.epoch);
   protocol::Frame frame;
-  frame.__set_forward(std::move(forward));
+  frame.forward = std::move(forward);
+  frame.__isset.forward = true;
   const state::HostId host = aUpstream.steward.host;
   this->rooms.OnSent(aUpstream.ref);
   this->calls.Ask(
--- a/src/coordination/internal/mapkeeper.cpp
+++ b/src/coordination/internal/mapkeeper.cpp
@@ -212,7 +212,8 @@
   protocol::MapChange change;
   std::ranges::transform(aRows, std::back_inserter(change.rows), ToChange);
   protocol::Frame frame;
-  frame.__set_mapChange(std::move(change));
+  frame.mapChange = std::move(change);
+  frame.__isset.mapChange = true;
   this->hooks.broadcast(frame);
 }
 
--- a/src/coordination/internal/router.cpp
+++ b/src/coordination/internal/router.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/router.h"
 
+#include "state/configurationhead.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -49,6 +51,7 @@
         .table = this->hooks.table,
         .broadcast =
           [this](const protocol::Frame& aFrame) { this->Broadcast(aFrame); } })
+  , keeper(this->KeeperHooks())
   , membership(
       MembershipBuilder()
         .Self(this->identity.self)
@@ -73,7 +76,7 @@
            .cancel = this->hooks.cancelUpstream,
            .control = this->hooks.control,
            .configuration = [this]() -> const state::Configuration& {
-             return this->configuration;
+             return this->keeper.InForce();
            } },
          this->map, this->calls)
   , entry(
@@ -133,10 +136,17 @@
     this->membership->OnRows(aRows);
     this->OnHosts();
   });
-  this->map.ConfigurationHead().Listen(
-    [this](const state::Row& aRow) { this->hooks.configurationHead(aRow); });
-  this->map.PlaceChanged().Listen(
-    [this](const state::PlaceRecord&) { this->duty.OnPlaceChanged(); });
+  this->map.ConfigurationHead().Listen([this](const state::Row& aRow) {
+    if (const auto head = state::HeadFromRow(aRow)) {
+      this->keeper.OnHead(*head);
+    }
+  });
+  this->keeper.Changed().Listen(
+    [this](const state::Configuration&) { this->OnConfiguration(); });
+  this->map.PlaceChanged().Listen([this](const state::PlaceRecord&) {
+    this->duty.OnPlaceChanged();
+    this->keeper.OnPlacesChanged();
+  });
   this->membership->LeaseGained().Listen(
     [this] { this->duty.OnLeaseGained(); });
   this->membership->RowWritten().Listen([this](const state::Row& aRow) {
@@ -182,7 +192,7 @@
 bool Router::IsReady() const
 {
   return !this->stopping && this->HoldsLease() &&
-         !this->configuration.services.empty() && this->map.IsComplete();
+         !this->Configuration().services.empty() && this->map.IsComplete();
 }
 
 bool Router::HoldsLease() const
@@ -193,9 +203,9 @@
 void Router::OnCallerRequest(CallerRequest aRequest, Answer aAnswer)
 {
   const ServiceConfiguration* service =
-    this->configuration.Find(aRequest.service);
+    this->Configuration().Find(aRequest.service);
   if (service == nullptr) {
-    const bool known = !this->configuration.services.empty();
+    const bool known = !this->Configuration().services.empty();
     aAnswer(
       MakeError(known ? ErrorKind::kUnknownService : ErrorKind::kNoUpstream));
     return;
@@ -220,6 +230,11 @@
 
 void Router::OnFrame(const HostRef& aFrom, protocol::Frame&& aFrame)
 {
+  // Hosts are accepted by their row in the table only.
+  if (!this->IsKnown(aFrom)) {
+    this->RefuseStranger(aFrom, aFrame);
+    return;
+  }
   if (this->membership->OnFrame(aFrom, aFrame)) {
     return;
   }
@@ -264,12 +279,64 @@
     taken.__set_accepted(this->duty.OnHandOver(aFrom, aFrame.handOver));
     reply.__set_handOverReply(taken);
     this->Reply(aFrom.host, correlation, std::move(reply));
-  } else if (aFrame.__isset.configurationOffer ||
-             aFrame.__isset.configurationQuery) {
-    this->hooks.configurationFrame(aFrom, aFrame);
+  } else if (aFrame.__isset.configurationOffer) {
+    this->keeper.OnOffer(aFrom.host, aFrame.configurationOffer);
+  } else if (aFrame.__isset.configurationQuery) {
+    this->keeper.OnQuery(aFrom.host, aFrame.configurationQuery);
   }
 }
 
+bool Router::IsKnown(const HostRef& aPeer) const
+{
+  const HostRecord* host = this->map.Map().FindHost(aPeer.host);
+  return host != nullptr && host->ref == aPeer;
+}
+
+// A host that has just registered may be ahead of this one's map: it is read
+// again, and the stranger's request is refused as not run until then.
+void Router::RefuseStranger(const HostRef& aFrom, const protocol::Frame& aFrame)
+{
+  this->map.Refresh();
+  if (aFrame.__isset.forward) {
+    this->ReplyResult(aFrom.host,
+                      static_cast<std::uint64_t>(aFrame.correlation), {},
+                      MakeError(ErrorKind::kNotSteward));
+  }
+}
+
+state::ConfigurationKeeper::Hooks Router::KeeperHooks()
+{
+  state::ConfigurationKeeper::Hooks keeperHooks;
+  keeperHooks.now = this->hooks.now;
+  keeperHooks.fetch = this->hooks.fetchObject;
+  keeperHooks.event = this->hooks.event;
+  keeperHooks.sendOffer = [this](const state::HostId& aHost,
+                                 const protocol::ConfigurationOffer& aOffer) {
+    protocol::Frame frame;
+    frame.__set_configurationOffer(aOffer);
+    static_cast<void>(this->hooks.send(aHost, frame));
+  };
+  keeperHooks.sendQuery = [this](const state::HostId& aHost,
+                                 const protocol::ConfigurationQuery& aQuery) {
+    protocol::Frame frame;
+    frame.__set_configurationQuery(aQuery);
+    static_cast<void>(this->hooks.send(aHost, frame));
+  };
+  keeperHooks.peers = [this] {
+    std::vector<state::HostId> hosts;
+    for (const HostRecord& host : this->membership->LiveHosts()) {
+      if (host.ref.host != this->identity.self.host) {
+        hosts.push_back(host.ref.host);
+      }
+    }
+    return hosts;
+  };
+  keeperHooks.placesVersion = [this] {
+    return this->map.Map().PlacesVersion();
+  };
+  return keeperHooks;
+}
+
 void Router::OnForward(const HostRef& aFrom, std::uint64_t aCorrelation,
                        protocol::Forward&& aForward)
 {
@@ -284,7 +351,7 @@
   }
   // To the owner of its idempotency key.
   const ServiceConfiguration* service =
-    this->configuration.Find({ aForward.serviceName });
+    this->Configuration().Find({ aForward.serviceName });
   if (service == nullptr) {
     this->ReplyResult(aFrom.host, aCorrelation, {},
                       MakeError(ErrorKind::kNotSteward));
@@ -335,7 +402,8 @@
       coordination::ToWire(this->duty.Slots().CountOf(aUpstream)));
   }
   protocol::Frame frame;
-  frame.__set_forwardReply(std::move(reply));
+  frame.forwardReply = std::move(reply);
+  frame.__isset.forwardReply = true;
   this->Reply(aTo, aCorrelation, std::move(frame));
   if (rest) {
     this->streams.Pump(aTo, aCorrelation, std::move(rest));
@@ -395,8 +463,10 @@
 {
   if (aUp) {
     this->peers.insert(aPeer);
+    this->keeper.OnPeerUp(aPeer.host);
   } else {
     this->peers.erase(aPeer);
+    this->keeper.OnPeerDown(aPeer.host);
     this->calls.OnPeerLost(aPeer.host);
     this->streams.OnPeerLost(aPeer.host);
   }
@@ -423,12 +493,12 @@
     hosts.push_back({ { endpoint.id }, endpoint.terminating });
   }
   this->membership->OnHostList(hosts);
+  this->duty.OnEndpoints(this->endpoints);
 }
 
-void Router::OnConfiguration(state::Configuration aConfiguration)
+void Router::OnConfiguration()
 {
-  this->configuration = std::move(aConfiguration);
-  this->map.SetServices(this->configuration.services);
+  this->map.SetServices(this->Configuration().services);
   this->duty.OnConfiguration();
 }
 
@@ -436,6 +506,7 @@
 {
   const TimePoint now = this->hooks.now();
   this->map.OnTimer();
+  this->keeper.OnTimer();
   this->membership->OnTimer();
   this->calls.OnTimer();
   this->duty.OnTimer();
@@ -459,7 +530,7 @@
     return;
   }
   this->planner.Plan({ .map = this->map.Map(),
-                       .configuration = this->configuration,
+                       .configuration = this->Configuration(),
                        .endpoints = this->endpoints,
                        .liveHosts = this->membership->LiveHosts(),
                        .isUnusable = [this](const UpstreamRef& aRef) {
@@ -496,7 +567,8 @@
   }
   this->changedRooms.clear();
   protocol::Frame frame;
-  frame.__set_digests(std::move(digests));
+  frame.digests = std::move(digests);
+  frame.__isset.digests = true;
   this->Broadcast(frame);
 }
 
--- a/src/coordination/internal/stewardduty.cpp
+++ b/src/coordination/internal/stewardduty.cpp
@@ -110,6 +110,20 @@
   this->ReopenAll();
 }
 
+void StewardDuty::OnEndpoints(const state::EndpointList& aList)
+{
+  this->listed.clear();
+  for (const auto& [service, endpoints] : aList) {
+    for (const state::Endpoint& endpoint : endpoints) {
+      if (!endpoint.terminating) {
+        this->listed.insert({ service, { endpoint.id } });
+      }
+    }
+  }
+  this->listKnown = true;
+  this->ReopenAll();
+}
+
 void StewardDuty::OnUpstreamChanged(
   const MapKeeper::Change<UpstreamRecord>& aChange)
 {
@@ -275,7 +289,8 @@
 
 bool StewardDuty::IsUnusable(const UpstreamRef& aRef) const
 {
-  return this->watch.IsUnusable(aRef);
+  const bool isGone = this->listKnown && !this->listed.contains(aRef);
+  return isGone || this->watch.IsUnusable(aRef);
 }
 
 bool StewardDuty::MayRun(const UpstreamRef& aRef, const std::string& aKey) const
@@ -290,7 +305,7 @@
 {
   return this->grants->Phase(aRecord.ref) == UpstreamPhase::kReady &&
          !this->awaited.contains(aRecord.ref) &&
-         !this->watch.IsUnusable(aRecord.ref) &&
+         !this->IsUnusable(aRecord.ref) &&
          !this->map.Map().IsOut(aRecord.dataCentre.value);
 }
 
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -15,7 +15,8 @@
 #include "coordination/requests.h"
 #include "coordination/stewardduty.h"
 #include "framework/clock.h"
-#include "state/configuration.h"
+#include "framework/events.h"
+#include "state/configurationkeeper.h"
 #include "state/platform.h"
 
 #include <array>
@@ -50,11 +51,12 @@
                        std::chrono::milliseconds, HttpDone)>
       control;
     std::function<void(protocol::ErrorKind)> countRetry;
-    // The configuration's row as last read or pushed.
-    std::function<void(const state::Row&)> configurationHead;
-    // Frames that the configuration's keeper takes.
-    std::function<void(const state::HostRef&, const protocol::Frame&)>
-      configurationFrame;
+    // Gets an object's content from the platform's object store.
+    std::function<void(const std::string&,
+                       std::function<void(Result<std::string>)>)>
+      fetchObject;
+    // May be empty.
+    EventHook event;
   };
 
   struct Identity
@@ -80,7 +82,6 @@
   void OnUpstreamAnswer(RequestId aId, Result<transport::HttpResponse> aAnswer);
   void OnBodyEnd(RequestId aId);
   void OnEndpoints(state::EndpointList aList);
-  void OnConfiguration(state::Configuration aConfiguration);
   // Due every 10 ms.
   void OnTimer();
 
@@ -91,8 +92,10 @@
 
   const state::Configuration& Configuration() const
   {
-    return this->configuration;
+    return this->keeper.InForce();
   }
+  const state::ConfigurationKeeper& Keeper() const { return this->keeper; }
+  state::ConfigurationKeeper& Keeper() { return this->keeper; }
   const MapKeeper& Map() const { return this->map; }
   MapKeeper& Map() { return this->map; }
   const Membership& Members() const { return *this->membership; }
@@ -115,6 +118,11 @@
   void AskRevoke(const state::SliceRecord& aSlice,
                  const std::function<void(bool)>& aDone);
   void OnHosts();
+  void OnConfiguration();
+  bool IsKnown(const state::HostRef& aPeer) const;
+  void RefuseStranger(const state::HostRef& aFrom,
+                      const protocol::Frame& aFrame);
+  state::ConfigurationKeeper::Hooks KeeperHooks();
   bool IsLive(const state::HostRef& aRef) const;
   bool IsUnusable(const state::UpstreamRef& aRef) const;
   void Plan();
@@ -122,7 +130,6 @@
 
   const Identity identity;
   const Hooks hooks;
-  state::Configuration configuration;
   state::EndpointList endpoints;
   bool endpointsKnown = false;
   bool stopping = false;
@@ -136,6 +143,7 @@
   TimePoint planDue;
   PeerCalls calls;
   MapKeeper map;
+  state::ConfigurationKeeper keeper;
   std::unique_ptr<Membership> membership;
   StewardDuty duty;
   Entry entry;
--- a/src/coordination/stewardduty.h
+++ b/src/coordination/stewardduty.h
@@ -11,10 +11,12 @@
 #include "coordination/upstreamwatch.h"
 #include "framework/clock.h"
 #include "state/configuration.h"
+#include "state/platform.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace kumquat::coordination {
@@ -51,6 +53,8 @@
   void OnConfiguration();
   void OnLeaseGained();
   void OnPlaceChanged();
+  // The platform's list: what is leaving or gone gets no new work.
+  void OnEndpoints(const state::EndpointList& aList);
 
   // The planner's wish to move a slice; aDone(true): its grant has surely
   // ended.
@@ -97,6 +101,9 @@
   std::unique_ptr<GrantKeeper> grants;
   UpstreamWatch watch;
   std::map<state::UpstreamRef, Awaited> awaited;
+  // Of the platform's list, without those that leave.
+  std::set<state::UpstreamRef> listed;
+  bool listKnown = false;
   // Given away with work still running: the successor is told of each end.
   std::map<state::UpstreamRef, state::HostRef> handedOver;
   // Slices whose grant was ended for a move that has not come: when to take
--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -284,10 +284,12 @@
     }
   };
   hooks.countRetry = [this](ErrorKind aKind) { this->CountTry(aKind); };
-  hooks.configurationHead = [this](const state::Row& aRow) {
-    this->OnConfigurationHead(aRow);
+  hooks.fetchObject = [this](const std::string& aName,
+                             std::function<void(Result<std::string>)> aDone) {
+    this->FetchObject(aName, std::move(aDone));
   };
-  hooks.configurationFrame = [](const state::HostRef&, const protocol::Frame&) {
+  hooks.event = [this](Event aEvent, EventFields aFields) {
+    this->log.Write(aEvent, aFields);
   };
   return hooks;
 }
@@ -336,6 +338,24 @@
   return hooks;
 }
 
+void Node::Impl::FetchObject(const std::string& aName,
+                             std::function<void(Result<std::string>)> aDone)
+{
+  auto done = std::make_shared<std::function<void(Result<std::string>)>>(
+    std::move(aDone));
+  const bool handed = this->OnPlatform([this, aName, done] {
+    this->objects->Get(aName, [this, done](Result<std::string> aText) {
+      this->coordination.Hand([done, text = std::move(aText)]() mutable {
+        (*done)(std::move(text));
+      });
+    });
+  });
+  if (!handed) {
+    this->coordination.Context().post(
+      [done] { (*done)(make_error_code(ErrorKind::kStoreUnavailable)); });
+  }
+}
+
 void Node::Impl::OnCaller(HttpRequest&& aRequest,
                           const transport::HttpServer::Respond& aRespond)
 {
--- a/src/node/internal/nodeimpl.h
+++ b/src/node/internal/nodeimpl.h
@@ -73,7 +73,8 @@
   bool SendToPeer(const state::HostId& aHost, const protocol::Frame& aFrame);
   void Tick();
   void PollEndpoints();
-  void OnConfigurationHead(const state::Row& aRow);
+  void FetchObject(const std::string& aName,
+                   std::function<void(Result<std::string>)> aDone);
   void Publish();
 
   // Runs aTask on the platform's thread; False where its ring is full.
@@ -121,8 +122,6 @@
   bool endpointsAsked = false;
   // Coordination's thread: peers that can be sent to.
   std::set<std::string> reachable;
-  state::Version configurationVersion = 0;
-  bool configurationAsked = false;
 };
 
 } // namespace kumquat::node
