--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -21,6 +21,9 @@
   std::string callerAddress;
   std::string peerAddress;
   std::string operatorAddress;
+  // Where peers are told to connect to, if not peerAddress: a relay or NAT
+  // stands between. Optional.
+  std::string advertisedPeerAddress;
   std::string tableAddress;
   std::string objectAddress;
   std::string listAddress;
