--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -146,6 +146,8 @@
   2: list<string> idempotencyKeys
   // The 64-bit hashes of the keys known in the range, whoever owned them.
   3: list<i64> keyHashes
+  // Who answers: a restarted host knows nothing of its earlier run's keys.
+  4: HostRef witness
 }
 
 // Rows of the table that changed; the receiver keeps the highest versions.
@@ -166,8 +168,12 @@
   2: string text
 }
 
+// Says what the sender has in force, and asks for anything higher.
 struct ConfigurationQuery {
   1: i64 knownVersion
+  // The sum of the versions of all place rows that the sender has applied: it
+  // rises with every write to any of them.
+  2: i64 knownPlaces
 }
 
 // A planned stop hands a stewardship over with exact running counts.
