Settings: advertised_peer_address, for hosts behind a relay

Peers dialled the address that a host listens at, so nothing could stand between them. The optional setting is what goes into the host's record; a fault in it is listed as the others are.

--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -123,9 +123,11 @@
     std::make_unique<state::ObjectClient>(this->settings.objectAddress, send);
   this->list = std::make_unique<state::EndpointListClient>(
     this->settings.listAddress, send);
+  const std::string& advertised = this->settings.advertisedPeerAddress;
   this->router = std::make_unique<coordination::Router>(
-    coordination::Router::Identity{ this->self, this->settings.dataCentre,
-                                    this->settings.peerAddress },
+    coordination::Router::Identity{
+      this->self, this->settings.dataCentre,
+      advertised.empty() ? this->settings.peerAddress : advertised },
     this->RouterHooks());
   for (const std::error_code error :
        { this->ListenForPeers(), this->ListenForOperators(),
--- a/src/state/internal/settings.cpp
+++ b/src/state/internal/settings.cpp
@@ -34,19 +34,29 @@
   return name;
 }
 
-std::string ReadAddress(ObjectReader& aFields, std::string_view aName)
+std::string CheckAddress(ObjectReader& aFields, std::string_view aName,
+                         std::string aAddress)
 {
-  std::string address = aFields.NeededString(aName);
-  if (address.empty()) {
-    return address;
+  if (aAddress.empty()) {
+    return aAddress;
   }
-  const auto endpoint = transport::ParseAddress(address);
+  const auto endpoint = transport::ParseAddress(aAddress);
   if (endpoint.has_error() || endpoint->port() == 0) {
     aFields.AddFault(aName, "must be an IP number and a port, as "
                             "\"127.0.1.1:7000\", not \"" +
-                              address + "\"");
+                              aAddress + "\"");
   }
-  return address;
+  return aAddress;
+}
+
+std::string ReadAddress(ObjectReader& aFields, std::string_view aName)
+{
+  return CheckAddress(aFields, aName, aFields.NeededString(aName));
+}
+
+std::string ReadOptionalAddress(ObjectReader& aFields, std::string_view aName)
+{
+  return CheckAddress(aFields, aName, aFields.String(aName).value_or(""));
 }
 
 std::string ReadToken(ObjectReader& aFields)
@@ -94,6 +104,8 @@
   settings.dataCentre.value = ReadName(fields, "data_centre");
   settings.callerAddress = ReadAddress(fields, "caller_address");
   settings.peerAddress = ReadAddress(fields, "peer_address");
+  settings.advertisedPeerAddress =
+    ReadOptionalAddress(fields, "advertised_peer_address");
   settings.operatorAddress = ReadAddress(fields, "operator_address");
   settings.tableAddress = ReadAddress(fields, "table_address");
   settings.objectAddress = ReadAddress(fields, "object_address");
@@ -119,6 +131,7 @@
     { "data_centre", aSettings.dataCentre.value },
     { "caller_address", aSettings.callerAddress },
     { "peer_address", aSettings.peerAddress },
+    { "advertised_peer_address", aSettings.advertisedPeerAddress },
     { "operator_address", aSettings.operatorAddress },
     { "table_address", aSettings.tableAddress },
     { "object_address", aSettings.objectAddress },
--- a/src/state/tests/configuration_test.cpp
+++ b/src/state/tests/configuration_test.cpp
@@ -165,7 +165,7 @@
   "host": "a/b",
   "data_centre": "",
   "caller_address": "localhost:8080",
-  "peer_address": "127.0.1.1:0",
+  "peer_address": "127.0.1.1:0", "advertised_peer_address": "relay:7000",
   "operator_token": "short",
   "ring_size": 70000,
   "log_level": "loud",
@@ -175,12 +175,13 @@
     AssertFault(faults, 3, "/data_centre", "empty");
     AssertFault(faults, 4, "/caller_address", "localhost");
     AssertFault(faults, 5, "/peer_address", "IP number");
+    AssertFault(faults, 5, "/advertised_peer_address", "relay:7000");
     AssertFault(faults, 6, "/operator_token", "8 or more");
     AssertFault(faults, 7, "/ring_size", "65534");
     AssertFault(faults, 8, "/log_level", "loud");
     AssertFault(faults, 9, "/listen", "not a known name");
     AssertFault(faults, 1, "/table_address", "missing");
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 12 }, faults.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 13 }, faults.size());
   }
 };
 
