--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -179,8 +179,11 @@
     request.deadline = service.deadline;
     transport::HttpRequest& message = request.message;
     message.method = service.method;
-    message.target =
-      fmt::format("/{}/{}?n={}", service.service, request.key, request.nonce);
+    message.target = fmt::format("{}?n={}",
+                                 service.path.empty()
+                                   ? "/" + service.service + "/" + request.key
+                                   : service.path,
+                                 request.nonce);
     message.headers = {
       { "Kumquat-Service", service.service },
       { "Kumquat-Key", request.key },
@@ -210,6 +213,7 @@
     LoadOutcome outcome;
     outcome.service = static_cast<std::uint32_t>(aRequest.service);
     outcome.sender = aSender;
+    outcome.nonce = aRequest.nonce;
     outcome.intended = aIntended;
     outcome.latency =
       std::chrono::steady_clock::now() - this->start - aIntended;
@@ -231,7 +235,6 @@
       return;
     }
     aOutcome.status = aResponse->status;
-    aOutcome.upstream = std::string(aResponse->Header("Kumquat-Upstream"));
     const std::string_view kind = aResponse->Header("Kumquat-Error");
     if (!kind.empty() || aResponse->status >= 300) {
       aOutcome.verdict = Verdict::kRefused;
@@ -323,6 +326,7 @@
       workers.push_back(std::make_unique<Worker>(aOptions, collector, number));
     }
     const TimePoint start = std::chrono::steady_clock::now();
+    collector.result.start = start;
     std::vector<std::future<void>> ends;
     std::ranges::transform(
       workers, std::back_inserter(ends),
--- a/bench/load.h
+++ b/bench/load.h
@@ -28,6 +28,8 @@
   bool keyed = false;
   bool idempotent = true;
   std::string method = "GET";
+  // Where set, takes the place of "/service/key" in the target.
+  std::string path;
   std::chrono::milliseconds deadline{ 2000 };
   // Distinct keys; of these the first `hotKeys` take `hotShare` of requests.
   std::uint64_t keys = 10'000;
@@ -75,8 +77,7 @@
   Duration intended{};
   // From the intended time to the answer's last byte.
   Duration latency{};
-  // The upstream that answered, where the answer names it.
-  std::string upstream;
+  std::string nonce;
 };
 
 // Sends one request and reports the answer's head with the whole body. Made
@@ -119,6 +120,7 @@
   std::vector<ServiceLoad> services;
   std::vector<LoadOutcome> outcomes;
   std::size_t dropped = 0;
+  TimePoint start;
   // How late the load itself was: the worst gap between intended and actual
   // sending. Large values mean that the bench is the bottleneck.
   Duration worstLag{};
--- a/bench/summary.cpp
+++ b/bench/summary.cpp
@@ -46,25 +46,11 @@
   return kBin * bad;
 }
 
-double Imbalance(const std::map<std::string, std::size_t>& aByUpstream)
-{
-  if (aByUpstream.empty()) {
-    return 0;
-  }
-  const auto counts = aByUpstream | std::views::values;
-  const std::size_t most = *std::ranges::max_element(counts);
-  const std::size_t sum =
-    std::accumulate(counts.begin(), counts.end(), std::size_t{ 0 });
-  return static_cast<double>(most * aByUpstream.size()) /
-         static_cast<double>(sum);
-}
-
 // What one service's summary is counted from.
 struct Tally
 {
   ServiceSummary summary;
   std::vector<double> latencies;
-  std::map<std::string, std::size_t> byUpstream;
   std::map<std::int64_t, Share> bins;
 
   void Add(const LoadOutcome& aOutcome)
@@ -97,15 +83,11 @@
   {
     ++this->summary.answered;
     this->latencies.push_back(ToMilliseconds(aOutcome.latency));
-    if (!aOutcome.upstream.empty()) {
-      ++this->byUpstream[aOutcome.upstream];
-    }
   }
 
   ServiceSummary Finish()
   {
     this->summary.latency = QuantilesOf(std::move(this->latencies));
-    this->summary.imbalance = Imbalance(this->byUpstream);
     this->summary.unavailable = Unavailable(this->bins);
     return std::move(this->summary);
   }
@@ -120,11 +102,11 @@
   return text.empty() ? "-" : text;
 }
 
-double SlotUse(const std::map<std::string, double>& aSlotUse,
-               const std::string& aService)
+UpstreamUse UseOf(const std::map<std::string, UpstreamUse>& aUse,
+                  const std::string& aService)
 {
-  const auto found = aSlotUse.find(aService);
-  return found == aSlotUse.end() ? 0 : found->second;
+  const auto found = aUse.find(aService);
+  return found == aUse.end() ? UpstreamUse{} : found->second;
 }
 
 } // namespace
@@ -203,7 +185,7 @@
 }
 
 void PrintServices(const std::vector<ServiceSummary>& aServices,
-                   const std::map<std::string, double>& aSlotUse)
+                   const std::map<std::string, UpstreamUse>& aUse)
 {
   fmt::print("{:<12} {:>8} {:>8} {:>7} {:>4} {:>7} {:>4} {:>8} {:>8} {:>8} "
              "{:>9} {:>9}  {}\n",
@@ -215,13 +197,13 @@
                "{:>8.2f} {:>8.1f}% {:>9.2f}  {}\n",
                one.service, one.requests, one.answered, one.Refused(), one.cut,
                one.foreign, one.lost, one.latency.p50, one.latency.p99,
-               one.latency.p999, 100 * SlotUse(aSlotUse, one.service),
-               one.imbalance, RefusedText(one));
+               one.latency.p999, 100 * UseOf(aUse, one.service).slotUse,
+               UseOf(aUse, one.service).imbalance, RefusedText(one));
   }
 }
 
 nlohmann::json ToJson(const std::vector<ServiceSummary>& aServices,
-                      const std::map<std::string, double>& aSlotUse)
+                      const std::map<std::string, UpstreamUse>& aUse)
 {
   nlohmann::json rows = nlohmann::json::array();
   for (const ServiceSummary& one : aServices) {
@@ -235,8 +217,8 @@
                      { "p50_ms", one.latency.p50 },
                      { "p99_ms", one.latency.p99 },
                      { "p999_ms", one.latency.p999 },
-                     { "slot_use", SlotUse(aSlotUse, one.service) },
-                     { "imbalance", one.imbalance },
+                     { "slot_use", UseOf(aUse, one.service).slotUse },
+                     { "imbalance", UseOf(aUse, one.service).imbalance },
                      { "unavailable_ms", one.unavailable.count() } });
   }
   return rows;
--- a/bench/summary.h
+++ b/bench/summary.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "load.h"
+#include "runs.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -32,8 +33,6 @@
   std::map<std::string, std::size_t> refused;
   // Of answered requests.
   Quantiles latency;
-  // Most work at one upstream over the mean; 1 is even, 0 unknown.
-  double imbalance = 0;
   // Total of the 100 ms bins in which fewer than half of the requests were
   // answered.
   std::chrono::milliseconds unavailable{};
@@ -65,9 +64,9 @@
 double Median(std::vector<double> aValues);
 
 void PrintServices(const std::vector<ServiceSummary>& aServices,
-                   const std::map<std::string, double>& aSlotUse);
+                   const std::map<std::string, UpstreamUse>& aUse);
 
 nlohmann::json ToJson(const std::vector<ServiceSummary>& aServices,
-                      const std::map<std::string, double>& aSlotUse);
+                      const std::map<std::string, UpstreamUse>& aUse);
 
 } // namespace kumquat::bench
