Refuse at once what a host without its lease can no longer do

Change: the queue is refused with the true reason at once; a stop needs no handover where no host is left to take it; what was sent to a frozen host is given up when it is deposed.

--- a/src/coordination/internal/router.cpp
+++ b/src/coordination/internal/router.cpp
@@ -155,6 +155,14 @@
   });
   this->membership->HostChanged().Listen(
     [this](const HostRecord&) { this->OnHosts(); });
+  // A frozen host keeps its connections: what was sent there is given up on as
+  // soon as the host is deposed, not when its connections break.
+  this->membership->HostDeposed().Listen([this](const HostRef& aRef) {
+    const HostRecord* current = this->map.Map().FindHost(aRef.host);
+    if (current == nullptr || current->ref == aRef) {
+      this->calls.OnPeerLost(aRef.host);
+    }
+  });
   this->duty.Slots().RoomChanged().Listen([this](const SlotCount& aCount) {
     this->rooms.OnCount(aCount);
     this->changedRooms.insert(aCount.upstream);
@@ -180,7 +188,10 @@
 
 bool Router::IsIdle() const
 {
-  return this->entry.InFlight() == 0 && this->duty.Slots().Held().empty() &&
+  // Where every host stops at once there is nobody to hand over to.
+  const bool handedOver =
+    this->duty.Slots().Held().empty() || this->membership->LiveHosts().empty();
+  return handedOver && this->entry.InFlight() == 0 &&
          this->duty.Slots().RunningInAll() == 0;
 }
 
--- a/src/coordination/internal/steward.cpp
+++ b/src/coordination/internal/steward.cpp
@@ -73,7 +73,14 @@
   }
   const std::unique_ptr<Upstream> released = std::move(found->second);
   this->upstreams.erase(found);
-  for (Work& work : released->queue | std::views::values) {
+  RefuseQueue(*released, aWhy);
+}
+
+// Nobody is kept waiting for what this host can no longer do.
+void Steward::RefuseQueue(Upstream& aUpstream, ErrorKind aWhy)
+{
+  const Queue refused = std::exchange(aUpstream.queue, {});
+  for (const Work& work : refused | std::views::values) {
     work.done(MakeError(aWhy));
   }
 }
@@ -85,6 +92,9 @@
     return;
   }
   upstream->open = aOpen;
+  if (!aOpen) {
+    RefuseQueue(*upstream, ErrorKind::kUpstreamUnreachable);
+  }
   this->Dispatch(*upstream);
   this->roomChanged.Send(this->Count(*upstream));
 }
@@ -194,6 +204,10 @@
     aWork.done(MakeError(ErrorKind::kNotSteward));
     return;
   }
+  if (!this->hooks.holdsLease()) {
+    aWork.done(MakeError(ErrorKind::kNoLease));
+    return;
+  }
   const TimePoint now = this->hooks.now();
   if (aWork.request.deadline <= now) {
     aWork.done(MakeError(ErrorKind::kDeadlineExpired));
@@ -388,7 +402,11 @@
 
 void Steward::OnTimer()
 {
+  const bool holdsLease = this->hooks.holdsLease();
   for (const auto& upstream : this->upstreams | std::views::values) {
+    if (!holdsLease) {
+      RefuseQueue(*upstream, ErrorKind::kNoLease);
+    }
     this->ExpireQueue(*upstream);
     this->Dispatch(*upstream);
   }
--- a/src/coordination/steward.h
+++ b/src/coordination/steward.h
@@ -145,6 +145,7 @@
              const RequestResult& aResult);
   void FreeSlot(const state::UpstreamRef& aRef);
   void ExpireQueue(Upstream& aUpstream);
+  static void RefuseQueue(Upstream& aUpstream, protocol::ErrorKind aWhy);
   static int FreeSlots(const Upstream& aUpstream, TimePoint aNow);
   SlotCount Count(const Upstream& aUpstream) const;
 
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -5,7 +5,7 @@
 #include "standins/endpointhistory.h"
 #include "standins/program.h"
 #include "standins/tablestore.h"
-#include "state/routingmap.h"
+#include "state/configurationhead.h"
 #include "transport/http.h"
 #include "transport/httpserver.h"
 #include "transport/iothread.h"
@@ -173,11 +173,9 @@
 
   void SeedConfiguration(const std::string& aText)
   {
-    std::array<char, 17> name{};
-    std::snprintf(name.data(), name.size(), "%016llx",
-                  static_cast<unsigned long long>(state::HashKey(aText)));
-    this->objects[name.data()] = aText;
-    const json body = { { "object", name.data() } };
+    const std::string name = state::ConfigurationObjectName(aText);
+    this->objects[name] = aText;
+    const json body = { { "object", name } };
     this->table.Seed("config", "head", 1, body.dump());
   }
 
