--- a/src/coordination/grantkeeper.h
+++ b/src/coordination/grantkeeper.h
@@ -46,11 +46,13 @@
 {
   // Nothing is granted or run before the upstream took the fence.
   kFenceFirst,
-  // Grants that the fence gave back are waited out before the slice is given
-  // to another upstream.
+  // A predecessor's grants, given back by the fence or not yet known, are
+  // revoked or waited out like this host's own.
   kReadGrantsBack,
   // A revocation without an answer waits until the term has surely lapsed.
   kWaitOutTerm,
+  // A revocation's answer counts only once no renewal can still be under way.
+  kSettleRenewals,
   // The term counts from the sending of the last renewal here.
   kCountFromSending,
   // An upstream that does not check fences is taken over only after the
@@ -87,10 +89,10 @@
 
 enum class UpstreamPhase
 {
-  // An unfenced upstream whose predecessor's orders may still run.
-  kWaitingOut,
   // The fence is on its way; nothing may be sent.
   kFencing,
+  // It does not check fences, and a predecessor's orders may still run.
+  kWaitingOut,
   kReady,
   // A higher epoch than ours was seen: we are no longer its steward.
   kFenced,
@@ -109,7 +111,8 @@
 class GrantKeeper
 {
 public:
-  // Called once: the slice is surely in force nowhere at that upstream.
+  // Called once, when the slice is surely in force no more at that upstream;
+  // never where the stewardship ends first.
   using RevokeDone = std::function<void()>;
 
   ~GrantKeeper();
@@ -125,7 +128,8 @@
   void GiveUp(const state::UpstreamRef& aRef);
 
   // The table has aSlice.upstream as the owner. Given at once, or as soon as
-  // the upstream is ready, and renewed until Revoke or GiveUp.
+  // the upstream is ready, and renewed until Revoke or GiveUp. A grant of the
+  // same part and a lower epoch at another upstream is renewed no more.
   void Give(const state::SliceRecord& aSlice);
   // Ends a grant before the table's owner is changed.
   void Revoke(const state::SliceRecord& aSlice, RevokeDone aDone);
--- /dev/null
+++ b/src/coordination/internal/grantmessages.h
@@ -0,0 +1,36 @@
+// The bodies of the control calls to upstreams; docs/PROTOCOLS.md has them.
+
+#pragma once
+
+#include "framework/clock.h"
+#include "state/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kumquat::coordination {
+
+// What an upstream said about a fence. Members that it left out keep the value
+// that asks for more care.
+struct FenceAnswer
+{
+  state::Epoch epoch = 0;
+  state::Incarnation incarnation = 0;
+  bool checksFence = false;
+  // The parts whose grants are in force there.
+  std::vector<std::string> granted;
+};
+
+std::string FenceBody(const state::HostRef& aSteward, state::Epoch aEpoch);
+std::string GrantBody(const state::SliceRecord& aSlice,
+                      state::Epoch aEpoch,
+                      std::int64_t aSequence,
+                      Duration aTerm);
+std::string RevokeBody(const state::SliceRecord& aSlice, state::Epoch aEpoch);
+
+// Nothing where the body is no such answer.
+std::optional<FenceAnswer> ParseFenceAnswer(const std::string& aBody);
+
+} // namespace kumquat::coordination
