Coordination: grants behind fences, revoked or waited out

Takes the thin form's place. A steward fences first and reads grants back; revoking ends by the upstream's answer, once no renewal can still be under way, or by the time at which every grant has surely lapsed, a predecessor's included. Upstreams that check no fences are taken over after the last order's deadline. A steward without its lease, or overtaken, concludes nothing from the time: its successor may have renewed.

--- a/src/coordination/grantkeeper.h
+++ b/src/coordination/grantkeeper.h
@@ -39,6 +39,9 @@
   // The longest that an order of a predecessor can still be on its way to, or
   // run at, an upstream that does not check fences.
   Duration orderDeadline = std::chrono::seconds(2);
+  // The longest that a living predecessor goes on before it has learnt of its
+  // successor.
+  Duration mapLag = std::chrono::seconds(5);
 };
 
 // One name for each rule that keeps a slice with one owner.
--- a/src/coordination/internal/grantkeeper.cpp
+++ b/src/coordination/internal/grantkeeper.cpp
@@ -1,122 +1,26 @@
-// Thin form: fences, gives, renews and revokes; waiting out comes next.
+// All upstreams of one steward.
 
 #include "coordination/grantkeeper.h"
 
-#include <nlohmann/json.hpp>
+#include "coordination/internal/upstreamgrants.h"
 
 #include <map>
+#include <ranges>
 #include <utility>
 
 namespace kumquat::coordination {
 
-using state::SliceRecord;
-using state::UpstreamRecord;
-using state::UpstreamRef;
-
 class GrantKeeper::Impl
 {
 public:
-  struct Grant
-  {
-    SliceRecord slice;
-    TimePoint renewAt;
-    TimePoint until;
-    std::int64_t sequence = 0;
-  };
-  struct Held
-  {
-    UpstreamRecord record;
-    UpstreamPhase phase = UpstreamPhase::kFencing;
-    TimePoint retryAt;
-    bool asking = false;
-    std::map<std::uint64_t, Grant> grants;
-  };
-
-  state::HostRef self;
-  GrantKeeperHooks hooks;
-  GrantTiming timing;
-  std::map<UpstreamRef, Held> held;
-  Channel<UpstreamFacts> ready;
-  Channel<UpstreamRef, state::Epoch> lost;
-  Channel<SliceRecord> gained;
-  Channel<SliceRecord> gone;
-
-  void Fence(Held& aHeld)
-  {
-    const UpstreamRef ref = aHeld.record.ref;
-    aHeld.asking = true;
-    const nlohmann::json body = { { "steward", this->self.host.value },
-                                  { "epoch", aHeld.record.epoch } };
-    this->hooks.sendControl(ref, "PUT", "/fence", body.dump(),
-                            [this, ref](const Result<ControlAnswer>& aAnswer) {
-                              const auto found = this->held.find(ref);
-                              if (found == this->held.end()) {
-                                return;
-                              }
-                              found->second.asking = false;
-                              found->second.retryAt =
-                                this->hooks.now() + this->timing.retry;
-                              if (aAnswer && aAnswer->status == 200) {
-                                found->second.phase = UpstreamPhase::kReady;
-                                this->ready.Send({ ref, 0, true });
-                              }
-                            });
-  }
-
-  void Renew(Held& aHeld, Grant& aGrant)
+  UpstreamGrants* Find(const state::UpstreamRef& aRef) const
   {
-    const UpstreamRef ref = aHeld.record.ref;
-    const TimePoint now = this->hooks.now();
-    const std::uint64_t first = aGrant.slice.first;
-    const state::Epoch epoch = aGrant.slice.epoch;
-    aGrant.renewAt = now + this->timing.retry;
-    const auto termMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(this->timing.term);
-    const nlohmann::json body = { { "epoch", aHeld.record.epoch },
-                                  { "part", aGrant.slice.part },
-                                  { "first",
-                                    std::to_string(aGrant.slice.first) },
-                                  { "last", std::to_string(aGrant.slice.last) },
-                                  { "sliceEpoch", epoch },
-                                  { "sequence", ++aGrant.sequence },
-                                  { "termMs", termMs.count() } };
-    this->hooks.sendControl(
-      ref, "PUT", "/grant", body.dump(),
-      [this, ref, first, epoch, now](const Result<ControlAnswer>& aAnswer) {
-        const auto found = this->held.find(ref);
-        if (found == this->held.end() || !aAnswer || aAnswer->status != 200) {
-          return;
-        }
-        const auto grant = found->second.grants.find(first);
-        if (grant == found->second.grants.end() ||
-            grant->second.slice.epoch != epoch) {
-          return;
-        }
-        grant->second.until = now + this->timing.term - this->timing.drift;
-        grant->second.renewAt = now + this->timing.renewal;
-      });
+    const auto found = this->upstreams.find(aRef);
+    return found == this->upstreams.end() ? nullptr : found->second.get();
   }
 
-  void OnTimer()
-  {
-    const TimePoint now = this->hooks.now();
-    if (!this->hooks.mayStart(now)) {
-      return;
-    }
-    for (auto& [ref, upstream] : this->held) {
-      if (upstream.phase != UpstreamPhase::kReady) {
-        if (!upstream.asking && upstream.retryAt <= now) {
-          this->Fence(upstream);
-        }
-        continue;
-      }
-      for (auto& [first, grant] : upstream.grants) {
-        if (grant.renewAt <= now) {
-          this->Renew(upstream, grant);
-        }
-      }
-    }
-  }
+  GrantContext context;
+  std::map<state::UpstreamRef, std::shared_ptr<UpstreamGrants>> upstreams;
 };
 
 GrantKeeper::GrantKeeper(std::unique_ptr<Impl> aImpl)
@@ -126,94 +30,105 @@
 
 GrantKeeper::~GrantKeeper() = default;
 
-void GrantKeeper::TakeOver(const UpstreamRecord& aRecord, bool)
+void GrantKeeper::TakeOver(const state::UpstreamRecord& aRecord,
+                           bool aPredecessorMayRun)
 {
-  this->impl->held[aRecord.ref].record = aRecord;
+  const UpstreamGrants* const known = this->impl->Find(aRecord.ref);
+  if (known != nullptr && known->Record().epoch >= aRecord.epoch) {
+    return;
+  }
+  this->impl->upstreams[aRecord.ref] = std::make_shared<UpstreamGrants>(
+    aRecord, aPredecessorMayRun, this->impl->context);
 }
 
-void GrantKeeper::GiveUp(const UpstreamRef& aRef)
+void GrantKeeper::GiveUp(const state::UpstreamRef& aRef)
 {
-  this->impl->held.erase(aRef);
+  this->impl->upstreams.erase(aRef);
 }
 
-void GrantKeeper::Give(const SliceRecord& aSlice)
+void GrantKeeper::Give(const state::SliceRecord& aSlice)
 {
-  const auto found = this->impl->held.find({ aSlice.service, aSlice.upstream });
-  if (found != this->impl->held.end()) {
-    found->second.grants[aSlice.first].slice = aSlice;
-    found->second.grants[aSlice.first].renewAt = TimePoint();
+  for (const auto& [ref, upstream] : this->impl->upstreams) {
+    if (ref.service == aSlice.service && ref.upstream != aSlice.upstream) {
+      upstream->Drop(aSlice.part, aSlice.epoch);
+    }
+  }
+  const state::UpstreamRef owner{ aSlice.service, aSlice.upstream };
+  if (UpstreamGrants* const upstream = this->impl->Find(owner)) {
+    upstream->Give(aSlice);
   }
 }
 
-void GrantKeeper::Revoke(const SliceRecord& aSlice, RevokeDone aDone)
+void GrantKeeper::Revoke(const state::SliceRecord& aSlice, RevokeDone aDone)
 {
-  const UpstreamRef ref{ aSlice.service, aSlice.upstream };
-  const auto found = this->impl->held.find(ref);
-  if (found == this->impl->held.end()) {
-    return;
+  const state::UpstreamRef owner{ aSlice.service, aSlice.upstream };
+  if (UpstreamGrants* const upstream = this->impl->Find(owner)) {
+    upstream->Revoke(aSlice, std::move(aDone));
   }
-  found->second.grants.erase(aSlice.first);
-  const nlohmann::json body = { { "epoch", found->second.record.epoch },
-                                { "part", aSlice.part },
-                                { "sliceEpoch", aSlice.epoch } };
-  this->impl->hooks.sendControl(
-    ref, "PUT", "/revoke", body.dump(),
-    [done = std::move(aDone)](const Result<ControlAnswer>& aAnswer) {
-      if (aAnswer && aAnswer->status == 200) {
-        done();
-      }
-    });
 }
 
 void GrantKeeper::OnTimer()
 {
-  this->impl->OnTimer();
+  // A copy: listeners may take over and give up upstreams.
+  const auto upstreams = this->impl->upstreams;
+  for (const auto& upstream : upstreams | std::views::values) {
+    upstream->OnTimer();
+  }
 }
 
-void GrantKeeper::OnIncarnation(const UpstreamRef&, state::Incarnation) {}
-
-void GrantKeeper::OnFenced(const UpstreamRef&, state::Epoch) {}
+void GrantKeeper::OnIncarnation(const state::UpstreamRef& aRef,
+                                state::Incarnation aIncarnation)
+{
+  if (UpstreamGrants* const upstream = this->impl->Find(aRef)) {
+    upstream->OnIncarnation(aIncarnation);
+  }
+}
 
-bool GrantKeeper::MayRun(const SliceRecord& aSlice, TimePoint aNow) const
+void GrantKeeper::OnFenced(const state::UpstreamRef& aRef, state::Epoch aEpoch)
 {
-  const auto found = this->impl->held.find({ aSlice.service, aSlice.upstream });
-  if (found == this->impl->held.end()) {
-    return false;
+  if (UpstreamGrants* const upstream = this->impl->Find(aRef)) {
+    upstream->OnFenced(aEpoch);
   }
-  const auto grant = found->second.grants.find(aSlice.first);
-  return grant != found->second.grants.end() && aNow < grant->second.until;
 }
 
-bool GrantKeeper::MayRun(const UpstreamRef& aRef, TimePoint) const
+bool GrantKeeper::MayRun(const state::SliceRecord& aSlice, TimePoint aNow) const
+{
+  const UpstreamGrants* const upstream =
+    this->impl->Find({ aSlice.service, aSlice.upstream });
+  return upstream != nullptr && upstream->MayRun(aSlice, aNow);
+}
+
+bool GrantKeeper::MayRun(const state::UpstreamRef& aRef, TimePoint aNow) const
 {
-  return this->Phase(aRef) == UpstreamPhase::kReady;
+  const UpstreamGrants* const upstream = this->impl->Find(aRef);
+  return upstream != nullptr && upstream->MayRun(aNow);
 }
 
-std::optional<UpstreamPhase> GrantKeeper::Phase(const UpstreamRef& aRef) const
+std::optional<UpstreamPhase> GrantKeeper::Phase(
+  const state::UpstreamRef& aRef) const
 {
-  const auto found = this->impl->held.find(aRef);
-  return found == this->impl->held.end() ? std::nullopt
-                                         : std::optional(found->second.phase);
+  const UpstreamGrants* const upstream = this->impl->Find(aRef);
+  return upstream == nullptr ? std::nullopt : std::optional(upstream->Phase());
 }
 
 Channel<UpstreamFacts>& GrantKeeper::UpstreamReady()
 {
-  return this->impl->ready;
+  return this->impl->context.ready;
 }
 
-Channel<UpstreamRef, state::Epoch>& GrantKeeper::UpstreamLost()
+Channel<state::UpstreamRef, state::Epoch>& GrantKeeper::UpstreamLost()
 {
-  return this->impl->lost;
+  return this->impl->context.lost;
 }
 
-Channel<SliceRecord>& GrantKeeper::GrantGained()
+Channel<state::SliceRecord>& GrantKeeper::GrantGained()
 {
-  return this->impl->gained;
+  return this->impl->context.grantGained;
 }
 
-Channel<SliceRecord>& GrantKeeper::GrantLost()
+Channel<state::SliceRecord>& GrantKeeper::GrantLost()
 {
-  return this->impl->gone;
+  return this->impl->context.grantLost;
 }
 
 GrantKeeperBuilder& GrantKeeperBuilder::Self(state::HostRef aSelf)
@@ -243,9 +158,10 @@
 std::unique_ptr<GrantKeeper> GrantKeeperBuilder::Build()
 {
   auto impl = std::make_unique<GrantKeeper::Impl>();
-  impl->self = this->self;
-  impl->hooks = this->hooks;
-  impl->timing = this->timing;
+  impl->context.self = this->self;
+  impl->context.hooks = this->hooks;
+  impl->context.timing = this->timing;
+  impl->context.off = this->off;
   return std::unique_ptr<GrantKeeper>(new GrantKeeper(std::move(impl)));
 }
 
--- a/src/coordination/internal/grantmessages.cpp
+++ b/src/coordination/internal/grantmessages.cpp
@@ -20,29 +20,27 @@
   return json{ { "steward", aSteward.host.value }, { "epoch", aEpoch } }.dump();
 }
 
-std::string GrantBody(const state::SliceRecord& aSlice,
-                      state::Epoch aEpoch,
-                      std::int64_t aSequence,
-                      Duration aTerm)
+std::string GrantBody(const state::SliceRecord& aSlice, state::Epoch aEpoch,
+                      std::int64_t aSequence, Duration aTerm)
 {
   const auto term =
     std::chrono::duration_cast<std::chrono::milliseconds>(aTerm).count();
-  return json{ { "epoch", aEpoch },
-               { "part", aSlice.part },
-               { "first", std::to_string(aSlice.first) },
-               { "last", std::to_string(aSlice.last) },
-               { "sliceEpoch", aSlice.epoch },
-               { "sequence", aSequence },
-               { "termMs", term } }
-    .dump();
+  return json{
+    { "epoch", aEpoch },
+    { "part", aSlice.part },
+    { "first", std::to_string(aSlice.first) },
+    { "last", std::to_string(aSlice.last) },
+    { "sliceEpoch", aSlice.epoch },
+    { "sequence", aSequence },
+    { "termMs", term }
+  }.dump();
 }
 
 std::string RevokeBody(const state::SliceRecord& aSlice, state::Epoch aEpoch)
 {
-  return json{ { "epoch", aEpoch },
-               { "part", aSlice.part },
-               { "sliceEpoch", aSlice.epoch } }
-    .dump();
+  return json{
+    { "epoch", aEpoch }, { "part", aSlice.part }, { "sliceEpoch", aSlice.epoch }
+  }.dump();
 }
 
 std::optional<FenceAnswer> ParseFenceAnswer(const std::string& aBody)
@@ -54,7 +52,8 @@
     answer.incarnation = body.value("incarnation", state::Incarnation{ 0 });
     answer.checksFence = body.value("checksFence", false);
     for (const json& grant : body.value("grants", json::array())) {
-      answer.granted.push_back(grant.at("part").get<std::string>());
+      answer.granted[grant.at("part").get<std::string>()] =
+        grant.value("sequence", std::int64_t{ 0 });
     }
     return answer;
   } catch (const std::exception&) {
--- a/src/coordination/internal/grantmessages.h
+++ b/src/coordination/internal/grantmessages.h
@@ -6,9 +6,9 @@
 #include "state/types.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace kumquat::coordination {
 
@@ -19,15 +19,13 @@
   state::Epoch epoch = 0;
   state::Incarnation incarnation = 0;
   bool checksFence = false;
-  // The parts whose grants are in force there.
-  std::vector<std::string> granted;
+  // The sequence of each grant that is in force there, by part.
+  std::map<std::string, std::int64_t> granted;
 };
 
 std::string FenceBody(const state::HostRef& aSteward, state::Epoch aEpoch);
-std::string GrantBody(const state::SliceRecord& aSlice,
-                      state::Epoch aEpoch,
-                      std::int64_t aSequence,
-                      Duration aTerm);
+std::string GrantBody(const state::SliceRecord& aSlice, state::Epoch aEpoch,
+                      std::int64_t aSequence, Duration aTerm);
 std::string RevokeBody(const state::SliceRecord& aSlice, state::Epoch aEpoch);
 
 // Nothing where the body is no such answer.
--- a/src/coordination/internal/upstreamlife.cpp
+++ b/src/coordination/internal/upstreamlife.cpp
@@ -75,8 +75,8 @@
 
 std::string_view UpstreamPhaseName(UpstreamPhase aPhase)
 {
-  return std::ranges::find(
-           kPhases, aPhase, &decltype(kPhases)::value_type::first)
+  return std::ranges::find(kPhases, aPhase,
+                           &decltype(kPhases)::value_type::first)
     ->second;
 }
 
