--- a/bench/slope.h
+++ b/bench/slope.h
@@ -65,5 +65,6 @@
 std::vector<Slope> MeasureLeases();
 std::vector<Slope> MeasureDuplicates();
 std::vector<Slope> MeasureConfiguration();
+std::vector<Slope> MeasureDaemons();
 
 } // namespace kumquat::bench
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -14,7 +14,8 @@
 #include <string>
 
 ABSL_FLAG(std::string, part, "all",
-          "what to measure: map, codec, steward, or all");
+          "what to measure: map, codec, steward, leases, duplicates, "
+          "configuration, daemons, or all");
 ABSL_FLAG(std::string, format, "table", "table or json");
 
 namespace kumquat::bench {
@@ -25,6 +26,10 @@
   SlopePart{ "map", MeasureMap },
   SlopePart{ "codec", MeasureCodec },
   SlopePart{ "steward", MeasureSteward },
+  SlopePart{ "leases", MeasureLeases },
+  SlopePart{ "duplicates", MeasureDuplicates },
+  SlopePart{ "configuration", MeasureConfiguration },
+  SlopePart{ "daemons", MeasureDaemons },
 };
 
 int Run(const std::string& aPart, const std::string& aFormat)
--- a/bench/testbed.cpp
+++ b/bench/testbed.cpp
@@ -155,16 +155,18 @@
 
 bool Testbed::StartDaemons()
 {
-  if (!this->cluster.StartHosts()) {
-    this->problem = this->cluster.Problem();
-    return false;
-  }
   std::vector<EntryAddress> entries;
-  std::ranges::transform(
-    this->cluster.Hosts(), std::back_inserter(entries),
-    [](const standins::HostPlan& aHost) {
-      return EntryAddress{ aHost.callerAddress, aHost.operatorAddress };
-    });
+  const std::size_t all = this->cluster.Hosts().size();
+  const std::size_t wanted =
+    this->options.hosts == 0 ? all : this->options.hosts;
+  for (const standins::HostPlan& host :
+       this->cluster.Hosts() | std::views::take(wanted)) {
+    if (!this->cluster.StartHost(host.id)) {
+      this->problem = this->cluster.Problem();
+      return false;
+    }
+    entries.push_back({ host.callerAddress, host.operatorAddress });
+  }
   const std::size_t count = entries.size();
   this->probe =
     std::make_shared<ReadinessProbe>(std::move(entries), kProbeInterval);
--- a/bench/testbed.h
+++ b/bench/testbed.h
@@ -45,6 +45,8 @@
     // machine can bear the load of all hosts.
     double timeFactor = 1;
     std::vector<std::string> upstreamFlags;
+    // Daemons started, the first ones of the deployment; 0 starts all.
+    std::size_t hosts = 0;
   };
 
   struct Measured
