--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -304,7 +304,7 @@
 state::TableHooks Node::Impl::TableHooks()
 {
   state::TableHooks hooks;
-  hooks.query = [this](std::string aPartition,
+  hooks.query = [this](const std::string& aPartition,
                        state::TableHooks::QueryDone aDone) {
     auto done =
       std::make_shared<state::TableHooks::QueryDone>(std::move(aDone));
--- a/src/state/internal/platform.cpp
+++ b/src/state/internal/platform.cpp
@@ -118,13 +118,14 @@
     if (!aFrom.is_null()) {
       body["ExclusiveStartKey"] = aFrom;
     }
-    this->send(this->address, MakeTableRequest("Query", body), kTableTimeout,
-               [self = this->shared_from_this(),
-                partition = std::move(aPartition), rows = std::move(aSoFar),
-                done = std::move(aDone)](Result<HttpResponse> aResult) mutable {
-                 self->TakePage(std::move(partition), std::move(rows),
-                                std::move(done), aResult);
-               });
+    this->send(
+      this->address, MakeTableRequest("Query", body), kTableTimeout,
+      [self = this->shared_from_this(), partition = std::move(aPartition),
+       rows = std::move(aSoFar),
+       done = std::move(aDone)](const Result<HttpResponse>& aResult) mutable {
+        self->TakePage(std::move(partition), std::move(rows), std::move(done),
+                       aResult);
+      });
   }
 
   void Write(std::vector<ConditionalWrite> aWrites, TableHooks::WriteDone aDone)
@@ -132,15 +133,15 @@
     json operations = json::array();
     std::ranges::transform(aWrites, std::back_inserter(operations),
                            ToOperation);
-    this->send(this->address,
-               MakeTableRequest("TransactWriteItems",
-                                { { "TransactItems", operations } }),
-               kTableTimeout,
-               [self = this->shared_from_this(), writes = std::move(aWrites),
-                done = std::move(aDone)](Result<HttpResponse> aResult) mutable {
-                 self->TakeWriteAnswer(std::move(writes), std::move(done),
-                                       aResult);
-               });
+    this->send(
+      this->address,
+      MakeTableRequest("TransactWriteItems",
+                       { { "TransactItems", operations } }),
+      kTableTimeout,
+      [self = this->shared_from_this(), writes = std::move(aWrites),
+       done = std::move(aDone)](const Result<HttpResponse>& aResult) mutable {
+        self->TakeWriteAnswer(std::move(writes), std::move(done), aResult);
+      });
   }
 
 private:
@@ -170,7 +171,7 @@
                 std::move(aDone));
   }
 
-  void TakeWriteAnswer(std::vector<ConditionalWrite> aWrites,
+  void TakeWriteAnswer(const std::vector<ConditionalWrite>& aWrites,
                        TableHooks::WriteDone aDone,
                        const Result<HttpResponse>& aResult)
   {
@@ -188,7 +189,7 @@
       aDone(WriteOutcome::kConflict);
       return;
     }
-    this->ReadBack(std::move(aWrites), std::move(aDone));
+    this->ReadBack(aWrites, std::move(aDone));
   }
 
   // The store failed or its answer was lost: the write may have taken effect.
