Peer connections: one of a pair's two carries all frames of a direction

Ruled out: full rings (no such event logged), the upstream's deadline, server time-outs (nothing took 10 s). Change: a direction stays on its first connection until that one breaks, and its break is told as a loss. A planned stop also waits for answers that are still being written.

--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -367,18 +367,15 @@
     aRespond(this->Count(kind, ErrorResponse(kind)));
     return;
   }
-  this->callersInFlight.fetch_add(1);
   this->lastArrival.store(Now().time_since_epoch().count());
   Task task = [this, request = std::move(*request), aRespond]() mutable {
     this->router->OnCallerRequest(
       std::move(request), [this, aRespond](RequestResult aResult) {
         const ErrorKind kind = aResult.error;
-        this->callersInFlight.fetch_sub(1);
         aRespond(this->Count(kind, ToHttpResponse(std::move(aResult))));
       });
   };
   if (!this->coordination.TryHand(task)) {
-    this->callersInFlight.fetch_sub(1);
     aRespond(
       this->Count(ErrorKind::kRingFull, ErrorResponse(ErrorKind::kRingFull)));
   }
@@ -549,7 +546,7 @@
   this->coordination.Hand([this] { this->router->Stop(); });
   const auto isDone = [this] {
     const TimePoint last{ Duration(this->lastArrival.load()) };
-    return this->idle.load() && this->callersInFlight.load() == 0 &&
+    return this->idle.load() && this->callerServer->Busy() == 0 &&
            Now() - last >= kQuietBeforeStop;
   };
   while (!isDone() && Now() < latest) {
--- a/src/node/internal/nodeimpl.h
+++ b/src/node/internal/nodeimpl.h
@@ -94,7 +94,6 @@
   std::atomic<bool> ready{ false };
   std::atomic<bool> stopping{ false };
   std::atomic<bool> idle{ false };
-  std::atomic<std::uint64_t> callersInFlight{ 0 };
   std::atomic<std::int64_t> lastArrival{ 0 };
 
   transport::DutyThread callers;
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -64,8 +64,8 @@
   void Drain();
   // Takes no more connections; each open one ends after its current answer.
   void StopAccepting();
-  // Server's thread only.
-  std::size_t OpenConnections() const;
+  // Requests whose answer is not wholly written yet; from any thread.
+  std::size_t Busy() const;
 
 private:
   class State;
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <atomic>
 #include <set>
 #include <utility>
 
@@ -160,11 +161,28 @@
     }
   }
 
-  std::size_t OpenConnections() const { return this->open; }
+  std::size_t Busy() const { return this->busy.load(); }
 
   asio::any_io_executor Executor() { return this->acceptor.get_executor(); }
 
 private:
+  class BusyScope
+  {
+  public:
+    explicit BusyScope(std::atomic<std::size_t>& aBusy)
+      : busy(aBusy)
+    {
+      this->busy.fetch_add(1);
+    }
+
+    ~BusyScope() { this->busy.fetch_sub(1); }
+    BusyScope(const BusyScope&) = delete;
+    BusyScope& operator=(const BusyScope&) = delete;
+
+  private:
+    std::atomic<std::size_t>& busy;
+  };
+
   // aSelf keeps the state for as long as the coroutine runs.
   asio::awaitable<void> Accept(std::shared_ptr<State> aSelf)
   {
@@ -221,6 +239,7 @@
       co_return false;
     }
     const bool keepAlive = parser.keep_alive();
+    const BusyScope scope(this->busy);
     aStream.expires_never();
     HttpResponse response =
       co_await Handle(this->options.handler, TakeRequest(parser.release()));
@@ -345,6 +364,7 @@
   // Connections that wait for a request's first byte.
   std::set<beast::tcp_stream*> idle;
   std::size_t open = 0;
+  std::atomic<std::size_t> busy{ 0 };
   bool draining = false;
   bool stopping = false;
 };
@@ -379,9 +399,9 @@
              [state = this->state] { state->StopAccepting(); });
 }
 
-std::size_t HttpServer::OpenConnections() const
+std::size_t HttpServer::Busy() const
 {
-  return this->state->OpenConnections();
+  return this->state->Busy();
 }
 
 } // namespace kumquat::transport
--- a/src/transport/internal/peernetwork.cpp
+++ b/src/transport/internal/peernetwork.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <unordered_map>
@@ -100,8 +101,9 @@
     this->stopping = true;
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
-    for (const auto& [host, link] : this->links) {
-      CloseSocket(*link);
+    for (const auto& [host, all] : this->links) {
+      std::ranges::for_each(all,
+                            [](const LinkPtr& aLink) { CloseSocket(*aLink); });
     }
   }
 
@@ -127,7 +129,7 @@
   {
     const auto found = this->links.find(aHost);
     if (found != this->links.end()) {
-      CloseSocket(*found->second);
+      CloseSocket(*found->second.front());
     }
   }
 
@@ -138,7 +140,7 @@
       this->Dial(aHost);
       return false;
     }
-    return this->Enqueue(found->second, aFrame);
+    return this->Enqueue(found->second.front(), aFrame);
   }
 
 private:
@@ -307,13 +309,24 @@
     return true;
   }
 
-  // Where both sides connected at once both connections stay usable for
-  // reading; sending goes over the newer one, which a restarted peer made.
+  // Where both sides connected at once there are two connections. Each side
+  // goes on sending over the one that it had first: frames over two would
+  // overtake each other, and the pieces of a body come out of order.
   void Adopt(const LinkPtr& aLink)
   {
-    const auto [place, inserted] =
-      this->links.insert_or_assign(aLink->peer->host, aLink);
-    this->options.onUp(*place->second->peer, true);
+    std::vector<LinkPtr>& all = this->links[aLink->peer->host];
+    const bool restarted =
+      !all.empty() && aLink->peer->incarnation > all.front()->peer->incarnation;
+    if (restarted) {
+      const std::vector<LinkPtr> old = std::exchange(all, {});
+      std::ranges::for_each(old,
+                            [](const LinkPtr& aOld) { CloseSocket(*aOld); });
+      this->options.onUp(*old.front()->peer, false);
+    }
+    all.push_back(aLink);
+    if (all.size() == 1) {
+      this->options.onUp(*aLink->peer, true);
+    }
   }
 
   void Drop(const LinkPtr& aLink)
@@ -322,21 +335,33 @@
     if (!aLink->peer) {
       return;
     }
-    const auto found = this->links.find(aLink->peer->host);
-    if (found == this->links.end() || found->second != aLink) {
+    const std::string host = aLink->peer->host;
+    const auto found = this->links.find(host);
+    if (found == this->links.end()) {
+      return;
+    }
+    std::vector<LinkPtr>& all = found->second;
+    const bool wasInUse = !all.empty() && all.front() == aLink;
+    std::erase(all, aLink);
+    if (!wasInUse) {
       return;
     }
-    this->links.erase(found);
+    // What was on its way over it is lost, also where another one is left.
     this->options.onUp(*aLink->peer, false);
-    this->Dial(aLink->peer->host);
+    if (all.empty()) {
+      this->links.erase(found);
+      this->Dial(host);
+    } else {
+      this->options.onUp(*all.front()->peer, true);
+    }
   }
 
   asio::io_context& context;
   const Options options;
   tcp::acceptor acceptor;
   tcp::endpoint local;
-  // By host: the connection that Send uses.
-  std::unordered_map<std::string, LinkPtr> links;
+  // By host; never empty. Send uses the first.
+  std::unordered_map<std::string, std::vector<LinkPtr>> links;
   std::unordered_map<std::string, std::string> addresses;
   std::unordered_map<std::string, bool> dialling;
   bool stopping = false;
