--- a/src/state/internal/routingmap.cpp
+++ b/src/state/internal/routingmap.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <ranges>
 
 namespace kumquat::state {
@@ -99,6 +100,25 @@
   return found != this->places.end() && found->second.out;
 }
 
+Version RoutingMap::PlacesVersion() const
+{
+  const auto versions = this->places | std::views::values |
+                        std::views::transform([](const PlaceRecord& aPlace) {
+                          return aPlace.version;
+                        });
+  return std::accumulate(versions.begin(), versions.end(), Version{ 0 });
+}
+
+std::vector<const PlaceRecord*> RoutingMap::Places() const
+{
+  std::vector<const PlaceRecord*> found;
+  found.reserve(this->places.size());
+  std::ranges::transform(this->places | std::views::values,
+                         std::back_inserter(found),
+                         [](const PlaceRecord& aRecord) { return &aRecord; });
+  return found;
+}
+
 std::vector<const HostRecord*> RoutingMap::Hosts() const
 {
   std::vector<const HostRecord*> found;
--- a/src/state/routingmap.h
+++ b/src/state/routingmap.h
@@ -35,6 +35,11 @@
                                std::uint64_t aHash) const;
   bool IsOut(std::string_view aPlace) const;
 
+  // The sum of the versions of all places: it rises with every write to any
+  // of them, so that two hosts can be compared by one number.
+  Version PlacesVersion() const;
+
+  std::vector<const PlaceRecord*> Places() const;
   std::vector<const HostRecord*> Hosts() const;
   std::vector<const UpstreamRecord*> Upstreams(
     const ServiceName& aService) const;
