Bodies in pieces: each thread touches only its own

Cause: the pieces of a body came back on the upstreams' thread and went straight into BodyStreams, and the callers' thread read from it as well. Ruled out: the allocator and the rings (same stack in both kernel messages). Change: pieces come back on coordination's thread, callers read through it, and a reader is taken down on the thread that it belongs to. A planned stop waits for bodies that are still on their way.

--- a/src/coordination/bodystreams.h
+++ b/src/coordination/bodystreams.h
@@ -30,7 +30,8 @@
   void Pump(const state::HostId& aHost, std::uint64_t aCorrelation,
             transport::BodyReader aReader);
 
-  // The reader of what aHost sends for aCorrelation.
+  // The reader of what aHost sends for aCorrelation. Dropping it before the
+  // body's end tells aHost to stop.
   transport::BodyReader Open(const state::HostId& aHost,
                              std::uint64_t aCorrelation);
 
@@ -41,6 +42,12 @@
   // Every body to or from it is cut short.
   void OnPeerLost(const state::HostId& aHost);
 
+  // Bodies on their way, in both directions.
+  std::size_t Active() const
+  {
+    return this->outgoing.size() + this->incoming.size();
+  }
+
 private:
   using Key = std::pair<state::HostId, std::uint64_t>;
   using Take = std::function<void(Result<std::string>)>;
@@ -61,8 +68,9 @@
 
   void ReadNext(const Key& aKey);
   void OnPiece(const Key& aKey, Result<std::string> aPiece);
+  void Abandon(const Key& aKey);
   void Give(const Key& aKey, Incoming& aIncoming, Take aTake);
-  void SendCredit(const Key& aKey, std::size_t aBytes);
+  void SendCredit(const Key& aKey, std::int64_t aBytes);
 
   const Send send;
   std::map<Key, Outgoing> outgoing;
--- a/src/coordination/internal/bodystreams.cpp
+++ b/src/coordination/internal/bodystreams.cpp
@@ -15,6 +15,8 @@
 
 // What may be on its way of one body, beyond the piece being read.
 constexpr std::int64_t kWindowBytes = 256 << 10;
+// In place of a credit: the receiver wants no more of the body.
+constexpr std::int64_t kAbandoned = -1;
 
 } // namespace
 
@@ -82,8 +84,7 @@
   if (found == this->outgoing.end()) {
     return;
   }
-  if (aBytes < 0) {
-    // The receiver wants no more of it.
+  if (aBytes == kAbandoned) {
     this->outgoing.erase(found);
     return;
   }
@@ -97,11 +98,22 @@
   const Key key{ aHost, aCorrelation };
   auto stream = std::make_shared<Incoming>();
   this->incoming[key] = stream;
-  return [this, key, stream](Take aTake) {
+  const std::shared_ptr<void> guard(nullptr,
+                                    [this, key](void*) { this->Abandon(key); });
+  return [this, key, stream, guard](Take aTake) {
     this->Give(key, *stream, std::move(aTake));
   };
 }
 
+// A caller that goes away in the middle of a download would otherwise leave
+// the steward waiting for credit, with the upstream's slot taken for good.
+void BodyStreams::Abandon(const Key& aKey)
+{
+  if (this->incoming.erase(aKey) != 0) {
+    this->SendCredit(aKey, kAbandoned);
+  }
+}
+
 void BodyStreams::Give(const Key& aKey, Incoming& aIncoming, Take aTake)
 {
   if (aIncoming.pieces.empty()) {
@@ -111,17 +123,17 @@
   Result<std::string> piece = std::move(aIncoming.pieces.front());
   aIncoming.pieces.pop_front();
   if (piece && !piece->empty()) {
-    this->SendCredit(aKey, piece->size());
+    this->SendCredit(aKey, static_cast<std::int64_t>(piece->size()));
   } else {
     this->incoming.erase(aKey);
   }
   aTake(std::move(piece));
 }
 
-void BodyStreams::SendCredit(const Key& aKey, std::size_t aBytes)
+void BodyStreams::SendCredit(const Key& aKey, std::int64_t aBytes)
 {
   protocol::BodyCredit credit;
-  credit.__set_bytes(static_cast<std::int64_t>(aBytes));
+  credit.__set_bytes(aBytes);
   protocol::Frame frame;
   frame.__set_correlation(static_cast<std::int64_t>(aKey.second));
   frame.__set_bodyCredit(credit);
--- a/src/coordination/internal/router.cpp
+++ b/src/coordination/internal/router.cpp
@@ -192,7 +192,7 @@
   const bool handedOver =
     this->duty.Slots().Held().empty() || this->membership->LiveHosts().empty();
   return handedOver && this->entry.InFlight() == 0 &&
-         this->duty.Slots().RunningInAll() == 0;
+         this->streams.Active() == 0 && this->duty.Slots().RunningInAll() == 0;
 }
 
 void Router::Finish()
--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -129,6 +129,7 @@
       this->self, this->settings.dataCentre,
       advertised.empty() ? this->settings.peerAddress : advertised },
     this->RouterHooks());
+  this->MakeOperatorApi();
   for (const std::error_code error :
        { this->ListenForPeers(), this->ListenForOperators(),
          this->ListenForCallers() }) {
@@ -340,6 +341,76 @@
   return hooks;
 }
 
+void Node::Impl::MakeOperatorApi()
+{
+  state::TableHooks pushing = this->TableHooks();
+  pushing.write = [this](std::vector<state::ConditionalWrite> aWrites,
+                         state::TableHooks::WriteDone aDone) {
+    this->router->Map().Write(std::move(aWrites), std::move(aDone));
+  };
+  const auto nonce = [this] {
+    return this->self.host.value + "-" + std::to_string(this->random());
+  };
+  this->configurationWriter = std::make_unique<state::ConfigurationWriter>(
+    state::ConfigurationWriter::Hooks{
+      .putObject =
+        [this](const std::string& aName, std::string aContent,
+               std::function<void(std::error_code)> aDone) {
+          this->PutObject(aName, std::move(aContent), std::move(aDone));
+        },
+      .table = pushing,
+      .nonce = nonce,
+      .accepted =
+        [this](state::Version aVersion, const std::string& aText) {
+          this->router->Keeper().OnAccepted(aVersion, aText);
+        } });
+  const auto counted = [](const std::vector<Counter*>& aCounters,
+                          ErrorKind aKind) {
+    return aCounters.at(static_cast<std::size_t>(aKind))->Value();
+  };
+  this->operatorApi = std::make_unique<coordination::OperatorApi>(
+    coordination::OperatorView{
+      .self = this->self,
+      .dataCentre = this->settings.dataCentre,
+      .map = this->router->Map().Map(),
+      .keeper = this->router->Keeper(),
+      .isReady = [this] { return this->router->IsReady(); },
+      .holdsLease = [this] { return this->router->HoldsLease(); },
+      .counts = [this] { return this->router->Duty().Slots().Counts(); },
+      .refusals = [this, counted](
+                    ErrorKind aKind) { return counted(this->refusals, aKind); },
+      .retries = [this, counted](
+                   ErrorKind aKind) { return counted(this->retries, aKind); } },
+    coordination::OperatorHooks{
+      .token = this->settings.operatorToken,
+      .metrics = [this] { return this->metrics.Text(); },
+      .table = pushing,
+      .nonce = nonce,
+      .event =
+        [this](Event aEvent, EventFields aFields) {
+          this->log.Write(aEvent, aFields);
+        } },
+    *this->configurationWriter);
+}
+
+void Node::Impl::PutObject(const std::string& aName, std::string aContent,
+                           std::function<void(std::error_code)> aDone)
+{
+  auto done =
+    std::make_shared<std::function<void(std::error_code)>>(std::move(aDone));
+  const bool handed = this->OnPlatform(
+    [this, aName, content = std::move(aContent), done]() mutable {
+      this->objects->Put(
+        aName, std::move(content), [this, done](std::error_code aError) {
+          this->coordination.Hand([done, aError] { (*done)(aError); });
+        });
+    });
+  if (!handed) {
+    this->coordination.Context().post(
+      [done] { (*done)(make_error_code(ErrorKind::kStoreUnavailable)); });
+  }
+}
+
 void Node::Impl::FetchObject(const std::string& aName,
                              std::function<void(Result<std::string>)> aDone)
 {
@@ -372,6 +443,10 @@
     this->router->OnCallerRequest(
       std::move(request), [this, aRespond](RequestResult aResult) {
         const ErrorKind kind = aResult.error;
+        if (aResult.response.rest) {
+          aResult.response.rest =
+            this->ReadOnCoordination(std::move(aResult.response.rest));
+        }
         aRespond(this->Count(kind, ToHttpResponse(std::move(aResult))));
       });
   };
@@ -404,11 +479,13 @@
     aRespond(PlainText(up ? 200 : 503, up ? "ready\n" : "not ready\n"));
     return;
   }
-  if (aRequest.target == "/metrics") {
-    aRespond(PlainText(200, this->metrics.Text()));
-    return;
+  Task task = [this, aRequest, aRespond] {
+    this->operatorApi->Handle(aRequest, aRespond);
+  };
+  if (!this->coordination.TryHand(task)) {
+    aRespond(
+      this->Count(ErrorKind::kRingFull, ErrorResponse(ErrorKind::kRingFull)));
   }
-  aRespond(PlainText(404, "no such page\n"));
 }
 
 void Node::Impl::OnFrame(const protocol::HostRef& aFrom, protocol::Frame aFrame)
@@ -463,19 +540,40 @@
   });
 }
 
-// The reader runs on the upstreams' thread, whoever asks for a piece. When it
+// Coordination reads the body; the connection lives on the upstreams' thread,
+// where each piece is read and where the reader is taken down. Pieces come back
+// on coordination's thread, as everything there is unguarded. When the reader
 // is dropped, read to its end or not, the steward gets its slot back.
 BodyReader Node::Impl::CarryBody(RequestId aId, BodyReader aReader)
 {
-  // Runs its deleter when the last reader is gone.
-  const std::shared_ptr<void> end(nullptr, [this, aId](void*) {
+  const std::shared_ptr<BodyReader> reader(
+    new BodyReader(std::move(aReader)), [this, aId](BodyReader* aOwned) {
+      this->upstreams.Context().post([aOwned] { delete aOwned; });
+      this->coordination.Context().post(
+        [this, aId] { this->router->OnBodyEnd(aId); });
+    });
+  return [this, reader](std::function<void(Result<std::string>)> aTake) {
+    this->upstreams.Context().post([this, reader, take = std::move(aTake)] {
+      (*reader)([this, take](Result<std::string> aPiece) {
+        this->coordination.Hand([take, piece = std::move(aPiece)]() mutable {
+          take(std::move(piece));
+        });
+      });
+    });
+  };
+}
+
+// The callers' server reads the body; what it reads from belongs to
+// coordination, and so does its end.
+BodyReader Node::Impl::ReadOnCoordination(BodyReader aReader)
+{
+  const std::shared_ptr<BodyReader> reader(
+    new BodyReader(std::move(aReader)), [this](BodyReader* aOwned) {
+      this->coordination.Context().post([aOwned] { delete aOwned; });
+    });
+  return [this, reader](std::function<void(Result<std::string>)> aTake) {
     this->coordination.Context().post(
-      [this, aId] { this->router->OnBodyEnd(aId); });
-  });
-  auto reader = std::make_shared<BodyReader>(std::move(aReader));
-  return [this, end, reader](std::function<void(Result<std::string>)> aTake) {
-    this->upstreams.Context().post(
-      [end, reader, take = std::move(aTake)] { (*reader)(take); });
+      [reader, take = std::move(aTake)] { (*reader)(take); });
   };
 }
 
--- a/src/node/internal/nodeimpl.h
+++ b/src/node/internal/nodeimpl.h
@@ -7,10 +7,12 @@
 
 #pragma once
 
+#include "coordination/operatorapi.h"
 #include "coordination/router.h"
 #include "framework/events.h"
 #include "framework/metrics.h"
 #include "node/node.h"
+#include "state/configurationwriter.h"
 #include "state/platform.h"
 #include "transport/dutythread.h"
 #include "transport/httpclient.h"
@@ -49,6 +51,7 @@
   std::error_code ListenForOperators();
   std::error_code ListenForPeers();
   coordination::Router::Hooks RouterHooks();
+  void MakeOperatorApi();
   state::TableHooks TableHooks();
 
   // Callers' thread.
@@ -68,11 +71,14 @@
                         Result<transport::HttpResponse> aAnswer);
   transport::BodyReader CarryBody(coordination::RequestId aId,
                                   transport::BodyReader aReader);
+  transport::BodyReader ReadOnCoordination(transport::BodyReader aReader);
 
   // Coordination's thread.
   bool SendToPeer(const state::HostId& aHost, const protocol::Frame& aFrame);
   void Tick();
   void PollEndpoints();
+  void PutObject(const std::string& aName, std::string aContent,
+                 std::function<void(std::error_code)> aDone);
   void FetchObject(const std::string& aName,
                    std::function<void(Result<std::string>)> aDone);
   void Publish();
@@ -116,6 +122,8 @@
     clientCalls;
 
   std::unique_ptr<coordination::Router> router;
+  std::unique_ptr<state::ConfigurationWriter> configurationWriter;
+  std::unique_ptr<coordination::OperatorApi> operatorApi;
   boost::asio::steady_timer tick;
   TimePoint endpointsDue;
   bool endpointsAsked = false;
