--- /dev/null
+++ b/cmake/kumquatConfig.cmake
@@ -0,0 +1,11 @@
+# Finds what libkumquat is built on, then its targets: kumquat::kumquat.
+include(CMakeFindDependencyMacro)
+find_dependency(Boost 1.81)
+find_dependency(Threads)
+find_dependency(absl)
+find_dependency(spdlog)
+find_dependency(nlohmann_json)
+find_dependency(PkgConfig)
+pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+include(${CMAKE_CURRENT_LIST_DIR}/kumquatTargets.cmake)
