At most once: an owner notes its own keys as a witness

A predecessor is not asked by its successor, as its witnesses know what it sent. But a predecessor may itself be the only witness of an owner before it: a request runs from its owner through a steward, the steward takes the owner's slice while that sleeps, and is then lost. Its successor asked everybody but the steward; the first owner was awake again and answered that it knew of nothing. The owner now notes in its own log what it dispatches.

--- a/src/coordination/duplicaterule.h
+++ b/src/coordination/duplicaterule.h
@@ -17,6 +17,8 @@
   kCheckLease,
   // Another host knows of the key before its work is dispatched.
   kNoteWitness,
+  // The owner, too, knows as a witness what it dispatched.
+  kNoteOwn,
   // The note is answered first, and the work is dispatched then.
   kNoteBeforeDispatch,
   // A successor asks the other hosts before it runs a key that may be old.
--- a/src/coordination/internal/duplicatefilter.cpp
+++ b/src/coordination/internal/duplicatefilter.cpp
@@ -118,6 +118,7 @@
   void Repeat(Record& aRecord, const Arrival& aArrival, Done aDone);
   void Start(Arrival aArrival, state::Epoch aEpoch, const Run& aRun,
              Done aDone);
+  ErrorKind NoteOwn(const Record& aRecord);
   bool NeedsWitness(const Record& aRecord,
                     const state::HostRef& aSteward) const;
   void AskWitness(std::uint64_t aNumber,
@@ -298,7 +299,10 @@
     return;
   }
   const Record& record = found->second;
-  const ErrorKind error = this->CheckDispatch(record);
+  ErrorKind error = this->CheckDispatch(record);
+  if (error == ErrorKind::kNone) {
+    error = this->NoteOwn(record);
+  }
   if (error != ErrorKind::kNone || !this->NeedsWitness(record, aSteward)) {
     aGo(error);
     return;
@@ -314,6 +318,17 @@
   this->AskWitness(aTicket.number, std::move(candidates), aGo);
 }
 
+// The steward may become this host's successor and be lost in its turn. Its
+// own successor does not hear from it, but from this host, if it only slept.
+ErrorKind DuplicateFilter::State::NoteOwn(const Record& aRecord)
+{
+  const auto& [service, key] = aRecord.key;
+  if (key.empty() || this->Omits(DuplicateRule::kNoteOwn)) {
+    return ErrorKind::kNone;
+  }
+  return this->options.log->Note(aRecord.owner, service, key);
+}
+
 // A lease that lapsed while its holder was paused, or a slice that went to
 // another host: what is sent now could run beside the successor's run.
 ErrorKind DuplicateFilter::State::CheckDispatch(const Record& aRecord) const
--- a/src/coordination/internal/duplicaterule.cpp
+++ b/src/coordination/internal/duplicaterule.cpp
@@ -14,6 +14,7 @@
   DuplicateRuleName{ Rule::kRememberOutcome, "remember-outcome" },
   DuplicateRuleName{ Rule::kCheckLease, "check-lease" },
   DuplicateRuleName{ Rule::kNoteWitness, "note-witness" },
+  DuplicateRuleName{ Rule::kNoteOwn, "note-own" },
   DuplicateRuleName{ Rule::kNoteBeforeDispatch, "note-before-dispatch" },
   DuplicateRuleName{ Rule::kCollect, "collect" },
   DuplicateRuleName{ Rule::kAwaitSilentHosts, "await-silent-hosts" },
--- a/src/coordination/tests/duplicatefilter_test.cpp
+++ b/src/coordination/tests/duplicatefilter_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(testRememberOutcome);
   CPPUNIT_TEST(testNoteWitness);
   CPPUNIT_TEST(testNoteBeforeDispatch);
+  CPPUNIT_TEST(testNoteOwn);
   CPPUNIT_TEST(testCollect);
   CPPUNIT_TEST(testAwaitSilentHosts);
   CPPUNIT_TEST(testRestartedHostDoesNotAnswerForItsEarlierRun);
@@ -166,6 +167,22 @@
     this->ExpectRule(DuplicateRule::kNoteBeforeDispatch, run);
   }
 
+  // A deposit comes in at its key's host and runs at the steward's upstream.
+  // The host falls asleep and the steward takes its place; then the steward is
+  // lost. The first host wakes, and answers the second successor.
+  void testNoteOwn()
+  {
+    const auto run = [](DuplicateCluster& aCluster) {
+      aCluster.Send("a", "a", "b", "k");
+      aCluster.Deliver();
+      aCluster.TakeOver("a", "b", 2);
+      aCluster.Kill("b");
+      aCluster.TakeOver("b", "c", 3);
+      aCluster.Send("d", "c", "d", "k");
+    };
+    this->ExpectRule(DuplicateRule::kNoteOwn, run);
+  }
+
   // The key's host dies while the work runs at another host's upstream. The
   // camper's second try meets the successor, whose own memory is empty.
   void testCollect()
