--- a/src/node/internal/nodeimpl.h
+++ b/src/node/internal/nodeimpl.h
@@ -73,7 +73,8 @@
   bool SendToPeer(const state::HostId& aHost, const protocol::Frame& aFrame);
   void Tick();
   void PollEndpoints();
-  void OnConfigurationHead(const state::Row& aRow);
+  void FetchObject(const std::string& aName,
+                   std::function<void(Result<std::string>)> aDone);
   void Publish();
 
   // Runs aTask on the platform's thread; False where its ring is full.
@@ -93,7 +94,6 @@
   std::atomic<bool> ready{ false };
   std::atomic<bool> stopping{ false };
   std::atomic<bool> idle{ false };
-  std::atomic<std::uint64_t> callersInFlight{ 0 };
   std::atomic<std::int64_t> lastArrival{ 0 };
 
   transport::DutyThread callers;
@@ -121,8 +121,6 @@
   bool endpointsAsked = false;
   // Coordination's thread: peers that can be sent to.
   std::set<std::string> reachable;
-  state::Version configurationVersion = 0;
-  bool configurationAsked = false;
 };
 
 } // namespace kumquat::node
