--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -200,6 +200,67 @@
   return figures;
 }
 
+// Runs that began in a data centre between two times.
+std::size_t CountRunsIn(const Testbed::Measured& aMeasured, Testbed& aTestbed,
+                        const std::string& aDataCentre, TimePoint aFrom,
+                        TimePoint aTo)
+{
+  std::set<std::string> inside;
+  for (const auto& upstream : aTestbed.Cluster().Upstreams()) {
+    if (upstream.dataCentre == aDataCentre) {
+      inside.insert(upstream.id);
+    }
+  }
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aMeasured.runs, [&](const UpstreamRun& aRun) {
+      return aRun.start >= aFrom && aRun.start < aTo &&
+             inside.contains(aRun.instance);
+    }));
+}
+
+// The seconds in which not every request was answered, for the table.
+void AddSeconds(const LoadResult& aLoad, Figures& aFigures)
+{
+  for (const SecondSummary& one : SummariseSeconds(aLoad)) {
+    const std::string name = fmt::format("second {:02}: ", one.second);
+    aFigures[name + "answered share"] =
+      static_cast<double>(one.answered) / static_cast<double>(one.requests);
+    aFigures[name + "p99 ms"] = one.p99;
+  }
+}
+
+Figures DataCentreChange(Testbed& aTestbed)
+{
+  constexpr seconds kDuration(20);
+  constexpr int kOut = 4;
+  constexpr int kIn = 12;
+  constexpr seconds kInForce(3);
+  // Two of three data centres have to bear it.
+  constexpr double kUtilisation = 0.6;
+  Figures figures;
+  WarmUp(aTestbed);
+  const std::string dataCentre =
+    aTestbed.Cluster().GetDeployment().dataCentres.front();
+  bool accepted = true;
+  const auto measured =
+    aTestbed.Run(aTestbed.LoadAt(kUtilisation), kDuration, [&](int aSecond) {
+      if (aSecond == kOut || aSecond == kIn) {
+        accepted =
+          aTestbed.SetDataCentreOut(dataCentre, aSecond == kOut) && accepted;
+      }
+    });
+  AddCommon(measured, "", figures);
+  AddSeconds(measured.load, figures);
+  figures["changes accepted"] = accepted ? 1 : 0;
+  const TimePoint start = measured.load.start;
+  figures["runs begun in the out data centre after 3 s"] = static_cast<double>(
+    CountRunsIn(measured, aTestbed, dataCentre,
+                start + seconds(kOut) + kInForce, start + seconds(kIn)));
+  const std::string urgent = measured.load.services.front().service;
+  figures["urgent not answered"] = figures[urgent + " not answered"];
+  return figures;
+}
+
 Figures HostLoss(Testbed& aTestbed)
 {
   constexpr seconds kDuration(15);
@@ -281,6 +342,8 @@
   Experiment{ "steady", Steady, "80%: overflow while idle", true },
   Experiment{ "stragglers", Stragglers, "10%: bookings p99 ms", true },
   Experiment{ "cold-return", ColdReturn, "collapses", true },
+  Experiment{ "data-centre-change", DataCentreChange, "urgent not answered",
+              false },
   Experiment{ "host-loss", HostLoss, "time to full service s", false },
   Experiment{ "store-outage", StoreOutage, "answered share", false },
   Experiment{ "classes", Classes, "lookups' p99, overload over before", true },
--- a/bench/testbed.cpp
+++ b/bench/testbed.cpp
@@ -269,6 +269,25 @@
   return Post(this->cluster.GetAddresses().platformControl, aFault);
 }
 
+bool Testbed::SetDataCentreOut(const std::string& aDataCentre, bool aOut)
+{
+  int& version = this->placeVersions[aDataCentre];
+  const std::string token = fmt::format("Bearer {}", standins::kOperatorToken);
+  const auto answer = standins::Request(
+    this->cluster.Hosts().back().operatorAddress,
+    { .method = "PUT",
+      .target = fmt::format("/places/{}?kind=data-centre&out={}&expect={}",
+                            aDataCentre, aOut, version),
+      .headers = { { "Authorization", token } } });
+  if (!answer || answer->status / 100 != 2) {
+    fmt::print(stderr, "place change refused: {}\n",
+               answer ? answer->body : answer.error().message());
+    return false;
+  }
+  ++version;
+  return true;
+}
+
 json Testbed::UpstreamStatus() const
 {
   return Get(this->cluster.GetAddresses().upstreamControl, "/control/status");
--- a/bench/testbed.h
+++ b/bench/testbed.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -71,6 +72,8 @@
   // Posts to the stand-ins' switches; false where it was not taken.
   bool UpstreamFault(const nlohmann::json& aFault) const;
   bool PlatformFault(const nlohmann::json& aFault) const;
+  // Takes a data centre out or brings it back in, as an operator would.
+  bool SetDataCentreOut(const std::string& aDataCentre, bool aOut);
   nlohmann::json UpstreamStatus() const;
   nlohmann::json PlatformCounters() const;
 
@@ -91,6 +94,8 @@
   // First run that no load has read yet.
   std::uint64_t nextRun = 0;
   std::uint64_t nextSeed;
+  // Of the places' rows, by data centre.
+  std::map<std::string, int> placeVersions;
   std::string problem;
 };
 
