--- a/src/coordination/tests/membership_test.cpp
+++ b/src/coordination/tests/membership_test.cpp
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(testStoreOutageLapsesNothing);
   CPPUNIT_TEST(testRestartOfTheSameIdWaitsForItsEarlierRun);
   CPPUNIT_TEST(testLostAnswers);
+  CPPUNIT_TEST(testDeposerIsLostToo);
+  CPPUNIT_TEST(testPausedDeposerComesLate);
   CPPUNIT_TEST(testAllRestartAtOnce);
   CPPUNIT_TEST(testSmallDeployments);
   CPPUNIT_TEST(testGuardsVanishWithTheirHost);
@@ -190,6 +192,50 @@
     CPPUNIT_ASSERT_EQUAL(0, net.violations);
   }
 
+  // A host is lost, and so is the one that has begun to depose it, right after
+  // its suspicion is written. Another guard must finish in time.
+  void testDeposerIsLostToo()
+  {
+    LeaseFixture net(12);
+    net.Kill(kHost);
+    const auto suspected = [&] {
+      return net.Row(kHost).state == state::HostState::kSuspected;
+    };
+    const auto first = net.RunUntil(suspected, std::chrono::seconds(3));
+    net.Kill({ net.Writer(kHost) });
+    const auto rest = net.RunUntil(
+      [&] {
+        return net.IsDeposed({ kHost, 1 });
+      },
+      std::chrono::seconds(10));
+    CPPUNIT_ASSERT(first && rest);
+    CPPUNIT_ASSERT(*first + *rest < std::chrono::seconds(4));
+    CPPUNIT_ASSERT_EQUAL(0, net.violations);
+  }
+
+  // A deposer is paused just before its last write. Meanwhile the host is
+  // deposed by another, started anew, and serves; the late write must not hit
+  // the new run.
+  void testPausedDeposerComesLate()
+  {
+    LeaseFixture net(12);
+    net.Kill(kHost);
+    net.RunUntil(
+      [&] { return net.Row(kHost).state == state::HostState::kSuspected; },
+      std::chrono::seconds(3));
+    const state::HostId deposer{ net.Writer(kHost) };
+    net.Run(milliseconds(200));
+    net.Pause(deposer);
+    net.Run(std::chrono::seconds(4));
+    net.Boot(kHost);
+    net.Run(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(net.Holds(kHost));
+    net.Thaw(deposer);
+    net.Run(std::chrono::seconds(5));
+    CPPUNIT_ASSERT(net.Holds(kHost));
+    CPPUNIT_ASSERT_EQUAL(0, net.violations);
+  }
+
   // Power is lost everywhere: all rows name runs that are gone, and no guard
   // is left to release anybody. After the lag of the list all must serve.
   void testAllRestartAtOnce()
