--- a/src/coordination/deposer.h
+++ b/src/coordination/deposer.h
@@ -85,6 +85,7 @@
   };
 
   void NoticeOwnSleep(TimePoint aNow);
+  void Scan(TimePoint aNow);
   Watch& WatchOf(const state::HostId& aHost);
   Duration Jitter();
   std::optional<TimePoint> SuspectAt(const KnownHost& aKnown,
@@ -119,6 +120,7 @@
   std::optional<state::HostRef> demanded;
   std::int64_t nextCorrelation;
   TimePoint lastTimer;
+  TimePoint nextScan;
   // Silence is counted from here at the earliest.
   TimePoint awakeSince;
   // Answers that come after this object's end find it gone.
--- a/src/coordination/hostdirectory.h
+++ b/src/coordination/hostdirectory.h
@@ -8,6 +8,7 @@
 #include "state/table.h"
 #include "state/types.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -60,6 +61,8 @@
 
   const KnownHost* Find(const state::HostId& aHost) const;
   const std::map<state::HostId, KnownHost>& All() const;
+  // Rises with every piece of news but the passing of time.
+  std::uint64_t Revision() const;
   bool IsDeposed(const state::HostRef& aRef) const;
   // A later run of that host has spoken to this one.
   bool IsRestarted(const state::HostRef& aRef) const;
@@ -86,6 +89,7 @@
   // Versions of a row only rise.
   std::map<state::HostId, KnownHost> hosts;
   std::map<state::HostId, Run> latestRuns;
+  std::uint64_t revision = 0;
 };
 
 } // namespace kumquat::coordination
--- a/src/coordination/internal/deposer.cpp
+++ b/src/coordination/internal/deposer.cpp
@@ -19,6 +19,8 @@
 // Failed attempts on one host are made ever more seldom, up to that long.
 constexpr Duration kLongestPause = std::chrono::seconds(15);
 constexpr std::uint64_t kCorrelationMask = 0xFFFFFFFFFFFFULL;
+// How often all hosts are looked through for silent ones.
+constexpr Duration kScanEvery = std::chrono::milliseconds(100);
 constexpr std::uint64_t kJitterSteps = 1024;
 // Requests whose answers are still taken; older ones were asked again.
 constexpr std::size_t kMostAsked = 64;
@@ -52,29 +54,40 @@
 {
   const TimePoint now = this->hooks.now();
   this->NoticeOwnSleep(now);
+  if (this->nextScan <= now) {
+    this->nextScan = now + kScanEvery;
+    this->Scan(now);
+  }
+  std::vector<state::HostId> hosts;
+  std::ranges::transform(this->attempts, std::back_inserter(hosts),
+                         [](const auto& aEntry) { return aEntry.first; });
+  for (const state::HostId& host : hosts) {
+    const auto found = this->attempts.find(host);
+    if (found != this->attempts.end()) {
+      this->Drive(found->second);
+    }
+  }
+}
+
+void Deposer::Scan(TimePoint aNow)
+{
   for (const auto& [host, known] : this->directory.All()) {
-    const bool isDemanded = this->demanded == known.record.ref;
+    const bool isDemanded =
+      host == this->self.host && this->demanded == known.record.ref;
     const bool isOwn = host == this->self.host;
-    if (this->attempts.contains(host) || (isOwn && !isDemanded) ||
+    // Of thousands of hosts only a few are guarded here or in trouble.
+    const bool isSilent = isDemanded || (!isOwn && this->SilentSince(known));
+    if (!isSilent || this->attempts.contains(host) ||
         this->directory.IsDeposed(known.record.ref)) {
       continue;
     }
     const Watch& watch = this->WatchOf(host);
     const auto due =
       isDemanded ? watch.notBefore : this->SuspectAt(known, watch);
-    if (due && *due <= now) {
+    if (due && *due <= aNow) {
       this->Begin(known, isDemanded);
     }
   }
-  std::vector<state::HostId> hosts;
-  std::ranges::transform(this->attempts, std::back_inserter(hosts),
-                         [](const auto& aEntry) { return aEntry.first; });
-  for (const state::HostId& host : hosts) {
-    const auto found = this->attempts.find(host);
-    if (found != this->attempts.end()) {
-      this->Drive(found->second);
-    }
-  }
 }
 
 void Deposer::NoticeOwnSleep(TimePoint aNow)
--- a/src/coordination/internal/guardset.cpp
+++ b/src/coordination/internal/guardset.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace kumquat::coordination {
@@ -34,6 +36,32 @@
   const HostDirectory& aDirectory, const HostLease& aLease, TimePoint aNow)
 {
   this->NoteSilence(aLease, aNow);
+  std::vector<state::HostRef> present = aLease.Guards();
+  std::ranges::sort(present);
+  std::vector<state::HostRef> passedOver;
+  std::ranges::copy(this->avoided | std::views::keys,
+                    std::back_inserter(passedOver));
+  const bool isFresh =
+    this->last && this->last->revision == aDirectory.Revision() &&
+    this->last->present == present && this->last->passedOver == passedOver &&
+    aNow < this->last->made + this->timing.replaceGuardAfter;
+  if (!isFresh) {
+    this->last = Choice{ .wanted = this->Choose(aDirectory, aLease, aNow),
+                         .present = present,
+                         .passedOver = std::move(passedOver),
+                         .revision = aDirectory.Revision(),
+                         .made = aNow };
+  }
+  if (this->last->wanted == present) {
+    return std::nullopt;
+  }
+  return this->last->wanted;
+}
+
+std::vector<state::HostRef> GuardSet::Choose(const HostDirectory& aDirectory,
+                                             const HostLease& aLease,
+                                             TimePoint aNow) const
+{
   std::vector<GuardCandidate> others;
   for (const auto& [host, known] : aDirectory.All()) {
     const state::HostRecord& record = known.record;
@@ -45,14 +73,7 @@
                        .healthy = this->IsHealthy(known, aDirectory, aNow),
                        .current = Contains(aLease.Guards(), record.ref) });
   }
-  std::vector<state::HostRef> wanted =
-    ChooseGuards(this->self, this->dataCentre, others);
-  std::vector<state::HostRef> present = aLease.Guards();
-  std::ranges::sort(present);
-  if (wanted == present) {
-    return std::nullopt;
-  }
-  return wanted;
+  return ChooseGuards(this->self, this->dataCentre, others);
 }
 
 bool GuardSet::IsReady(const std::vector<state::HostRef>& aWanted,
--- a/src/coordination/internal/guardset.h
+++ b/src/coordination/internal/guardset.h
@@ -7,6 +7,7 @@
 #include "coordination/leasetiming.h"
 #include "state/types.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -33,6 +34,10 @@
 
 private:
   void NoteSilence(const HostLease& aLease, TimePoint aNow);
+  // As Wanted, by looking through all hosts.
+  std::vector<state::HostRef> Choose(const HostDirectory& aDirectory,
+                                     const HostLease& aLease,
+                                     TimePoint aNow) const;
   bool IsHealthy(const KnownHost& aKnown, const HostDirectory& aDirectory,
                  TimePoint aNow) const;
   bool IsAvoided(const state::HostRef& aRef, TimePoint aNow) const;
@@ -43,6 +48,17 @@
   std::map<state::HostRef, TimePoint> askedSince;
   // Hosts that did not confirm, until when they are passed over.
   std::map<state::HostRef, TimePoint> avoided;
+  // The last choice, and what it was made from: thousands of hosts are not
+  // looked through without need.
+  struct Choice
+  {
+    std::vector<state::HostRef> wanted;
+    std::vector<state::HostRef> present;
+    std::vector<state::HostRef> passedOver;
+    std::uint64_t revision = 0;
+    TimePoint made;
+  };
+  std::optional<Choice> last;
 };
 
 } // namespace kumquat::coordination
--- a/src/coordination/internal/hostdirectory.cpp
+++ b/src/coordination/internal/hostdirectory.cpp
@@ -31,6 +31,7 @@
   if (record->version <= known.record.version) {
     return;
   }
+  ++this->revision;
   const state::HostRecord before = std::exchange(known.record, *record);
   known.nonce = aRow.nonce;
   known.changed = aNow;
@@ -54,9 +55,11 @@
                          &ListedHost::host);
   for (auto& [host, known] : this->hosts) {
     if (listed.contains(host)) {
+      this->revision += known.unlisted ? 1 : 0;
       known.wasListed = true;
       known.unlisted.reset();
     } else if (!known.unlisted) {
+      ++this->revision;
       known.unlisted = aNow;
     }
   }
@@ -74,8 +77,10 @@
   }
   KnownHost& known = found->second;
   if (aUp) {
+    this->revision += known.down ? 1 : 0;
     known.down.reset();
   } else if (!known.down) {
+    ++this->revision;
     known.down = aNow;
   }
 }
@@ -85,6 +90,7 @@
   const auto [place, isNew] =
     this->latestRuns.try_emplace(aRef.host, Run{ aRef.incarnation, aNow });
   if (!isNew && place->second.incarnation < aRef.incarnation) {
+    ++this->revision;
     place->second = { aRef.incarnation, aNow };
   }
 }
@@ -93,6 +99,7 @@
 {
   const auto found = this->hosts.find(aRef.host);
   if (found != this->hosts.end() && found->second.record.ref == aRef) {
+    ++this->revision;
     found->second.leaving = true;
   }
 }
@@ -108,6 +115,11 @@
   return this->hosts;
 }
 
+std::uint64_t HostDirectory::Revision() const
+{
+  return this->revision;
+}
+
 bool HostDirectory::IsDeposed(const state::HostRef& aRef) const
 {
   const KnownHost* const known = this->Find(aRef.host);
