--- a/src/coordination/tests/leasefixture.h
+++ b/src/coordination/tests/leasefixture.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,8 +29,10 @@
 class LeaseFixture
 {
 public:
-  explicit LeaseFixture(int aHosts, LeaseRulesOff aOff = {})
+  explicit LeaseFixture(int aHosts, LeaseRulesOff aOff = {},
+                        std::uint64_t aSeed = 42)
     : off(std::move(aOff))
+    , random(aSeed)
   {
     for (int i = 1; i <= aHosts; ++i) {
       this->Boot(Name(i));
@@ -109,6 +112,16 @@
     return *this->processes.at(aHost);
   }
 
+  bool IsUp(const state::HostId& aHost) const
+  {
+    return this->processes.at(aHost) && !this->paused.contains(aHost);
+  }
+
+  int Random(int aBelow)
+  {
+    return static_cast<int>(this->random() % static_cast<unsigned>(aBelow));
+  }
+
   bool Holds(const state::HostId& aHost)
   {
     return this->At(aHost).MayStart(this->now);
@@ -346,7 +359,7 @@
   static constexpr Duration kStep = milliseconds(10);
 
   LeaseRulesOff off;
-  pcg64 random{ 42 };
+  pcg64 random;
   std::map<state::HostId, std::unique_ptr<Membership>> processes;
   std::vector<std::unique_ptr<Membership>> orphans;
   std::map<state::HostId, state::Incarnation> incarnations;
--- a/src/coordination/tests/membership_test.cpp
+++ b/src/coordination/tests/membership_test.cpp
@@ -20,6 +20,59 @@
   CPPUNIT_ASSERT(aStory({ aRule }) > 0);
 }
 
+void DoHarm(LeaseFixture& aNet)
+{
+  const state::HostId one = LeaseFixture::Name(1 + aNet.Random(7));
+  const state::HostId other = LeaseFixture::Name(1 + aNet.Random(7));
+  switch (aNet.Random(9)) {
+    case 0:
+      // The earlier process is gone, or stands frozen somewhere.
+      aNet.Boot(one, aNet.Random(2) == 0);
+      break;
+    case 1:
+      aNet.Pause(one);
+      break;
+    case 2:
+    case 3:
+      aNet.Thaw(other);
+      break;
+    case 4:
+      aNet.Cut(one, other);
+      break;
+    case 5:
+      aNet.CutFromAll(one);
+      break;
+    case 6:
+      aNet.Heal();
+      break;
+    case 7:
+      aNet.storeDown = !aNet.storeDown;
+      break;
+    default:
+      aNet.lostAnswers = aNet.Random(4);
+      break;
+  }
+}
+
+// Processes that were deposed are started anew, as an operator or the platform
+// would.
+void Repair(LeaseFixture& aNet)
+{
+  aNet.Heal();
+  aNet.storeDown = false;
+  aNet.lostAnswers = 0;
+  for (int i = 1; i <= 7; ++i) {
+    aNet.Thaw(LeaseFixture::Name(i));
+  }
+  aNet.Run(std::chrono::seconds(10));
+  for (int i = 1; i <= 7; ++i) {
+    const state::HostId host = LeaseFixture::Name(i);
+    if (aNet.At(host).Phase() == HostPhase::kOver) {
+      aNet.Boot(host);
+    }
+  }
+}
+
 } // namespace
 
 class MembershipTest : public CppUnit::TestFixture
@@ -38,6 +91,7 @@
   CPPUNIT_TEST(testSmallDeployments);
   CPPUNIT_TEST(testGuardsVanishWithTheirHost);
   CPPUNIT_TEST(testPlannedStop);
+  CPPUNIT_TEST(testManyFaultsAtOnce);
   CPPUNIT_TEST(testCountFromSending);
   CPPUNIT_TEST(testStickyRelease);
   CPPUNIT_TEST(testRestartedGuardConfirmsNothing);
@@ -317,6 +371,28 @@
     CPPUNIT_ASSERT_EQUAL(0, net.violations);
   }
 
+  // Hosts are killed, started anew, paused and cut off, and the table fails,
+  // at random and together. No run may start work once it is deposed, and
+  // when all is well again everybody must serve.
+  void testManyFaultsAtOnce()
+  {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+      LeaseFixture net(7, {}, seed);
+      for (int round = 0; round < 60; ++round) {
+        DoHarm(net);
+        net.Run(milliseconds(100 + 10 * net.Random(90)));
+      }
+      const std::string story = "seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(story, 0, net.violations);
+      Repair(net);
+      net.Run(std::chrono::seconds(20));
+      for (int i = 1; i <= 7; ++i) {
+        CPPUNIT_ASSERT_MESSAGE(story, net.Holds(LeaseFixture::Name(i)));
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(story, 0, net.violations);
+    }
+  }
+
   // Guards' replies are 1.1 s under way when the holder's requests stop
   // getting through. The last replies come when the guards' own terms are
   // nearly over; counted from then, the lease outlasts its end at the guards.
