--- a/src/coordination/internal/entry.cpp
+++ b/src/coordination/internal/entry.cpp
@@ -107,7 +107,7 @@
   reply.__set_error(static_cast<int>(aResult.error));
   reply.__set_status(aResult.response.status);
   reply.__set_headers(ToWire(aResult.response.headers));
-  reply.__set_body(std::move(aResult.response.body));
+  reply.body = std::move(aResult.response.body);
   reply.__set_more(static_cast<bool>(aResult.response.rest));
   if (aResult.response.length) {
     reply.__set_length(static_cast<std::int64_t>(*aResult.response.length));
@@ -146,13 +146,14 @@
 }
 
 void Entry::Run(const state::ServiceConfiguration& aService,
-                CallerRequest aRequest, Done aDone)
+                CallerRequest aRequest, Ownership aOwnership, Done aDone)
 {
   this->budget.OnRequest();
   ++this->inFlight;
   auto pendingRequest = std::make_shared<Pending>();
   pendingRequest->service = aService;
   pendingRequest->request = std::move(aRequest);
+  pendingRequest->ownership = std::move(aOwnership);
   pendingRequest->done = std::move(aDone);
   this->Try(pendingRequest);
 }
@@ -204,6 +205,7 @@
   for (const UpstreamRecord* upstream :
        this->map.Upstreams(aPending.service.name)) {
     const bool usable = !aPending.tried.contains(upstream->ref) &&
+                        !this->rooms.IsLost(upstream->ref) &&
                         !this->map.IsOut(upstream->dataCentre.value) &&
                         this->hooks.isLive(upstream->steward);
     if (!usable) {
@@ -219,14 +221,31 @@
 
 void Entry::SendTo(const PendingPtr& aPending, const UpstreamRecord& aUpstream)
 {
-  if (aUpstream.steward == this->hooks.self) {
-    this->SubmitHere(aPending);
-    return;
-  }
   if (!this->hooks.isLive(aUpstream.steward)) {
     this->OnResult(aPending, MakeError(ErrorKind::kNoSteward));
     return;
   }
+  if (!aPending->ownership.prepare) {
+    this->Dispatch(aPending, aUpstream);
+    return;
+  }
+  aPending->ownership.prepare(aUpstream.steward,
+                              [this, aPending, aUpstream](ErrorKind aKind) {
+                                if (aKind == ErrorKind::kNone) {
+                                  this->Dispatch(aPending, aUpstream);
+                                  return;
+                                }
+                                this->OnResult(aPending, MakeError(aKind));
+                              });
+}
+
+void Entry::Dispatch(const PendingPtr& aPending,
+                     const UpstreamRecord& aUpstream)
+{
+  if (aUpstream.steward == this->hooks.self) {
+    this->SubmitHere(aPending);
+    return;
+  }
   this->Forward(aPending, aUpstream);
 }
 
@@ -249,8 +268,10 @@
   forward.upstream.__set_serviceName(aUpstream.ref.service.value);
   forward.upstream.__set_upstream(aUpstream.ref.upstream.value);
   forward.__set_stewardEpoch(aUpstream.epoch);
+  forward.__set_ownerEpoch(aPending->ownership.epoch);
   protocol::Frame frame;
-  frame.__set_forward(std::move(forward));
+  frame.forward = std::move(forward);
+  frame.__isset.forward = true;
   const state::HostId host = aUpstream.steward.host;
   this->rooms.OnSent(aUpstream.ref);
   this->calls.Ask(
--- a/src/coordination/internal/steward.cpp
+++ b/src/coordination/internal/steward.cpp
@@ -58,7 +58,6 @@
   if (!place) {
     place = std::make_unique<Upstream>();
     place->ramp = SlotRamp(aService.slots);
-    place->open = true;
   }
   place->record = aRecord;
   place->service = aService;
@@ -74,7 +73,14 @@
   }
   const std::unique_ptr<Upstream> released = std::move(found->second);
   this->upstreams.erase(found);
-  for (Work& work : released->queue | std::views::values) {
+  RefuseQueue(*released, aWhy);
+}
+
+// Nobody is kept waiting for what this host can no longer do.
+void Steward::RefuseQueue(Upstream& aUpstream, ErrorKind aWhy)
+{
+  const Queue refused = std::exchange(aUpstream.queue, {});
+  for (const Work& work : refused | std::views::values) {
     work.done(MakeError(aWhy));
   }
 }
@@ -86,10 +92,32 @@
     return;
   }
   upstream->open = aOpen;
+  if (!aOpen) {
+    RefuseQueue(*upstream, ErrorKind::kUpstreamUnreachable);
+  }
+  this->Dispatch(*upstream);
+  this->roomChanged.Send(this->Count(*upstream));
+}
+
+void Steward::SetForeign(const UpstreamRef& aRef, int aRunning, int aAllowed)
+{
+  Upstream* upstream = this->Find(aRef);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->foreign = aRunning;
+  upstream->ramp.StartAt(aAllowed);
   this->Dispatch(*upstream);
   this->roomChanged.Send(this->Count(*upstream));
 }
 
+int Steward::RunningAt(const UpstreamRef& aRef) const
+{
+  return static_cast<int>(std::ranges::count_if(
+    this->running | std::views::values,
+    [&aRef](const Running& aRunning) { return aRunning.upstream == aRef; }));
+}
+
 void Steward::OnRestarted(const UpstreamRef& aRef)
 {
   Upstream* upstream = this->Find(aRef);
@@ -143,8 +171,8 @@
     return 0;
   }
   const int waiting = static_cast<int>(aUpstream.queue.size());
-  return std::max(0,
-                  aUpstream.ramp.Allowed(aNow) - aUpstream.running - waiting);
+  return std::max(0, aUpstream.ramp.Allowed(aNow) - aUpstream.running -
+                       aUpstream.foreign - waiting);
 }
 
 SlotCount Steward::Count(const Upstream& aUpstream) const
@@ -176,12 +204,16 @@
     aWork.done(MakeError(ErrorKind::kNotSteward));
     return;
   }
+  if (!this->hooks.holdsLease()) {
+    aWork.done(MakeError(ErrorKind::kNoLease));
+    return;
+  }
   const TimePoint now = this->hooks.now();
   if (aWork.request.deadline <= now) {
     aWork.done(MakeError(ErrorKind::kDeadlineExpired));
     return;
   }
-  if (upstream->ramp.IsLeftAlone(now)) {
+  if (upstream->ramp.IsLeftAlone(now) || !upstream->open) {
     aWork.done(MakeError(ErrorKind::kUpstreamUnreachable));
     return;
   }
@@ -214,7 +246,8 @@
 void Steward::Dispatch(Upstream& aUpstream)
 {
   while (aUpstream.open && !aUpstream.queue.empty() &&
-         aUpstream.running < aUpstream.ramp.Allowed(this->hooks.now())) {
+         aUpstream.running + aUpstream.foreign <
+           aUpstream.ramp.Allowed(this->hooks.now())) {
     if (!this->StartNext(aUpstream)) {
       return;
     }
@@ -279,6 +312,11 @@
   headers.push_back(
     { "Kumquat-Epoch", std::to_string(aUpstream.record.epoch) });
   headers.push_back({ "Kumquat-Steward", this->hooks.name });
+  if (aUpstream.service.keyed) {
+    const state::Epoch epoch =
+      this->hooks.sliceEpoch(request.service, request.key);
+    headers.push_back({ "Kumquat-Slice-Epoch", std::to_string(epoch) });
+  }
   return call;
 }
 
@@ -288,6 +326,9 @@
   if (found == this->running.end()) {
     return;
   }
+  if (aAnswer) {
+    this->hooks.answered(found->second.upstream, *aAnswer);
+  }
   RequestResult result = JudgeUpstreamAnswer(std::move(aAnswer));
   if (Upstream* upstream = this->Find(found->second.upstream)) {
     this->Learn(*upstream, found->second, result);
@@ -349,6 +390,7 @@
 
 void Steward::FreeSlot(const UpstreamRef& aRef)
 {
+  this->requestEnded.Send(aRef);
   Upstream* upstream = this->Find(aRef);
   if (upstream == nullptr) {
     return;
@@ -360,7 +402,11 @@
 
 void Steward::OnTimer()
 {
+  const bool holdsLease = this->hooks.holdsLease();
   for (const auto& upstream : this->upstreams | std::views::values) {
+    if (!holdsLease) {
+      RefuseQueue(*upstream, ErrorKind::kNoLease);
+    }
     this->ExpireQueue(*upstream);
     this->Dispatch(*upstream);
   }
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -59,10 +59,13 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  // Each answer from here on asks the caller to close the connection; new
+  // connections and requests are still served.
+  void Drain();
   // Takes no more connections; each open one ends after its current answer.
   void StopAccepting();
-  // Server's thread only.
-  std::size_t OpenConnections() const;
+  // Requests whose answer is not wholly written yet; from any thread.
+  std::size_t Busy() const;
 
 private:
   class State;
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <atomic>
 #include <set>
 #include <utility>
 
@@ -146,8 +147,11 @@
                    this->Accept(this->shared_from_this()), asio::detached);
   }
 
+  void Drain() { this->draining = true; }
+
   void StopAccepting()
   {
+    this->draining = true;
     this->stopping = true;
     beast::error_code ignored;
     this->acceptor.close(ignored);
@@ -157,11 +161,28 @@
     }
   }
 
-  std::size_t OpenConnections() const { return this->open; }
+  std::size_t Busy() const { return this->busy.load(); }
 
   asio::any_io_executor Executor() { return this->acceptor.get_executor(); }
 
 private:
+  class BusyScope
+  {
+  public:
+    explicit BusyScope(std::atomic<std::size_t>& aBusy)
+      : busy(aBusy)
+    {
+      this->busy.fetch_add(1);
+    }
+
+    ~BusyScope() { this->busy.fetch_sub(1); }
+    BusyScope(const BusyScope&) = delete;
+    BusyScope& operator=(const BusyScope&) = delete;
+
+  private:
+    std::atomic<std::size_t>& busy;
+  };
+
   // aSelf keeps the state for as long as the coroutine runs.
   asio::awaitable<void> Accept(std::shared_ptr<State> aSelf)
   {
@@ -218,11 +239,15 @@
       co_return false;
     }
     const bool keepAlive = parser.keep_alive();
+    const BusyScope scope(this->busy);
     aStream.expires_never();
     HttpResponse response =
       co_await Handle(this->options.handler, TakeRequest(parser.release()));
+    if (response.status == kNoAnswer) {
+      co_return false;
+    }
     co_return co_await this->Write(aStream, std::move(response),
-                                   keepAlive && !this->stopping);
+                                   keepAlive && !this->draining);
   }
 
   asio::awaitable<bool> AwaitFirstByte(beast::tcp_stream& aStream)
@@ -339,6 +364,8 @@
   // Connections that wait for a request's first byte.
   std::set<beast::tcp_stream*> idle;
   std::size_t open = 0;
+  std::atomic<std::size_t> busy{ 0 };
+  bool draining = false;
   bool stopping = false;
 };
 
@@ -360,15 +387,21 @@
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
 
+void HttpServer::Drain()
+{
+  asio::post(this->state->Executor(),
+             [state = this->state] { state->Drain(); });
+}
+
 void HttpServer::StopAccepting()
 {
   asio::post(this->state->Executor(),
              [state = this->state] { state->StopAccepting(); });
 }
 
-std::size_t HttpServer::OpenConnections() const
+std::size_t HttpServer::Busy() const
 {
-  return this->state->OpenConnections();
+  return this->state->Busy();
 }
 
 } // namespace kumquat::transport
