--- a/src/coordination/internal/atmostonce.cpp
+++ b/src/coordination/internal/atmostonce.cpp
@@ -45,7 +45,8 @@
   , calls(aCalls)
   , entry(aEntry)
   , started(this->hooks.now())
-  , log({ .horizon = kHorizon,
+  , log({ .self = this->hooks.self,
+          .horizon = kHorizon,
           .clock = this->hooks.now,
           .knownEpoch =
             [this](const state::ServiceName& aService, std::uint64_t aHash) {
--- a/src/coordination/tests/duplicatefilter_test.cpp
+++ b/src/coordination/tests/duplicatefilter_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(testFenceOnCollect);
   CPPUNIT_TEST(testProveKeyIsNew);
   CPPUNIT_TEST(testSurelyNewKeyRunsWhileUnsure);
+  CPPUNIT_TEST(testCheckLease);
   CPPUNIT_TEST(testCheckLeaseAndRefuseStaleSender);
   CPPUNIT_TEST(testRefuseStaleSender);
   CPPUNIT_TEST(testSureOnceTheSilentHostAnswers);
@@ -280,6 +281,25 @@
     CPPUNIT_ASSERT_EQUAL(0, cluster.runs[fromTheFuture]);
   }
 
+  // A host is deposed and does not know it. Nobody has answered its successor
+  // yet. A caller's new request comes in at the old owner, which sends it to a
+  // steward that knows no more; the second try comes in at the successor, which
+  // sees by the key's time that it is new.
+  void testCheckLease()
+  {
+    const std::string key = UuidAt(seconds(1006));
+    const auto run = [&key](DuplicateCluster& aCluster) {
+      aCluster.holdAsks = true;
+      aCluster.TakeOver("a", "b");
+      aCluster.Pass(seconds(6));
+      aCluster.Send("a", "a", "d", key);
+      aCluster.Deliver();
+      aCluster.Send("c", "b", "c", key);
+    };
+    this->ExpectRuns(1, {}, key, run);
+    this->ExpectRuns(2, { DuplicateRule::kCheckLease }, key, run);
+  }
+
   // A host accepts a deposit as entry, owner and steward, and is paused before
   // it looks at its lease. Its slice goes to another, where the second try
   // runs. It wakes and finds a host that was started after the collection.
