--- a/bench/experiment.h
+++ b/bench/experiment.h
@@ -20,7 +20,8 @@
 struct Experiment
 {
   std::string_view name;
-  // Runs on a deployment that has just been started.
+  // Runs on a deployment that has just been started. No figures where the
+  // disturbance could not be made: such a run says nothing.
   Figures (*run)(Testbed&);
   // The figure that decides; smaller is better.
   std::string_view decides;
--- a/bench/summary.cpp
+++ b/bench/summary.cpp
@@ -128,7 +128,13 @@
 
 double Median(std::vector<double> aValues)
 {
-  return QuantilesOf(std::move(aValues)).p50;
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::ranges::sort(aValues);
+  const std::size_t half = aValues.size() / 2;
+  return aValues.size() % 2 == 1 ? aValues[half]
+                                 : (aValues[half - 1] + aValues[half]) / 2;
 }
 
 std::vector<ServiceSummary> SummariseServices(const LoadResult& aResult)
--- a/bench/testbed.cpp
+++ b/bench/testbed.cpp
@@ -298,6 +298,14 @@
   return Get(this->cluster.GetAddresses().platformControl, "/control/counters");
 }
 
+Duration Testbed::Patience() const
+{
+  constexpr double kMilliseconds = 1.25;
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(kMilliseconds *
+                                              this->options.timeFactor));
+}
+
 InstanceCounts Testbed::Instances() const
 {
   InstanceCounts counts;
--- a/bench/testbed.h
+++ b/bench/testbed.h
@@ -77,6 +77,9 @@
   nlohmann::json UpstreamStatus() const;
   nlohmann::json PlatformCounters() const;
 
+  // How long a request may wait before it counts as overflowed: a sixth of
+  // the shortest service time.
+  Duration Patience() const;
   InstanceCounts Instances() const;
   // Services that are not divided by key.
   std::vector<std::string> UnkeyedServices() const;
