Planned moves of idempotency keys; lost upstreams stay lost in the planner's view

Cause 1: a successor could be sure of its keys only when every run of a host that ever lived had answered, and one that had stopped as planned never can; besides, entries note keys that the leaving owner refused. Change: the last owner, while it is still there, names every key that it dispatched, and its word settles the collection; only the owner whose epoch is next below is believed; a stopping host stays until its keys' new owners had time to ask. Cause 2: the steward's own reply to a refused forward carried a room count without the mark that the upstream is lost, and wiped it from the planner's view; the slices stayed where they were until the upstream came back. Ruled out: the wait for the grant's end (2 s, kept).

--- a/src/coordination/collection.h
+++ b/src/coordination/collection.h
@@ -55,9 +55,14 @@
   // Every witness has answered, or no key from before can come any more.
   bool IsSure() const;
   bool MayHaveRun(std::uint64_t aHash) const;
+  // Of the range, whoever named them.
+  std::vector<std::int64_t> Hashes(std::uint64_t aFirst,
+                                   std::uint64_t aLast) const;
   // Past the horizon the collection says nothing and may be dropped.
   bool IsOver() const;
   std::size_t Missing() const;
+  // Long enough for answers that are on their way to be here.
+  bool IsYoung() const;
 
 private:
   // Replies may come after the collection is gone: they hold it weakly.
@@ -66,6 +71,8 @@
     std::set<state::HostRef> missing;
     std::set<state::HostRef> asking;
     std::unordered_set<std::uint64_t> hashes;
+    // The owner before has named them all; nothing that others say is news.
+    bool settled = false;
   };
 
   static void Take(Progress& aProgress, const protocol::CollectReply& aReply);
--- a/src/coordination/duplicatefilter.h
+++ b/src/coordination/duplicatefilter.h
@@ -140,7 +140,8 @@
   // What runs goes on and its answers are kept; nothing new is dispatched.
   void End(const state::ServiceName& aService, const std::string& aPart);
 
-  // Exactly one of: aRun now; aDone now; aDone when the first run has finished
+  // Exactly one of: aRun now, or as soon as a collection that has just begun
+  // has its answers; aDone now; aDone when the first run has finished
   // or aArrival's deadline has passed. aRun's request gets its answer by aDone.
   // Errors: kNotSteward where this host does not own the key, kNoLease,
   // kQueueFull, kOutcomeUnknown, kDuplicateRunning.
@@ -155,6 +156,11 @@
   // is remembered for the horizon. Must follow each aRun once.
   void Finish(const Ticket& aTicket, const Answer& aAnswer);
 
+  // A successor's question, answered for this host as a whole: its witness log
+  // and what it owned itself. Nothing of the range is dispatched from here on.
+  protocol::CollectReply AnswerCollection(
+    const protocol::CollectRequest& aRequest);
+
   // Due every 50 ms: repeats' deadlines, horizons, collections.
   void Tick();
 
--- a/src/coordination/internal/atmostonce.cpp
+++ b/src/coordination/internal/atmostonce.cpp
@@ -166,8 +166,8 @@
                                     .deadline = aRequest.deadline };
   this->filter->Submit(
     std::move(arrival),
-    [this, &aService, &aRequest](const DuplicateFilter::Ticket& aTicket) {
-      this->RunTicket(aService, std::move(aRequest), aTicket);
+    [this, aService, aRequest](const DuplicateFilter::Ticket& aTicket) {
+      this->RunTicket(aService, aRequest, aTicket);
     },
     [done = std::move(aDone)](const DuplicateFilter::Answer& aAnswer) {
       done(FromReply(protocol::ForwardReply(*aAnswer)));
@@ -205,7 +205,7 @@
 protocol::CollectReply AtMostOnce::Answer(
   const protocol::CollectRequest& aRequest)
 {
-  return this->log.Answer(aRequest);
+  return this->filter->AnswerCollection(aRequest);
 }
 
 void AtMostOnce::OnSliceChanged(const MapKeeper::Change<SliceRecord>& aChange)
--- a/src/coordination/internal/collection.cpp
+++ b/src/coordination/internal/collection.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A few askings' time.
+constexpr std::chrono::milliseconds kYouth{ 1000 };
+
 // The frame goes to whoever runs under the host's name. Where the witness was
 // restarted, its new run would say in good faith that it knows of nothing, and
 // a key that the earlier run had dispatched would run again.
@@ -58,6 +61,23 @@
   return !this->IsOver() && this->progress->hashes.contains(aHash);
 }
 
+std::vector<std::int64_t> Collection::Hashes(std::uint64_t aFirst,
+                                             std::uint64_t aLast) const
+{
+  std::vector<std::int64_t> inRange;
+  for (const std::uint64_t hash : this->progress->hashes) {
+    if (aFirst <= hash && hash <= aLast) {
+      inRange.push_back(static_cast<std::int64_t>(hash));
+    }
+  }
+  return inRange;
+}
+
+bool Collection::IsYoung() const
+{
+  return this->options.clock() < this->options.started + kYouth;
+}
+
 bool Collection::IsOver() const
 {
   return this->options.clock() >= this->options.started + this->options.horizon;
@@ -70,6 +90,18 @@
 
 void Collection::Take(Progress& aProgress, const protocol::CollectReply& aReply)
 {
+  if (aProgress.settled) {
+    return;
+  }
+  // Failure: in a planned move every entry has noted the keys that it sent to
+  // the host that leaves, also those that it refused, and the successor would
+  // answer "unknown" to keys that never ran. The owner before knows better:
+  // it notes a key when it dispatches it, and dispatches nothing from here on.
+  if (aReply.wasOwner) {
+    aProgress.hashes.clear();
+    aProgress.missing.clear();
+    aProgress.settled = true;
+  }
   for (const std::int64_t hash : aReply.keyHashes) {
     aProgress.hashes.insert(static_cast<std::uint64_t>(hash));
   }
--- a/src/coordination/internal/duplicatefilter.cpp
+++ b/src/coordination/internal/duplicatefilter.cpp
@@ -57,6 +57,8 @@
   explicit State(Options aOptions);
 
   void Begin(const KeyTenure& aTenure);
+  protocol::CollectReply AnswerCollection(
+    const protocol::CollectRequest& aRequest);
   void End(const state::ServiceName& aService, const std::string& aPart);
   void Submit(Arrival aArrival, const Run& aRun, Done aDone);
   void PrepareDispatch(const Ticket& aTicket, const state::HostRef& aSteward,
@@ -98,6 +100,8 @@
     KeyTenure given;
     std::chrono::milliseconds unixStart{};
     std::unique_ptr<Collection> collection;
+    // Given up; kept to answer its successor's question.
+    bool ended = false;
   };
 
   struct Expiry
@@ -106,6 +110,16 @@
     std::uint64_t number = 0;
   };
 
+  // An arrival for a tenure whose collection has just begun.
+  struct Held
+  {
+    Arrival arrival;
+    Run run;
+    Done done;
+  };
+
+  static bool ShouldHold(const Tenure* aTenure);
+  void SubmitHeld();
   bool Omits(DuplicateRule aRule) const;
   bool HoldsLease() const;
   const Tenure* FindTenure(const state::ServiceName& aService,
@@ -132,6 +146,7 @@
 
   Options options;
   std::vector<Tenure> tenures;
+  std::vector<Held> held;
   std::uint64_t lastNumber = 0;
   std::unordered_map<std::uint64_t, Record> records;
   // Only of requests that have an idempotency key.
@@ -161,7 +176,7 @@
     this->tenures.erase(found);
   }
   this->tenures.push_back(
-    { aTenure, this->options.unixTime(), this->Collect(aTenure) });
+    { aTenure, this->options.unixTime(), this->Collect(aTenure), false });
 }
 
 std::unique_ptr<Collection> DuplicateFilter::State::Collect(
@@ -194,12 +209,45 @@
   return collection;
 }
 
+protocol::CollectReply DuplicateFilter::State::AnswerCollection(
+  const protocol::CollectRequest& aRequest)
+{
+  protocol::CollectReply reply = this->options.log->Answer(aRequest);
+  const state::ServiceName service{ aRequest.serviceName };
+  const auto first = static_cast<std::uint64_t>(aRequest.first);
+  const auto last = static_cast<std::uint64_t>(aRequest.last);
+  // Failure: an owner that slept through a takeover still takes itself for the
+  // owner and does not know what its successor ran. Each change of owner
+  // raises the epoch by one, so only the last owner is next below the asker.
+  const auto owned =
+    std::ranges::find_if(this->tenures, [&](const Tenure& aTenure) {
+      const KeyTenure& given = aTenure.given;
+      return given.service == service && given.first <= first &&
+             last <= given.last && given.epoch + 1 == aRequest.epoch;
+    });
+  if (owned == this->tenures.end()) {
+    return reply;
+  }
+  const Collection* collection = owned->collection.get();
+  if (collection == nullptr || collection->IsSure()) {
+    reply.wasOwner = true;
+    if (collection != nullptr) {
+      const auto hashes = collection->Hashes(first, last);
+      reply.keyHashes.insert(reply.keyHashes.end(), hashes.begin(),
+                             hashes.end());
+    }
+  }
+  owned->ended = true;
+  return reply;
+}
+
 void DuplicateFilter::State::End(const state::ServiceName& aService,
                                  const std::string& aPart)
 {
-  std::erase_if(this->tenures, [&](const Tenure& aTenure) {
-    return aTenure.given.service == aService && aTenure.given.part == aPart;
-  });
+  for (Tenure& tenure : this->tenures) {
+    const KeyTenure& given = tenure.given;
+    tenure.ended |= given.service == aService && given.part == aPart;
+  }
 }
 
 void DuplicateFilter::State::Submit(Arrival aArrival, const Run& aRun,
@@ -216,6 +264,10 @@
   }
   const Tenure* tenure =
     this->FindTenure(aArrival.service, state::HashKey(aArrival.key));
+  if (ShouldHold(tenure)) {
+    this->held.push_back({ std::move(aArrival), aRun, std::move(aDone) });
+    return;
+  }
   const ErrorKind error = this->CheckNew(aArrival, tenure);
   if (error != ErrorKind::kNone) {
     aDone(AnswerOf(error));
@@ -225,6 +277,24 @@
   this->Start(std::move(aArrival), epoch, aRun, std::move(aDone));
 }
 
+// In a planned move the owner before answers in a moment, and "unknown" would
+// be a needless answer until then.
+bool DuplicateFilter::State::ShouldHold(const Tenure* aTenure)
+{
+  const bool moved =
+    aTenure != nullptr && aTenure->given.origin == KeyTenure::Origin::kMove;
+  return moved && aTenure->collection && !aTenure->collection->IsSure() &&
+         aTenure->collection->IsYoung();
+}
+
+void DuplicateFilter::State::SubmitHeld()
+{
+  std::vector<Held> again = std::exchange(this->held, {});
+  for (Held& one : again) {
+    this->Submit(std::move(one.arrival), one.run, std::move(one.done));
+  }
+}
+
 // The first outcome is true whoever owns the key now, so it is given also after
 // the end of the tenure.
 void DuplicateFilter::State::Repeat(Record& aRecord, const Arrival& aArrival,
@@ -475,6 +545,7 @@
 void DuplicateFilter::State::Tick()
 {
   const TimePoint now = this->options.clock();
+  this->SubmitHeld();
   this->DropExpired(now);
   this->AnswerLateRepeats(now);
   for (Tenure& tenure : this->tenures) {
@@ -519,7 +590,8 @@
   return std::ranges::any_of(this->tenures, [&](const Tenure& aTenure) {
     const bool isAsked =
       aTenure.given.service == aService && aTenure.given.part == aPart;
-    return isAsked && (!aTenure.collection || aTenure.collection->IsSure());
+    return isAsked && !aTenure.ended &&
+           (!aTenure.collection || aTenure.collection->IsSure());
   });
 }
 
@@ -540,8 +612,8 @@
   const Tenure* best = nullptr;
   for (const Tenure& tenure : this->tenures) {
     const KeyTenure& given = tenure.given;
-    const bool covers =
-      given.service == aService && given.first <= aHash && aHash <= given.last;
+    const bool covers = !tenure.ended && given.service == aService &&
+                        given.first <= aHash && aHash <= given.last;
     if (covers && (best == nullptr || best->given.epoch < given.epoch)) {
       best = &tenure;
     }
@@ -604,6 +676,12 @@
   this->state->Tick();
 }
 
+protocol::CollectReply DuplicateFilter::AnswerCollection(
+  const protocol::CollectRequest& aRequest)
+{
+  return this->state->AnswerCollection(aRequest);
+}
+
 bool DuplicateFilter::IsSure(const state::ServiceName& aService,
                              const std::string& aPart) const
 {
--- a/src/coordination/internal/planner.cpp
+++ b/src/coordination/internal/planner.cpp
@@ -140,6 +140,15 @@
   return usable;
 }
 
+// Else the first ones would get all slices, and the rest a move later.
+bool AllHaveStewards(const ServiceName& aService, const Planner::View& aView)
+{
+  return std::ranges::all_of(
+    EndpointsOf(aService, aView), [&](const Endpoint& aEndpoint) {
+      return aView.map.FindUpstream({ aService, { aEndpoint.id } }) != nullptr;
+    });
+}
+
 std::map<UpstreamId, int> SliceCounts(
   const std::vector<const SliceRecord*>& aSlices,
   const std::set<UpstreamId>& aUsable)
@@ -298,9 +307,7 @@
 {
   Writes writes;
   const auto usable = UsableUpstreams(aService.name, aView);
-  const bool complete =
-    usable.size() >= EndpointsOf(aService.name, aView).size();
-  if (usable.empty() || !complete) {
+  if (usable.empty() || !AllHaveStewards(aService.name, aView)) {
     return writes;
   }
   auto owner = usable.begin();
--- a/src/coordination/internal/router.cpp
+++ b/src/coordination/internal/router.cpp
@@ -23,6 +23,7 @@
 // Hosts that start together find each other before upstreams are dealt out.
 constexpr milliseconds kSettleTime{ 1500 };
 constexpr milliseconds kDigestEvery{ 20 };
+constexpr milliseconds kAskedAfterMove{ 500 };
 // A revocation may have to wait out a whole term.
 constexpr milliseconds kRevokeTimeout{ 4000 };
 
@@ -189,8 +190,11 @@
 bool Router::IsIdle() const
 {
   // Where every host stops at once there is nobody to hand over to.
+  const bool nobodyLeft = this->membership->LiveHosts().empty();
+  // The new owners of the keys ask this host what it ran.
+  const bool keysAsked = this->hooks.now() - this->lastOwner >= kAskedAfterMove;
   const bool handedOver =
-    this->duty.Slots().Held().empty() || this->membership->LiveHosts().empty();
+    nobodyLeft || (this->duty.Slots().Held().empty() && keysAsked);
   return handedOver && this->entry.InFlight() == 0 &&
          this->streams.Active() == 0 && this->duty.Slots().RunningInAll() == 0;
 }
@@ -409,8 +413,7 @@
   transport::BodyReader rest = aResult.response.rest;
   protocol::ForwardReply reply = MakeReply(std::move(aResult));
   if (this->duty.Slots().Holds(aUpstream)) {
-    reply.digests.push_back(
-      coordination::ToWire(this->duty.Slots().CountOf(aUpstream)));
+    reply.digests.push_back(this->DigestOf(aUpstream));
   }
   protocol::Frame frame;
   frame.forwardReply = std::move(reply);
@@ -523,6 +526,9 @@
   this->duty.OnTimer();
   this->entry.OnTimer();
   this->once.OnTimer();
+  if (this->OwnsKeys()) {
+    this->lastOwner = now;
+  }
   if (this->digestsDue <= now) {
     this->digestsDue = now + kDigestEvery;
     this->SendDigests();
@@ -572,9 +578,7 @@
   }
   protocol::Digests digests;
   for (const UpstreamRef& ref : this->changedRooms) {
-    SlotCount count = this->duty.Slots().CountOf(ref);
-    count.lost = this->duty.IsUnusable(ref);
-    digests.digests.push_back(coordination::ToWire(count));
+    digests.digests.push_back(this->DigestOf(ref));
   }
   this->changedRooms.clear();
   protocol::Frame frame;
@@ -583,6 +587,25 @@
   this->Broadcast(frame);
 }
 
+protocol::SlotDigest Router::DigestOf(const UpstreamRef& aRef) const
+{
+  SlotCount count = this->duty.Slots().CountOf(aRef);
+  count.lost = this->duty.IsUnusable(aRef);
+  return coordination::ToWire(count);
+}
+
+bool Router::OwnsKeys() const
+{
+  return std::ranges::any_of(
+    this->Configuration().services, [this](const ServiceConfiguration& aOne) {
+      const auto slices = this->map.Map().Slices(OwnersOf(aOne.name));
+      return std::ranges::any_of(slices,
+                                 [this](const state::SliceRecord* aSlice) {
+                                   return aSlice->host == this->identity.self;
+                                 });
+    });
+}
+
 void Router::Broadcast(const protocol::Frame& aFrame)
 {
   for (const HostRef& peer : this->peers) {
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -127,6 +127,8 @@
   bool IsUnusable(const state::UpstreamRef& aRef) const;
   void Plan();
   void SendDigests();
+  protocol::SlotDigest DigestOf(const state::UpstreamRef& aRef) const;
+  bool OwnsKeys() const;
 
   const Identity identity;
   const Hooks hooks;
@@ -141,6 +143,8 @@
   std::set<state::UpstreamRef> changedRooms;
   TimePoint digestsDue;
   TimePoint planDue;
+  // When this host was last seen to own idempotency keys while stopping.
+  TimePoint lastOwner;
   PeerCalls calls;
   MapKeeper map;
   state::ConfigurationKeeper keeper;
--- a/src/coordination/tests/duplicatecluster.h
+++ b/src/coordination/tests/duplicatecluster.h
@@ -268,7 +268,8 @@
     if (aFrame.__isset.witnessNote) {
       reply.__set_witnessReply(host.log->Answer(aFrame.witnessNote));
     } else {
-      reply.__set_collectReply(host.log->Answer(aFrame.collectRequest));
+      reply.__set_collectReply(
+        host.filter->AnswerCollection(aFrame.collectRequest));
     }
     return reply;
   }
--- a/src/coordination/tests/duplicatefilter_test.cpp
+++ b/src/coordination/tests/duplicatefilter_test.cpp
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(testSecondTakeoverHearsOfTheFirstOwner);
   CPPUNIT_TEST(testMoveFromLiveHostFencesOnlyTheSlice);
   CPPUNIT_TEST(testSuccessorsOwnKeysAreNotReported);
+  CPPUNIT_TEST(testPlannedMoveIsSureAtOnce);
+  CPPUNIT_TEST(testOwnerBeforeTheLastIsNotBelieved);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -424,6 +426,52 @@
     CPPUNIT_ASSERT_EQUAL(1, cluster.runs["k"]);
   }
 
+  // A host stops as planned and another takes over its keys. Bookings that came
+  // in meanwhile were answered "outcome unknown" for two minutes: a host that
+  // had stopped earlier can never answer the collection, and every entry had
+  // noted keys that the leaving owner refused. Nothing of it had run.
+  void testPlannedMoveIsSureAtOnce()
+  {
+    DuplicateCluster cluster;
+    cluster.Kill("d");
+    const KeyOwner leaving{ cluster.At("a").ref, 1 };
+    const auto noted = cluster.At("c").log->Note(leaving, kService, "refused");
+    CPPUNIT_ASSERT(ErrorKind::kNone == noted);
+    cluster.Send("c", "a", "c", "ran");
+    cluster.Deliver();
+    cluster.At("a").filter->End(kService, "0");
+    cluster.At("b").tenure = 2;
+    cluster.At("b").filter->Begin(
+      DuplicateCluster::Tenure(2, KeyTenure::Origin::kMove, {}));
+    CPPUNIT_ASSERT(cluster.At("b").filter->IsSure(kService, "0"));
+    cluster.Send("b", "b", "c", "refused");
+    cluster.Send("b", "b", "c", "ran");
+    cluster.Deliver();
+    CPPUNIT_ASSERT_EQUAL(1, cluster.runs["refused"]);
+    CPPUNIT_ASSERT_EQUAL(1, cluster.runs["ran"]);
+  }
+
+  // An owner sleeps through a takeover, wakes, and is asked by the next owner
+  // but one. It still takes itself for the owner, but the keys that its
+  // successor ran are not among those that it knows.
+  void testOwnerBeforeTheLastIsNotBelieved()
+  {
+    DuplicateCluster cluster;
+    cluster.TakeOver("a", "b");
+    cluster.Pass(std::chrono::seconds(2));
+    cluster.Send("b", "b", "d", "k");
+    cluster.Deliver();
+    CPPUNIT_ASSERT_EQUAL(1, cluster.runs["k"]);
+    cluster.Kill("b");
+    cluster.Kill("d");
+    cluster.TakeOver("b", "c", 3);
+    CPPUNIT_ASSERT(!cluster.At("c").filter->IsSure(kService, "0"));
+    cluster.Pass(std::chrono::seconds(2));
+    cluster.Send("c", "c", "a", "k");
+    cluster.Deliver();
+    CPPUNIT_ASSERT_EQUAL(1, cluster.runs["k"]);
+  }
+
 private:
   static void LoseTwoHosts(DuplicateCluster& aCluster)
   {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -148,6 +148,9 @@
   3: list<i64> keyHashes
   // Who answers: a restarted host knows nothing of its earlier run's keys.
   4: HostRef witness
+  // The witness owned the range until now and knew every key that might have
+  // run: what it names is all that the successor has to know.
+  5: bool wasOwner
 }
 
 // Rows of the table that changed; the receiver keeps the highest versions.
