Coordination: a host that its guards have released deposes itself

Cause: where attempts to depose a host were begun and never finished, its guards had released it for good, while all heard it again: nobody suspected it and nobody confirmed it, and its upstreams stayed without a steward.

Change: without a lease for 3 s and refused by a majority of its guards, a host marks its own row as deposed.

--- a/src/coordination/internal/membership.cpp
+++ b/src/coordination/internal/membership.cpp
@@ -71,6 +71,7 @@
   void OnReleaseRequest(const state::HostRef& aFrom,
                         const protocol::Frame& aFrame);
   void CheckLease(TimePoint aNow);
+  void CheckResignation(TimePoint aNow);
   void Reconcile();
   void Register();
   void UpdateRow();
@@ -98,6 +99,8 @@
   bool wasRead = false;
   bool reading = false;
   bool heldBefore = false;
+  // Since when this run is without a lease; begins with its registration.
+  TimePoint leaselessSince;
   TimePoint nextRead;
   TimePoint nextHeartbeat;
   TimePoint nextGuardChange;
@@ -215,6 +218,7 @@
   }
   this->lastTimer = now;
   this->CheckLease(now);
+  this->CheckResignation(now);
   this->Heartbeat(now);
   this->Reconcile();
   if (this->life.Phase() != HostPhase::kOver) {
@@ -349,9 +353,31 @@
     return;
   }
   this->heldBefore = held;
+  this->leaselessSince = aNow;
   (held ? this->leaseGained : this->leaseLost).Send();
 }
 
+void Membership::Impl::CheckResignation(TimePoint aNow)
+{
+  if (this->life.Phase() != HostPhase::kWaiting ||
+      aNow < this->leaselessSince + this->timing.resignAfter) {
+    return;
+  }
+  // Failure: attempts to depose this host were begun and not finished. Its
+  // guards have released it for good, too few others are left to name, and as
+  // all hear it again nobody suspects it: its upstreams would stay without a
+  // steward. It starts nothing anyway, so it may depose itself.
+  const std::vector<state::HostRef>& guards = this->lease.Guards();
+  const auto refusing =
+    std::ranges::count_if(guards, [this](const state::HostRef& aGuard) {
+      return this->lease.Refused(aGuard);
+    });
+  if (static_cast<std::size_t>(refusing) >= Majority(guards.size())) {
+    this->finished = true;
+    this->life.Process(LifeEvent::kEnded);
+  }
+}
+
 void Membership::Impl::Reconcile()
 {
   if (this->pending) {
@@ -555,6 +581,7 @@
   this->pending.reset();
   if (isOurs && this->own.version == 0) {
     this->life.Process(LifeEvent::kRegistered);
+    this->leaselessSince = this->hooks.now();
     this->Adopt(known->record);
   }
 }
--- a/src/coordination/leasetiming.h
+++ b/src/coordination/leasetiming.h
@@ -30,6 +30,9 @@
   Duration attemptPause = std::chrono::milliseconds(1800);
   // A holder replaces a guard that has not confirmed it for that long.
   Duration replaceGuardAfter = std::chrono::milliseconds(1000);
+  // A host that has had no lease for that long, and that a majority of its
+  // guards refuses, deposes itself.
+  Duration resignAfter = std::chrono::seconds(3);
   // From a failed read or write of the table to the next.
   Duration tableRetry = std::chrono::milliseconds(300);
   // The most by which the platform's list of hosts lags.
--- a/src/coordination/tests/membership_test.cpp
+++ b/src/coordination/tests/membership_test.cpp
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(testSmallDeployments);
   CPPUNIT_TEST(testGuardsVanishWithTheirHost);
   CPPUNIT_TEST(testPlannedStop);
+  CPPUNIT_TEST(testReleasedButNeverDeposed);
   CPPUNIT_TEST(testManyFaultsAtOnce);
   CPPUNIT_TEST(testCountFromSending);
   CPPUNIT_TEST(testStickyRelease);
@@ -371,6 +372,34 @@
     CPPUNIT_ASSERT_EQUAL(0, net.violations);
   }
 
+  // A host is cut off and its guards release it. Then the table fails before
+  // the row is written, the connections heal, and the deposers are replaced:
+  // all hear the host, so nobody suspects it, yet nobody confirms it either.
+  // Its upstreams must not stay without a steward.
+  void testReleasedButNeverDeposed()
+  {
+    LeaseFixture net(4);
+    net.CutFromAll(kHost);
+    net.RunUntil(
+      [&] { return net.Row(kHost).state == state::HostState::kSuspected; },
+      std::chrono::seconds(3));
+    const state::HostId deposer{ net.Writer(kHost) };
+    net.Run(milliseconds(200));
+    net.storeDown = true;
+    net.Run(std::chrono::seconds(2));
+    net.Heal();
+    net.Boot(deposer);
+    net.Run(std::chrono::seconds(1));
+    net.storeDown = false;
+    const auto took = net.RunUntil(
+      [&] {
+        return net.IsDeposed({ kHost, 1 });
+      },
+      std::chrono::seconds(20));
+    CPPUNIT_ASSERT(took && *took < std::chrono::seconds(4));
+    CPPUNIT_ASSERT_EQUAL(0, net.violations);
+  }
+
   // Hosts are killed, started anew, paused and cut off, and the table fails,
   // at random and together. No run may start work once it is deposed, and
   // when all is well again everybody must serve.
