--- a/bench/testbed.cpp
+++ b/bench/testbed.cpp
@@ -155,16 +155,18 @@
 
 bool Testbed::StartDaemons()
 {
-  if (!this->cluster.StartHosts()) {
-    this->problem = this->cluster.Problem();
-    return false;
-  }
   std::vector<EntryAddress> entries;
-  std::ranges::transform(
-    this->cluster.Hosts(), std::back_inserter(entries),
-    [](const standins::HostPlan& aHost) {
-      return EntryAddress{ aHost.callerAddress, aHost.operatorAddress };
-    });
+  const std::size_t all = this->cluster.Hosts().size();
+  const std::size_t wanted =
+    this->options.hosts == 0 ? all : this->options.hosts;
+  for (const standins::HostPlan& host :
+       this->cluster.Hosts() | std::views::take(wanted)) {
+    if (!this->cluster.StartHost(host.id)) {
+      this->problem = this->cluster.Problem();
+      return false;
+    }
+    entries.push_back({ host.callerAddress, host.operatorAddress });
+  }
   const std::size_t count = entries.size();
   this->probe =
     std::make_shared<ReadinessProbe>(std::move(entries), kProbeInterval);
@@ -267,6 +269,25 @@
   return Post(this->cluster.GetAddresses().platformControl, aFault);
 }
 
+bool Testbed::SetDataCentreOut(const std::string& aDataCentre, bool aOut)
+{
+  int& version = this->placeVersions[aDataCentre];
+  const std::string token = fmt::format("Bearer {}", standins::kOperatorToken);
+  const auto answer = standins::Request(
+    this->cluster.Hosts().back().operatorAddress,
+    { .method = "PUT",
+      .target = fmt::format("/places/{}?kind=data-centre&out={}&expect={}",
+                            aDataCentre, aOut, version),
+      .headers = { { "Authorization", token } } });
+  if (!answer || answer->status / 100 != 2) {
+    fmt::print(stderr, "place change refused: {}\n",
+               answer ? answer->body : answer.error().message());
+    return false;
+  }
+  ++version;
+  return true;
+}
+
 json Testbed::UpstreamStatus() const
 {
   return Get(this->cluster.GetAddresses().upstreamControl, "/control/status");
@@ -277,6 +298,14 @@
   return Get(this->cluster.GetAddresses().platformControl, "/control/counters");
 }
 
+Duration Testbed::Patience() const
+{
+  constexpr double kMilliseconds = 1.25;
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(kMilliseconds *
+                                              this->options.timeFactor));
+}
+
 InstanceCounts Testbed::Instances() const
 {
   InstanceCounts counts;
--- a/bench/testbed.h
+++ b/bench/testbed.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -45,6 +46,8 @@
     // machine can bear the load of all hosts.
     double timeFactor = 1;
     std::vector<std::string> upstreamFlags;
+    // Daemons started, the first ones of the deployment; 0 starts all.
+    std::size_t hosts = 0;
   };
 
   struct Measured
@@ -69,9 +72,14 @@
   // Posts to the stand-ins' switches; false where it was not taken.
   bool UpstreamFault(const nlohmann::json& aFault) const;
   bool PlatformFault(const nlohmann::json& aFault) const;
+  // Takes a data centre out or brings it back in, as an operator would.
+  bool SetDataCentreOut(const std::string& aDataCentre, bool aOut);
   nlohmann::json UpstreamStatus() const;
   nlohmann::json PlatformCounters() const;
 
+  // How long a request may wait before it counts as overflowed: a sixth of
+  // the shortest service time.
+  Duration Patience() const;
   InstanceCounts Instances() const;
   // Services that are not divided by key.
   std::vector<std::string> UnkeyedServices() const;
@@ -89,6 +97,8 @@
   // First run that no load has read yet.
   std::uint64_t nextRun = 0;
   std::uint64_t nextSeed;
+  // Of the places' rows, by data centre.
+  std::map<std::string, int> placeVersions;
   std::string problem;
 };
 
--- a/src/coordination/tests/duplicatefilter_test.cpp
+++ b/src/coordination/tests/duplicatefilter_test.cpp
@@ -26,12 +26,14 @@
   CPPUNIT_TEST(testRememberOutcome);
   CPPUNIT_TEST(testNoteWitness);
   CPPUNIT_TEST(testNoteBeforeDispatch);
+  CPPUNIT_TEST(testNoteOwn);
   CPPUNIT_TEST(testCollect);
   CPPUNIT_TEST(testAwaitSilentHosts);
   CPPUNIT_TEST(testRestartedHostDoesNotAnswerForItsEarlierRun);
   CPPUNIT_TEST(testFenceOnCollect);
   CPPUNIT_TEST(testProveKeyIsNew);
   CPPUNIT_TEST(testSurelyNewKeyRunsWhileUnsure);
+  CPPUNIT_TEST(testCheckLease);
   CPPUNIT_TEST(testCheckLeaseAndRefuseStaleSender);
   CPPUNIT_TEST(testRefuseStaleSender);
   CPPUNIT_TEST(testSureOnceTheSilentHostAnswers);
@@ -166,6 +168,22 @@
     this->ExpectRule(DuplicateRule::kNoteBeforeDispatch, run);
   }
 
+  // A deposit comes in at its key's host and runs at the steward's upstream.
+  // The host falls asleep and the steward takes its place; then the steward is
+  // lost. The first host wakes, and answers the second successor.
+  void testNoteOwn()
+  {
+    const auto run = [](DuplicateCluster& aCluster) {
+      aCluster.Send("a", "a", "b", "k");
+      aCluster.Deliver();
+      aCluster.TakeOver("a", "b", 2);
+      aCluster.Kill("b");
+      aCluster.TakeOver("b", "c", 3);
+      aCluster.Send("d", "c", "d", "k");
+    };
+    this->ExpectRule(DuplicateRule::kNoteOwn, run);
+  }
+
   // The key's host dies while the work runs at another host's upstream. The
   // camper's second try meets the successor, whose own memory is empty.
   void testCollect()
@@ -263,6 +281,25 @@
     CPPUNIT_ASSERT_EQUAL(0, cluster.runs[fromTheFuture]);
   }
 
+  // A host is deposed and does not know it. Nobody has answered its successor
+  // yet. A caller's new request comes in at the old owner, which sends it to a
+  // steward that knows no more; the second try comes in at the successor, which
+  // sees by the key's time that it is new.
+  void testCheckLease()
+  {
+    const std::string key = UuidAt(seconds(1006));
+    const auto run = [&key](DuplicateCluster& aCluster) {
+      aCluster.holdAsks = true;
+      aCluster.TakeOver("a", "b");
+      aCluster.Pass(seconds(6));
+      aCluster.Send("a", "a", "d", key);
+      aCluster.Deliver();
+      aCluster.Send("c", "b", "c", key);
+    };
+    this->ExpectRuns(1, {}, key, run);
+    this->ExpectRuns(2, { DuplicateRule::kCheckLease }, key, run);
+  }
+
   // A host accepts a deposit as entry, owner and steward, and is paused before
   // it looks at its lease. Its slice goes to another, where the second try
   // runs. It wakes and finds a host that was started after the collection.
