State: 200 seeded schedules of trouble for the configuration

Racing changes, outages, late fetches and replaced hosts in random order: no host's version goes back, one version has one text, all agree at the end.

--- a/src/state/tests/configurationkeeper_test.cpp
+++ b/src/state/tests/configurationkeeper_test.cpp
@@ -10,7 +10,9 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace kumquat::state {
@@ -224,6 +226,7 @@
   CPPUNIT_TEST(testRacingOperators);
   CPPUNIT_TEST(testSameChangeAgainIsNoConflict);
   CPPUNIT_TEST(testWrongObjectIsNotApplied);
+  CPPUNIT_TEST(testRandomTroubleNeverBringsAVersionBack);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -367,7 +370,82 @@
     }
   }
 
+  // Operators race, the store fails and returns, slow fetches end late, hosts
+  // are replaced: whatever the order, no host's version goes back, a version
+  // has one text everywhere, and all agree once the store is back.
+  void testRandomTroubleNeverBringsAVersionBack()
+  {
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+      Hosts hosts;
+      StartThree(hosts);
+      std::mt19937 random(seed);
+      std::map<Version, std::string> texts;
+      for (int step = 0; step < 60; ++step) {
+        Disturb(hosts, random);
+        hosts.Deliver();
+        NoteTexts(hosts, texts, seed);
+      }
+      hosts.store.down = false;
+      hosts.store.holdFetches = false;
+      for (const std::string& name : hosts.known) {
+        hosts[name].OnHead(hosts.store.head);
+      }
+      hosts.Pass(ConfigurationKeeper::kCollectFor);
+      const std::string seedText = "seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_MESSAGE(seedText, hosts.NeverWentBack());
+      for (const std::string& name : hosts.known) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(seedText, hosts.store.head.version,
+                                     hosts[name].InForce().version);
+      }
+    }
+  }
+
 private:
+  static void Disturb(Hosts& aHosts, std::mt19937& aRandom)
+  {
+    const std::string& name = aHosts.known[aRandom() % aHosts.known.size()];
+    switch (aRandom() % 6) {
+      case 0:
+        aHosts.Change(name, TextOf("s" + std::to_string(aRandom())),
+                      aHosts[name].InForce().version);
+        break;
+      case 1:
+        aHosts.store.down = !aHosts.store.down;
+        break;
+      case 2:
+        aHosts.store.holdFetches = !aHosts.store.holdFetches;
+        break;
+      case 3:
+        if (!aHosts.store.down) {
+          aHosts[name].OnHead(aHosts.store.head);
+        }
+        break;
+      case 4:
+        aHosts.store.held.clear();
+        aHosts.Start(name);
+        break;
+      default:
+        if (!aHosts.store.held.empty()) {
+          const auto fetched = std::move(aHosts.store.held.front());
+          aHosts.store.held.pop_front();
+          fetched();
+        }
+        aHosts.Pass(std::chrono::milliseconds(700));
+    }
+  }
+
+  static void NoteTexts(Hosts& aHosts, std::map<Version, std::string>& aTexts,
+                        std::uint32_t aSeed)
+  {
+    for (const std::string& name : aHosts.known) {
+      const auto& keeper = aHosts[name];
+      const auto noted =
+        aTexts.try_emplace(keeper.InForce().version, keeper.Text()).first;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(aSeed),
+                                   noted->second, keeper.Text());
+    }
+  }
+
   static void StartThree(Hosts& aHosts)
   {
     aHosts.known = { "a", "b", "c" };
