--- a/app/kumquatd/main.cpp
+++ b/app/kumquatd/main.cpp
@@ -7,6 +7,8 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -59,21 +61,39 @@
   return std::nullopt;
 }
 
-// SIGTERM and SIGINT are blocked in every thread and waited for here.
-int RunUntilSignal(const kumquat::state::Settings& aSettings)
+// A host that was frozen wakes up to find its run deposed, and that run stays
+// over. The process goes on as a new run: the same program in its place, with
+// nothing left open, as if its host had been replaced.
+int StartAnew(char** argv)
+{
+  constexpr unsigned kFirstAfterStandard = 3;
+  close_range(kFirstAfterStandard, ~0U, 0);
+  execv("/proc/self/exe", argv);
+  std::cerr << "kumquatd: cannot start anew\n";
+  return kExitFailed;
+}
+
+// SIGTERM and SIGINT are blocked in every thread and waited for here, and so is
+// SIGHUP, by which the node says that it was deposed.
+int RunUntilSignal(const kumquat::state::Settings& aSettings, char** argv)
 {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  const auto node = kumquat::node::Node::Start(aSettings);
+  const auto node =
+    kumquat::node::Node::Start(aSettings, [] { kill(getpid(), SIGHUP); });
   if (!node) {
     std::cerr << "kumquatd: cannot start: " << node.error().message() << "\n";
     return kExitFailed;
   }
   int signal = 0;
   sigwait(&signals, &signal);
+  if (signal == SIGHUP) {
+    return StartAnew(argv);
+  }
   return (*node)->Stop(kLongestStop) ? 0 : kExitFailed;
 }
 
@@ -104,5 +124,5 @@
     std::cout << "settings are sound\n";
     return 0;
   }
-  return RunUntilSignal(*settings);
+  return RunUntilSignal(*settings, argv);
 }
--- a/src/coordination/atmostonce.h
+++ b/src/coordination/atmostonce.h
@@ -22,6 +22,10 @@
 
 namespace kumquat::coordination {
 
+// How long after its end a key's outcome is remembered, and a lost host's
+// knowledge missed.
+inline constexpr Duration kKeyHorizon = std::chrono::seconds(120);
+
 class AtMostOnce
 {
 public:
--- a/src/coordination/grantkeeper.h
+++ b/src/coordination/grantkeeper.h
@@ -58,6 +58,8 @@
   kSettleRenewals,
   // The term counts from the sending of the last renewal here.
   kCountFromSending,
+  // A renewal's term counts from the upstream's clock as of its sending.
+  kCountFromUpstreamClock,
   // An upstream that does not check fences is taken over only after the
   // predecessor's last order has run out.
   kWaitOutUnfenced,
--- a/src/coordination/internal/atmostonce.cpp
+++ b/src/coordination/internal/atmostonce.cpp
@@ -21,7 +21,6 @@
 namespace {
 
 constexpr milliseconds kAskTimeout{ 300 };
-constexpr Duration kHorizon = std::chrono::seconds(120);
 constexpr int kMostTries = 4;
 constexpr std::array kBackoff = { milliseconds(20), milliseconds(60),
                                   milliseconds(180) };
@@ -46,7 +45,7 @@
   , entry(aEntry)
   , started(this->hooks.now())
   , log({ .self = this->hooks.self,
-          .horizon = kHorizon,
+          .horizon = kKeyHorizon,
           .clock = this->hooks.now,
           .knownEpoch =
             [this](const state::ServiceName& aService, std::uint64_t aHash) {
@@ -70,7 +69,7 @@
   this->filter =
     DuplicateFilterBuilder()
       .Self(this->hooks.self)
-      .Horizon(kHorizon)
+      .Horizon(kKeyHorizon)
       .Clocks(this->hooks.now, this->hooks.unixTime)
       .Random([this](std::size_t aBelow) {
         return static_cast<std::size_t>(this->hooks.random(aBelow));
@@ -234,7 +233,14 @@
   } else {
     tenure.origin = KeyTenure::Origin::kMove;
   }
-  this->filter->Begin(tenure);
+  if (tenure.origin == KeyTenure::Origin::kNew) {
+    this->filter->Begin(tenure);
+    return;
+  }
+  // Failure: a host that joined before the takeover, and that this map does not
+  // know yet, has forwarded a key to the predecessor; not asked, it cannot tell
+  // and the key runs twice. Whoever joins after the write knows the new owner.
+  this->map.AfterHostRead([this, tenure] { this->filter->Begin(tenure); });
 }
 
 // Those of other data centres first: a data centre is lost as one.
@@ -257,7 +263,7 @@
 std::vector<HostRef> AtMostOnce::HostsWithinHorizon() const
 {
   std::vector<HostRef> seen = this->hooks.seenHosts();
-  if (this->hooks.now() - this->started < kHorizon) {
+  if (this->hooks.now() - this->started < kKeyHorizon) {
     seen.push_back(kForgottenHost);
   }
   return seen;
--- a/src/coordination/internal/grantmessages.cpp
+++ b/src/coordination/internal/grantmessages.cpp
@@ -21,19 +21,22 @@
 }
 
 std::string GrantBody(const state::SliceRecord& aSlice, state::Epoch aEpoch,
-                      std::int64_t aSequence, Duration aTerm)
+                      std::int64_t aSequence, Duration aTerm,
+                      std::optional<std::int64_t> aAsOfMillis)
 {
   const auto term =
     std::chrono::duration_cast<std::chrono::milliseconds>(aTerm).count();
-  return json{
-    { "epoch", aEpoch },
-    { "part", aSlice.part },
-    { "first", std::to_string(aSlice.first) },
-    { "last", std::to_string(aSlice.last) },
-    { "sliceEpoch", aSlice.epoch },
-    { "sequence", aSequence },
-    { "termMs", term }
-  }.dump();
+  json body = { { "epoch", aEpoch },
+                { "part", aSlice.part },
+                { "first", std::to_string(aSlice.first) },
+                { "last", std::to_string(aSlice.last) },
+                { "sliceEpoch", aSlice.epoch },
+                { "sequence", aSequence },
+                { "termMs", term } };
+  if (aAsOfMillis) {
+    body["asOfMs"] = *aAsOfMillis;
+  }
+  return body.dump();
 }
 
 std::string RevokeBody(const state::SliceRecord& aSlice, state::Epoch aEpoch)
@@ -43,6 +46,17 @@
   }.dump();
 }
 
+std::optional<std::int64_t> ParseClock(const std::string& aBody)
+{
+  const json body = json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return std::nullopt;
+  }
+  const auto clock = body.find("clockMs");
+  const bool known = clock != body.end() && clock->is_number_integer();
+  return known ? std::optional(clock->get<std::int64_t>()) : std::nullopt;
+}
+
 std::optional<FenceAnswer> ParseFenceAnswer(const std::string& aBody)
 {
   try {
--- a/src/coordination/internal/grantmessages.h
+++ b/src/coordination/internal/grantmessages.h
@@ -25,10 +25,15 @@
 
 std::string FenceBody(const state::HostRef& aSteward, state::Epoch aEpoch);
 std::string GrantBody(const state::SliceRecord& aSlice, state::Epoch aEpoch,
-                      std::int64_t aSequence, Duration aTerm);
+                      std::int64_t aSequence, Duration aTerm,
+                      std::optional<std::int64_t> aAsOfMillis);
 std::string RevokeBody(const state::SliceRecord& aSlice, state::Epoch aEpoch);
 
 // Nothing where the body is no such answer.
 std::optional<FenceAnswer> ParseFenceAnswer(const std::string& aBody);
 
+// The upstream's own monotonic clock, in milliseconds, as every control answer
+// tells it; nothing where it does not.
+std::optional<std::int64_t> ParseClock(const std::string& aBody);
+
 } // namespace kumquat::coordination
--- a/src/coordination/internal/mapkeeper.cpp
+++ b/src/coordination/internal/mapkeeper.cpp
@@ -101,21 +101,48 @@
 {
   Partition& partition = this->partitions[aName];
   partition.reading = true;
-  this->hooks.table.query(aName, [this, aName](Result<std::vector<Row>> aRows) {
-    Partition& answered = this->partitions[aName];
-    answered.reading = false;
-    const milliseconds pause = aRows ? kPollEvery : kRetryAfter;
-    answered.due = this->hooks.now() + pause;
-    if (!aRows) {
-      return;
-    }
-    answered.read = true;
-    if (aName == state::kHostPartition) {
-      this->hostRows.Send(*aRows);
+  const std::uint64_t number = ++partition.begun;
+  this->hooks.table.query(
+    aName, [this, aName, number](const Result<std::vector<Row>>& aRows) {
+      Partition& answered = this->partitions[aName];
+      answered.reading = false;
+      const milliseconds pause = aRows ? kPollEvery : kRetryAfter;
+      answered.due = this->hooks.now() + pause;
+      if (!aRows) {
+        return;
+      }
+      answered.read = true;
+      if (aName == state::kHostPartition) {
+        this->hostRows.Send(*aRows);
+      }
+      std::ranges::for_each(*aRows,
+                            [this](const Row& aRow) { this->Apply(aRow); });
+      if (aName == state::kHostPartition) {
+        this->TellHostRead(number);
+      }
+    });
+}
+
+void MapKeeper::AfterHostRead(std::function<void()> aThen)
+{
+  Partition& hosts = this->partitions[std::string(state::kHostPartition)];
+  hosts.due = this->hooks.now();
+  this->awaitedReads.push_back({ hosts.begun + 1, std::move(aThen) });
+}
+
+void MapKeeper::TellHostRead(std::uint64_t aNumber)
+{
+  std::vector<AwaitedRead> due;
+  std::erase_if(this->awaitedReads, [&](AwaitedRead& aAwaited) {
+    if (aAwaited.number > aNumber) {
+      return false;
     }
-    std::ranges::for_each(*aRows,
-                          [this](const Row& aRow) { this->Apply(aRow); });
+    due.push_back(std::move(aAwaited));
+    return true;
   });
+  for (const AwaitedRead& read : due) {
+    read.then();
+  }
 }
 
 void MapKeeper::Apply(const Row& aRow)
--- a/src/coordination/internal/planner.cpp
+++ b/src/coordination/internal/planner.cpp
@@ -229,7 +229,11 @@
       this->Write(aService.name, this->OwnerWrites(aService, aView))) {
     return;
   }
-  this->Write(aService.name, this->BalanceStewards(aService, aView));
+  // A steward that loses the upstream cannot finish ending its grants, and the
+  // slice would wait for the time-out.
+  if (this->progress[aService.name].revoking.empty()) {
+    this->Write(aService.name, this->BalanceStewards(aService, aView));
+  }
 }
 
 // New upstreams, moved addresses, and upstreams whose steward is gone.
--- a/src/coordination/internal/router.cpp
+++ b/src/coordination/internal/router.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace kumquat::coordination {
@@ -19,7 +20,7 @@
 
 namespace {
 
-constexpr milliseconds kPlanEvery{ 250 };
+constexpr milliseconds kPlanEvery{ 100 };
 // Hosts that start together find each other before upstreams are dealt out.
 constexpr milliseconds kSettleTime{ 1500 };
 constexpr milliseconds kDigestEvery{ 20 };
@@ -110,11 +111,7 @@
                return this->membership->IsDeposed(aRef);
              },
            .liveHosts = [this] { return this->membership->LiveHosts(); },
-           .seenHosts =
-             [this] {
-               return std::vector<HostRef>(this->seen.begin(),
-                                           this->seen.end());
-             } },
+           .seenHosts = [this] { return this->SeenHosts(); } },
          this->map, this->calls, this->entry)
   , planner({ .self = this->identity.self,
               .random =
@@ -159,6 +156,10 @@
   // A frozen host keeps its connections: what was sent there is given up on as
   // soon as the host is deposed, not when its connections break.
   this->membership->HostDeposed().Listen([this](const HostRef& aRef) {
+    if (aRef == this->identity.self && !this->stopping) {
+      this->hooks.deposed();
+      return;
+    }
     const HostRecord* current = this->map.Map().FindHost(aRef.host);
     if (current == nullptr || current->ref == aRef) {
       this->calls.OnPeerLost(aRef.host);
@@ -466,7 +467,7 @@
 void Router::OnHosts()
 {
   for (const HostRecord& host : this->membership->LiveHosts()) {
-    this->seen.insert(host.ref);
+    this->seen[host.ref] = this->hooks.now();
     if (host.ref.host != this->identity.self.host) {
       this->hooks.setAddress(host.ref.host, host.peerAddress);
     }
@@ -594,6 +595,21 @@
   return coordination::ToWire(count);
 }
 
+// Runs that ended longer ago than the horizon know of no key that matters.
+std::vector<HostRef> Router::SeenHosts()
+{
+  const TimePoint now = this->hooks.now();
+  for (const HostRecord& host : this->membership->LiveHosts()) {
+    this->seen[host.ref] = now;
+  }
+  std::erase_if(this->seen, [now](const auto& aEntry) {
+    return now - aEntry.second > kKeyHorizon;
+  });
+  std::vector<HostRef> hosts;
+  std::ranges::copy(this->seen | std::views::keys, std::back_inserter(hosts));
+  return hosts;
+}
+
 bool Router::OwnsKeys() const
 {
   return std::ranges::any_of(
--- a/src/coordination/internal/stewardduty.cpp
+++ b/src/coordination/internal/stewardduty.cpp
@@ -25,6 +25,8 @@
 // A planner that got a grant ended writes at once, or never.
 constexpr milliseconds kMoveWait{ 3000 };
 constexpr int kHttpOk = 200;
+constexpr int kHttpFenced = 412;
+constexpr auto kFenced = "fenced";
 
 } // namespace
 
@@ -227,8 +229,8 @@
 {
   const SliceRecord& slice = aChange.record;
   this->revoked.erase({ slice.service, slice.first });
-  const UpstreamRef owner{ slice.service, slice.upstream };
-  if (!slice.upstream.value.empty() && this->steward.Holds(owner)) {
+  // Also where the new owner is not here: the keeper then ends renewals.
+  if (!slice.upstream.value.empty()) {
     this->grants->Give(slice);
   }
 }
@@ -328,6 +330,10 @@
                              const transport::HttpResponse& aResponse)
 {
   this->watch.OnState(aRef, aResponse.Header("Kumquat-State"));
+  if (aResponse.status == kHttpFenced &&
+      aResponse.Header("Kumquat-Error") == kFenced) {
+    this->grants->OnFenced(aRef, 0);
+  }
 }
 
 void StewardDuty::AskHealth(const UpstreamRef& aRef,
--- a/src/coordination/internal/upstreamgrants.cpp
+++ b/src/coordination/internal/upstreamgrants.cpp
@@ -191,6 +191,7 @@
   if (!aAnswer) {
     return;
   }
+  this->HearClock(aAnswer->body);
   const auto fence = ParseFenceAnswer(aAnswer->body);
   if (aAnswer->status == kPreconditionFailed && fence &&
       fence->epoch > this->record.epoch) {
@@ -280,6 +281,7 @@
   const TimePoint now = this->context.hooks.now();
   this->life.Process(UpstreamEvent::kRestarted);
   ++this->round;
+  this->clock.reset();
   this->fencing = false;
   this->nextFence = now;
   for (Grant& grant : this->grants | std::views::values) {
@@ -337,7 +339,7 @@
   ++aGrant.sequence;
   this->Call("/grant",
              GrantBody(aGrant.slice, this->record.epoch, aGrant.sequence,
-                       this->context.timing.term),
+                       this->context.timing.term, this->ClockNow(aNow)),
              [part = aGrant.slice.part, epoch = aGrant.slice.epoch, aNow](
                UpstreamGrants& aSelf, const Result<ControlAnswer>& aAnswer) {
                aSelf.OnRenewed(part, epoch, aNow, aAnswer);
@@ -361,6 +363,7 @@
       aSent + this->context.timing.term + this->context.timing.drift;
     return;
   }
+  this->HearClock(aAnswer->body);
   if (aAnswer->status == kPreconditionFailed) {
     this->OnRefused(aAnswer->body);
     return;
@@ -446,6 +449,29 @@
     answered || this->IsOff(GrantRule::kWaitOutTerm);
 }
 
+void UpstreamGrants::HearClock(const std::string& aBody)
+{
+  if (const auto heard = ParseClock(aBody)) {
+    this->clock.emplace(*heard, this->context.hooks.now());
+  }
+}
+
+// Failure: a renewal waits in the socket of an upstream that is frozen. Its
+// term, counted from the receipt, would begin with the thaw, when the slice has
+// long been given to another. It counts from the upstream's own clock instead,
+// as of the sending: the clock was read before its answer was heard here, so
+// the estimate is never ahead of it.
+std::optional<std::int64_t> UpstreamGrants::ClockNow(TimePoint aNow) const
+{
+  if (!this->clock || this->IsOff(GrantRule::kCountFromUpstreamClock)) {
+    return std::nullopt;
+  }
+  const auto& [millis, heardAt] = *this->clock;
+  const auto since =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - heardAt);
+  return millis + since.count();
+}
+
 TimePoint UpstreamGrants::LapsedAt(const Grant& aGrant) const
 {
   const GrantTiming& timing = this->context.timing;
--- a/src/coordination/internal/upstreamgrants.h
+++ b/src/coordination/internal/upstreamgrants.h
@@ -96,6 +96,9 @@
   void OnRevokeAnswer(const std::string& aPart, state::Epoch aEpoch,
                       const Result<ControlAnswer>& aAnswer);
 
+  void HearClock(const std::string& aBody);
+  // What the upstream's clock shows now, or a little less.
+  std::optional<std::int64_t> ClockNow(TimePoint aNow) const;
   TimePoint LapsedAt(const Grant& aGrant) const;
   void Sweep();
 
@@ -110,6 +113,8 @@
   // Answers to calls of an earlier round, before a restart, are stale.
   std::uint64_t round = 0;
   std::optional<state::Incarnation> incarnation;
+  // The upstream's clock as last heard of, and when.
+  std::optional<std::pair<std::int64_t, TimePoint>> clock;
   // When the first fence was taken, and the grants that it gave back.
   std::optional<TimePoint> fencedAt;
   std::map<std::string, std::int64_t> inherited;
--- a/src/coordination/internal/upstreamwatch.cpp
+++ b/src/coordination/internal/upstreamwatch.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr auto kDraining = "draining";
-constexpr milliseconds kAskEvery{ 250 };
+constexpr milliseconds kAskEvery{ 200 };
 // Questions without an answer before the upstream counts as lost.
 constexpr int kFailuresUntilLost = 3;
 
--- a/src/coordination/mapkeeper.h
+++ b/src/coordination/mapkeeper.h
@@ -43,6 +43,9 @@
 
   // Which partitions there are follows from the services.
   void SetServices(const std::vector<state::ServiceConfiguration>& aServices);
+  // Calls back once a read of the hosts' rows that began after this call has
+  // been applied; while the table is down it goes on trying.
+  void AfterHostRead(std::function<void()> aThen);
   // Reads soon, because the map led a request astray; bounded in rate.
   void Refresh();
   void OnTimer();
@@ -75,8 +78,17 @@
     bool read = false;
     bool reading = false;
     TimePoint due;
+    // Counts the reads that were begun.
+    std::uint64_t begun = 0;
   };
 
+  struct AwaitedRead
+  {
+    std::uint64_t number = 0;
+    std::function<void()> then;
+  };
+
+  void TellHostRead(std::uint64_t aNumber);
   void Read(const std::string& aName);
   void Apply(const state::Row& aRow);
   void ApplyUpstream(const state::Row& aRow);
@@ -86,6 +98,7 @@
   state::RoutingMap map;
   std::map<std::string, Partition> partitions;
   TimePoint lastRefresh;
+  std::vector<AwaitedRead> awaitedReads;
   Channel<std::vector<state::Row>> hostRows;
   Channel<state::Row> configurationHead;
   Channel<Change<state::UpstreamRecord>> upstreamChanged;
--- a/src/coordination/planner.h
+++ b/src/coordination/planner.h
@@ -65,7 +65,7 @@
 
   explicit Planner(Hooks aHooks);
 
-  // Due every quarter of a second. Plans the services that fall to this host.
+  // Due every 100 ms. Plans the services that fall to this host.
   void Plan(const View& aView);
 
   const Counters& Counted() const { return this->counters; }
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -51,6 +51,8 @@
                        std::chrono::milliseconds, HttpDone)>
       control;
     std::function<void(protocol::ErrorKind)> countRetry;
+    // The other hosts have deposed this run.
+    std::function<void()> deposed;
     // Gets an object's content from the platform's object store.
     std::function<void(const std::string&,
                        std::function<void(Result<std::string>)>)>
@@ -129,6 +131,7 @@
   void SendDigests();
   protocol::SlotDigest DigestOf(const state::UpstreamRef& aRef) const;
   bool OwnsKeys() const;
+  std::vector<state::HostRef> SeenHosts();
 
   const Identity identity;
   const Hooks hooks;
@@ -137,8 +140,8 @@
   bool stopping = false;
   TimePoint started;
   std::set<state::HostRef> peers;
-  // Every run of a host that was seen live.
-  std::set<state::HostRef> seen;
+  // Every run of a host that was seen live, and when last.
+  std::map<state::HostRef, TimePoint> seen;
   RoomView rooms;
   std::set<state::UpstreamRef> changedRooms;
   TimePoint digestsDue;
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -15,9 +15,10 @@
 
 Node::~Node() = default;
 
-Result<std::unique_ptr<Node>> Node::Start(const state::Settings& aSettings)
+Result<std::unique_ptr<Node>> Node::Start(const state::Settings& aSettings,
+                                          std::function<void()> aOnDeposed)
 {
-  auto impl = std::make_unique<Impl>(aSettings);
+  auto impl = std::make_unique<Impl>(aSettings, std::move(aOnDeposed));
   if (const std::error_code error = impl->Start()) {
     return error;
   }
--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -62,9 +62,11 @@
 
 } // namespace
 
-Node::Impl::Impl(const state::Settings& aSettings)
+Node::Impl::Impl(const state::Settings& aSettings,
+                 std::function<void()> aOnDeposed)
   : settings(aSettings)
   , self{ aSettings.host, UnixTime().count() }
+  , onDeposed(std::move(aOnDeposed))
   , metrics(Now)
   , log({ .level = aSettings.logLevel,
           .json = aSettings.logJson,
@@ -286,6 +288,12 @@
       });
     }
   };
+  hooks.deposed = [this] {
+    this->log.Write(Event::kDeposed);
+    if (this->onDeposed) {
+      this->onDeposed();
+    }
+  };
   hooks.countRetry = [this](ErrorKind aKind) { this->CountTry(aKind); };
   hooks.fetchObject = [this](const std::string& aName,
                              std::function<void(Result<std::string>)> aDone) {
--- a/src/node/internal/nodeimpl.h
+++ b/src/node/internal/nodeimpl.h
@@ -35,7 +35,7 @@
 class Node::Impl
 {
 public:
-  explicit Impl(const state::Settings& aSettings);
+  Impl(const state::Settings& aSettings, std::function<void()> aOnDeposed);
   ~Impl();
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
@@ -89,6 +89,7 @@
 
   const state::Settings settings;
   const state::HostRef self;
+  const std::function<void()> onDeposed;
   Metrics metrics;
   std::vector<Counter*> refusals;
   std::vector<Counter*> retries;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,6 +7,7 @@
 #include "state/settings.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 
 namespace kumquat::node {
@@ -16,7 +17,10 @@
 public:
   // Listens and starts its threads; the error says which address could not be
   // had.
-  static Result<std::unique_ptr<Node>> Start(const state::Settings& aSettings);
+  // aOnDeposed runs on one of its threads when the other hosts have deposed
+  // this run: it starts nothing any more, and only a new run can.
+  static Result<std::unique_ptr<Node>> Start(
+    const state::Settings& aSettings, std::function<void()> aOnDeposed = {});
 
   // Stops at once; see Stop for a planned stop.
   ~Node();
--- a/src/state/internal/platform.cpp
+++ b/src/state/internal/platform.cpp
@@ -234,9 +234,9 @@
       if (row.nonce == aWritten.nonce) {
         return WriteOutcome::kWritten;
       }
-      // Someone else's write stands at this version or above: ours, with its
-      // condition on a lower one, can no longer take effect.
-      return row.version >= aWritten.version ? WriteOutcome::kConflict
+      // Another's write stands in the place of ours. A later one says nothing:
+      // ours may have taken effect before it.
+      return row.version == aWritten.version ? WriteOutcome::kConflict
                                              : WriteOutcome::kUnknown;
     } catch (const std::exception&) {
       return WriteOutcome::kUnknown;
--- a/standins/internal/upstreamserver.cpp
+++ b/standins/internal/upstreamserver.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds kCollapseTime(5000);
 constexpr milliseconds kDefaultDeadline(30'000);
 constexpr std::size_t kPieceBytes = 64U << 10U;
+// The grant came too late to be in force at all.
+constexpr int kLapsedStatus = 409;
 constexpr std::string_view kBlobPrefix = "/blob/";
 constexpr int kShedStatus = 503;
 constexpr int kFencedStatus = 412;
@@ -417,10 +419,30 @@
                         { "epoch", this->upstream.SeenEpoch() },
                         { "incarnation", this->upstream.Incarnation() },
                         { "checksFence", this->upstream.ChecksFence() },
+                        { "clockMs", this->ClockMillis(now) },
                         { "grants", std::move(given) } };
   return JsonResponse(accepted ? 200 : kFencedStatus, answer.dump());
 }
 
+// Each process counts its clock from a moment of its own.
+std::int64_t UpstreamServer::ClockMillis(TimePoint aNow) const
+{
+  const auto offset = std::hash<std::string>{}(this->options.plan.id) % 1000000;
+  return duration_cast<milliseconds>(aNow.time_since_epoch()).count() -
+         static_cast<std::int64_t>(offset);
+}
+
+TimePoint UpstreamServer::GrantEnd(const json& aBody, TimePoint aNow) const
+{
+  const milliseconds term(aBody.at("termMs").get<std::int64_t>());
+  if (!aBody.contains("asOfMs")) {
+    return aNow + term;
+  }
+  const milliseconds age(this->ClockMillis(aNow) -
+                         aBody.at("asOfMs").get<std::int64_t>());
+  return aNow - age + term;
+}
+
 HttpResponse UpstreamServer::TakeGrant(const json& aBody)
 {
   const TimePoint now = steady_clock::now();
@@ -429,8 +451,13 @@
                      .last = HashFrom(aBody, "last"),
                      .sliceEpoch = aBody.at("sliceEpoch").get<std::int64_t>(),
                      .sequence = aBody.at("sequence").get<std::int64_t>(),
-                     .until = now + milliseconds(
-                                      aBody.at("termMs").get<std::int64_t>()) };
+                     .until = this->GrantEnd(aBody, now) };
+  const json late = { { "accepted", false },
+                      { "error", "lapsed" },
+                      { "clockMs", this->ClockMillis(now) } };
+  if (grant.until <= now) {
+    return JsonResponse(kLapsedStatus, late.dump());
+  }
   const bool accepted =
     this->upstream.Give(aBody.at("epoch").get<std::int64_t>(), part, grant);
   if (accepted) {
@@ -438,6 +465,7 @@
                        grant, now);
   }
   const json answer = { { "accepted", accepted },
+                        { "clockMs", this->ClockMillis(now) },
                         { "incarnation", this->upstream.Incarnation() } };
   return JsonResponse(accepted ? 200 : kFencedStatus, answer.dump());
 }
--- a/standins/upstreamserver.h
+++ b/standins/upstreamserver.h
@@ -127,6 +127,8 @@
   transport::HttpResponse Health() const;
   std::string HealthText() const;
   transport::HttpResponse TakeFence(const nlohmann::json& aBody);
+  std::int64_t ClockMillis(TimePoint aNow) const;
+  TimePoint GrantEnd(const nlohmann::json& aBody, TimePoint aNow) const;
   transport::HttpResponse TakeGrant(const nlohmann::json& aBody);
   void TakeRevoke(const nlohmann::json& aBody, const Respond& aRespond);
   void WakeWaiters();
