--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -65,6 +65,9 @@
       static_cast<double>(one.requests - one.answered);
     aFigures[name + " unavailable ms"] =
       static_cast<double>(one.unavailable.count());
+    for (const auto& [kind, count] : one.refused) {
+      aFigures[name + " refused " + kind] = static_cast<double>(count);
+    }
   }
 }
 
