--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -66,7 +66,8 @@
     aFigures[name + " unavailable ms"] =
       static_cast<double>(one.unavailable.count());
     for (const auto& [kind, count] : one.refused) {
-      aFigures[name + " refused " + kind] = static_cast<double>(count);
+      aFigures[fmt::format("{} refused {}", name, kind)] =
+        static_cast<double>(count);
     }
   }
 }
