--- a/src/coordination/atmostonce.h
+++ b/src/coordination/atmostonce.h
@@ -52,7 +52,7 @@
            Done aDone);
   // The same at the key's owner, forwarded by the entry aFrom.
   void RunAsOwner(const state::ServiceConfiguration& aService,
-                  const state::HostId& aFrom, CallerRequest aRequest,
+                  const state::HostId& aFrom, const CallerRequest& aRequest,
                   Done aDone);
   // A steward's check of a forward before it takes it.
   protocol::ErrorKind Admit(const protocol::Forward& aForward);
--- a/src/coordination/internal/atmostonce.cpp
+++ b/src/coordination/internal/atmostonce.cpp
@@ -156,8 +156,8 @@
 }
 
 void AtMostOnce::RunAsOwner(const state::ServiceConfiguration& aService,
-                            const state::HostId& aFrom, CallerRequest aRequest,
-                            Done aDone)
+                            const state::HostId& aFrom,
+                            const CallerRequest& aRequest, Done aDone)
 {
   DuplicateFilter::Arrival arrival{ .service = aRequest.service,
                                     .key = aRequest.idempotencyKey,
--- a/src/coordination/internal/mapkeeper.cpp
+++ b/src/coordination/internal/mapkeeper.cpp
@@ -21,8 +21,12 @@
 namespace {
 
 constexpr auto kConfigurationPartition = "config";
-// Changes are pushed; the poll only finds what a push has missed.
-constexpr milliseconds kPollEvery{ 1000 };
+// Changes are pushed; the poll only finds what a push has missed. Small
+// partitions whose changes must be in force within seconds are read often; the
+// large ones, whose misses show when a request is led astray, are not: their
+// reads would be the first to use up the table's.
+constexpr milliseconds kPollSmallEvery{ 1000 };
+constexpr milliseconds kPollLargeEvery{ 5000 };
 constexpr milliseconds kRetryAfter{ 300 };
 constexpr milliseconds kRefreshAtMostEvery{ 50 };
 
@@ -46,6 +50,13 @@
   return row;
 }
 
+milliseconds PollEvery(const std::string& aPartition)
+{
+  const bool small = aPartition == state::kPlacePartition ||
+                     aPartition == kConfigurationPartition;
+  return small ? kPollSmallEvery : kPollLargeEvery;
+}
+
 template<typename Record>
 std::optional<Record> Copy(const Record* aRecord)
 {
@@ -106,7 +117,7 @@
     aName, [this, aName, number](const Result<std::vector<Row>>& aRows) {
       Partition& answered = this->partitions[aName];
       answered.reading = false;
-      const milliseconds pause = aRows ? kPollEvery : kRetryAfter;
+      const milliseconds pause = aRows ? PollEvery(aName) : kRetryAfter;
       answered.due = this->hooks.now() + pause;
       if (!aRows) {
         return;
