Guards of a host stay mostly outside its data centre

Cause: hosts of the cut data centre still reached the table and replaced the guards that they did not hear by one another. Ruled out: the spread of the first choice (2, 2 and 1 of the own). Change: with three data centres or more, one guard at most comes from the own, heard or not. The price: where both other data centres are gone at once, the third one's hosts hold nothing until the platform's list has dropped the lost hosts.

--- a/src/coordination/internal/guardchoice.cpp
+++ b/src/coordination/internal/guardchoice.cpp
@@ -18,6 +18,11 @@
 
 constexpr std::size_t kManyGuards = 5;
 constexpr std::size_t kFewGuards = 3;
+// Failure: a data centre is cut off from the other hosts, but not from the
+// table. Its hosts replace the guards that they cannot hear by one another,
+// keep their leases, and go on owning upstreams that no entry elsewhere can
+// reach. Guards from outside, heard or not, stay the majority.
+constexpr std::size_t kMostOfOwn = 1;
 
 std::uint64_t PairHash(const std::string& aFirst, const std::string& aSecond)
 {
@@ -28,6 +33,8 @@
 {
   state::DataCentre dataCentre;
   std::vector<GuardCandidate> candidates;
+  // Guards that may come from here.
+  std::size_t most = kManyGuards;
 };
 
 std::vector<Place> SortIntoPlaces(const state::HostRef& aSelf,
@@ -48,7 +55,9 @@
       return std::tuple(!aCandidate.healthy, !aCandidate.current,
                         PairHash(aSelf.host.value, aCandidate.ref.host.value));
     });
-    places.push_back({ dataCentre, std::move(candidates) });
+    const bool limited = ownLast && dataCentre == aOwn;
+    places.push_back({ dataCentre, std::move(candidates),
+                       limited ? kMostOfOwn : kManyGuards });
   }
   std::ranges::sort(places, {}, [&](const Place& aPlace) {
     return std::tuple((aPlace.dataCentre == aOwn) == ownLast,
@@ -76,7 +85,7 @@
   for (std::size_t turn = 0; turn < longest; ++turn) {
     for (const Place& place : aPlaces) {
       if (aTaken.size() < aCount && turn < place.candidates.size() &&
-          place.candidates[turn].healthy == aHealthy) {
+          turn < place.most && place.candidates[turn].healthy == aHealthy) {
         aTaken.push_back(place.candidates[turn].ref);
       }
     }
