Latency by service, rings and dropped log lines in /metrics; one listener

What the daemon measured but did not tell: quantiles of each service's latency, full rings, dropped log lines. The callers' server and the peers' network opened their listening sockets by the same lines twice; both call OpenListener now. Lint: two parameters and a move without effect.

--- a/src/coordination/internal/router.cpp
+++ b/src/coordination/internal/router.cpp
@@ -54,19 +54,19 @@
         .broadcast =
           [this](const protocol::Frame& aFrame) { this->Broadcast(aFrame); } })
   , keeper(this->KeeperHooks())
-  , membership(
-      MembershipBuilder()
-        .Self(this->identity.self)
-        .PeerAddress(this->identity.peerAddress)
-        .DataCentre(this->identity.dataCentre)
-        .Hooks({ .now = this->hooks.now,
-                 .random = this->hooks.random,
-                 .table = this->hooks.table,
-                 .send =
-                   [this](const state::HostId& aHost, protocol::Frame aFrame) {
-                     return this->hooks.send(aHost, aFrame);
-                   } })
-        .Build())
+  , membership(MembershipBuilder()
+                 .Self(this->identity.self)
+                 .PeerAddress(this->identity.peerAddress)
+                 .DataCentre(this->identity.dataCentre)
+                 .Hooks({ .now = this->hooks.now,
+                          .random = this->hooks.random,
+                          .table = this->hooks.table,
+                          .send =
+                            [this](const state::HostId& aHost,
+                                   const protocol::Frame& aFrame) {
+                              return this->hooks.send(aHost, aFrame);
+                            } })
+                 .Build())
   , duty({ .now = this->hooks.now,
            .self = this->identity.self,
            .holdsLease = [this] { return this->HoldsLease(); },
--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -389,15 +389,18 @@
                     ErrorKind aKind) { return counted(this->refusals, aKind); },
       .retries = [this, counted](
                    ErrorKind aKind) { return counted(this->retries, aKind); } },
-    coordination::OperatorHooks{
-      .token = this->settings.operatorToken,
-      .metrics = [this] { return this->metrics.Text(); },
-      .table = pushing,
-      .nonce = nonce,
-      .event =
-        [this](Event aEvent, EventFields aFields) {
-          this->log.Write(aEvent, aFields);
-        } },
+    coordination::OperatorHooks{ .token = this->settings.operatorToken,
+                                 .metrics =
+                                   [this] {
+                                     this->PublishRings();
+                                     return this->metrics.Text();
+                                   },
+                                 .table = pushing,
+                                 .nonce = nonce,
+                                 .event =
+                                   [this](Event aEvent, EventFields aFields) {
+                                     this->log.Write(aEvent, aFields);
+                                   } },
     *this->configurationWriter);
 }
 
@@ -447,10 +450,15 @@
     return;
   }
   this->lastArrival.store(Now().time_since_epoch().count());
-  Task task = [this, request = std::move(*request), aRespond]() mutable {
+  const TimePoint arrived = Now();
+  Task task = [this, arrived, request = std::move(*request),
+               aRespond]() mutable {
+    const state::ServiceName service = request.service;
     this->router->OnCallerRequest(
-      std::move(request), [this, aRespond](RequestResult aResult) {
+      std::move(request),
+      [this, arrived, service, aRespond](RequestResult aResult) {
         const ErrorKind kind = aResult.error;
+        this->Observe(service, Now() - arrived);
         if (aResult.response.rest) {
           aResult.response.rest =
             this->ReadOnCoordination(std::move(aResult.response.rest));
@@ -474,6 +482,44 @@
   return std::move(aResponse);
 }
 
+// Until the answer's head; only for services of the configuration, as callers
+// could otherwise grow the registry with names of their own.
+void Node::Impl::Observe(const state::ServiceName& aService, Duration aTook)
+{
+  if (this->router->Configuration().Find(aService) == nullptr) {
+    return;
+  }
+  Summary*& summary = this->latencies[aService];
+  if (summary == nullptr) {
+    summary = &this->metrics.FindSummary(
+      "kumquat_request_seconds",
+      "From a request's arrival at this host to the head of its answer.",
+      { { "service", aService.value } });
+  }
+  summary->Observe(aTook);
+}
+
+void Node::Impl::PublishRings()
+{
+  const std::pair<const char*, const transport::DutyThread*> rings[] = {
+    { "callers", &this->callers },
+    { "upstreams", &this->upstreams },
+    { "coordination", &this->coordination },
+    { "platform", &this->platform }
+  };
+  for (const auto& [name, duty] : rings) {
+    this->metrics
+      .FindGauge("kumquat_ring_refusals",
+                 "Times since the start that a duty's ring was found full.",
+                 { { "ring", name } })
+      .Set(static_cast<std::int64_t>(duty->Refusals()));
+  }
+  this->metrics
+    .FindGauge("kumquat_log_lines_dropped",
+               "Log lines dropped since the start, as nobody read them.")
+    .Set(static_cast<std::int64_t>(this->log.Dropped()));
+}
+
 void Node::Impl::CountTry(ErrorKind aKind)
 {
   this->retries.at(static_cast<std::size_t>(aKind))->Add();
--- a/src/node/internal/nodeimpl.h
+++ b/src/node/internal/nodeimpl.h
@@ -86,6 +86,8 @@
   // Runs aTask on the platform's thread; False where its ring is full.
   bool OnPlatform(Task aTask);
   void CountTry(protocol::ErrorKind aKind);
+  void Observe(const state::ServiceName& aService, Duration aTook);
+  void PublishRings();
 
   const state::Settings settings;
   const state::HostRef self;
@@ -94,6 +96,8 @@
   std::vector<Counter*> refusals;
   std::vector<Counter*> retries;
   Counter* answered = nullptr;
+  // Coordination's thread.
+  std::map<state::ServiceName, Summary*> latencies;
   EventLog log;
   std::mt19937_64 random;
 
--- a/src/state/internal/platform.cpp
+++ b/src/state/internal/platform.cpp
@@ -140,7 +140,7 @@
       kTableTimeout,
       [self = this->shared_from_this(), writes = std::move(aWrites),
        done = std::move(aDone)](const Result<HttpResponse>& aResult) mutable {
-        self->TakeWriteAnswer(std::move(writes), std::move(done), aResult);
+        self->TakeWriteAnswer(writes, std::move(done), aResult);
       });
   }
 
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "transport/httpserver.h"
 
 #include "transport/address.h"
+#include "transport/internal/listener.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/async_result.hpp>
@@ -33,7 +34,6 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr auto kAcceptPause = std::chrono::milliseconds(10);
 
 HttpRequest TakeRequest(http::request<http::string_body>&& aMessage)
 {
@@ -127,18 +127,7 @@
     if (!endpoint) {
       return endpoint.error();
     }
-    beast::error_code error;
-    this->acceptor.open(endpoint->protocol(), error);
-    if (!error) {
-      this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-      this->acceptor.bind(*endpoint, error);
-    }
-    if (!error) {
-      this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    return error;
+    return OpenListener(this->acceptor, *endpoint);
   }
 
   void Start()
@@ -189,7 +178,6 @@
     while (!this->stopping) {
       auto [error, socket] = co_await this->acceptor.async_accept(kAwait);
       if (error) {
-        // Out of descriptors, mostly: the next try has to wait for one.
         this->pause.expires_after(kAcceptPause);
         co_await this->pause.async_wait(kAwait);
         continue;
--- a/src/transport/internal/peernetwork.cpp
+++ b/src/transport/internal/peernetwork.cpp
@@ -4,6 +4,7 @@
 
 #include "protocol/codec.h"
 #include "transport/address.h"
+#include "transport/internal/listener.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -31,7 +32,6 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr auto kAcceptPause = std::chrono::milliseconds(10);
 
 struct Link
 {
@@ -76,18 +76,7 @@
       return endpoint.error();
     }
     this->local = tcp::endpoint(endpoint->address(), 0);
-    boost::system::error_code error;
-    this->acceptor.open(endpoint->protocol(), error);
-    if (!error) {
-      this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-      this->acceptor.bind(*endpoint, error);
-    }
-    if (!error) {
-      this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    return error;
+    return OpenListener(this->acceptor, *endpoint);
   }
 
   void Start()
