--- a/src/coordination/internal/router.cpp
+++ b/src/coordination/internal/router.cpp
@@ -207,8 +207,26 @@
 
 bool Router::IsReady() const
 {
-  return !this->stopping && this->HoldsLease() &&
-         !this->Configuration().services.empty() && this->map.IsComplete();
+  const auto& services = this->Configuration().services;
+  return !this->stopping && this->HoldsLease() && !services.empty() &&
+         this->map.IsComplete() &&
+         std::ranges::all_of(services,
+                             [this](const ServiceConfiguration& aOne) {
+                               return this->IsPlanned(aOne);
+                             });
+}
+
+// A new deployment's hosts are up before the first plan is written; callers
+// sent to them would be refused. A service without instances keeps nobody back.
+bool Router::IsPlanned(const ServiceConfiguration& aService) const
+{
+  const auto listed = this->endpoints.find(aService.name);
+  if (listed == this->endpoints.end() || listed->second.empty()) {
+    return true;
+  }
+  const bool hasSlices =
+    !aService.keyed || this->map.Map().FindSlice(aService.name, 0) != nullptr;
+  return hasSlices && !this->map.Map().Upstreams(aService.name).empty();
 }
 
 bool Router::HoldsLease() const
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -131,6 +131,7 @@
   void SendDigests();
   protocol::SlotDigest DigestOf(const state::UpstreamRef& aRef) const;
   bool OwnsKeys() const;
+  bool IsPlanned(const state::ServiceConfiguration& aService) const;
   std::vector<state::HostRef> SeenHosts();
 
   const Identity identity;
