"Not run" only where it is true of every try

Cause: the first try was lost with its peer and had run; the next found no steward, and its kind went out as the request's. Change: a request of which an earlier try may have run ends with that try's kind.

--- a/src/coordination/entry.h
+++ b/src/coordination/entry.h
@@ -78,6 +78,8 @@
     Ownership ownership;
     Done done;
     int tries = 0;
+    // How an earlier try ended that may have run.
+    std::optional<protocol::ErrorKind> mayHaveRun;
     // Tried before in this request.
     std::set<state::UpstreamRef> tried;
     state::UpstreamRef target;
--- a/src/coordination/internal/entry.cpp
+++ b/src/coordination/internal/entry.cpp
@@ -303,6 +303,9 @@
 void Entry::OnResult(const PendingPtr& aPending, RequestResult aResult)
 {
   const ErrorKind kind = aResult.error;
+  if (protocol::AnswerFor(kind).outcome != Outcome::kNotRun) {
+    aPending->mayHaveRun = kind;
+  }
   if (kind == ErrorKind::kNone || !this->MayRetry(*aPending, kind)) {
     this->Finish(aPending, std::move(aResult));
     return;
@@ -352,6 +355,14 @@
 void Entry::Finish(const PendingPtr& aPending, RequestResult aResult)
 {
   --this->inFlight;
+  // Failure: the first try was lost with its steward and had run; the next one
+  // found no steward, and its "not run" was told as the request's. It is true
+  // of the whole request only where it is true of every try.
+  const bool notRun =
+    protocol::AnswerFor(aResult.error).outcome == Outcome::kNotRun;
+  if (notRun && aPending->mayHaveRun) {
+    aResult = MakeError(*aPending->mayHaveRun);
+  }
   const Done done = std::move(aPending->done);
   done(std::move(aResult));
 }
