One backoff and the counters that there were

Found on a last read: Entry and AtMostOnce had the same tries and the same backoff by the same lines, and the node kept vectors of counters beside ErrorCounters, which nothing used. Both call the one piece now; figures, names and bounds are as before.

--- a/src/coordination/internal/atmostonce.cpp
+++ b/src/coordination/internal/atmostonce.cpp
@@ -3,9 +3,9 @@
 #include "coordination/atmostonce.h"
 
 #include "coordination/planner.h"
+#include "coordination/retrybudget.h"
 
 #include <algorithm>
-#include <array>
 #include <iterator>
 #include <utility>
 
@@ -21,9 +21,6 @@
 namespace {
 
 constexpr milliseconds kAskTimeout{ 300 };
-constexpr int kMostTries = 4;
-constexpr std::array kBackoff = { milliseconds(20), milliseconds(60),
-                                  milliseconds(180) };
 constexpr auto kOwnersSuffix = "#owners";
 
 // Stands for hosts of which nobody could tell any more: it never answers.
@@ -150,9 +147,7 @@
     return;
   }
   this->map.Refresh();
-  const auto step = std::min(static_cast<std::size_t>(aAttempt->tries) - 1,
-                             kBackoff.size() - 1);
-  this->waiting.emplace(now + kBackoff.at(step), aAttempt);
+  this->waiting.emplace(now + BackoffAfter(aAttempt->tries), aAttempt);
 }
 
 void AtMostOnce::RunAsOwner(const state::ServiceConfiguration& aService,
--- a/src/coordination/internal/entry.cpp
+++ b/src/coordination/internal/entry.cpp
@@ -3,7 +3,6 @@
 #include "coordination/entry.h"
 
 #include <algorithm>
-#include <array>
 #include <iterator>
 #include <utility>
 
@@ -18,11 +17,6 @@
 
 namespace {
 
-constexpr int kMostTries = 4;
-// Before each retry that waits for the map to catch up.
-constexpr std::array kBackoff = { milliseconds(20), milliseconds(60),
-                                  milliseconds(180) };
-
 // Kinds after which another try at once would meet the same state.
 bool WaitsForMap(ErrorKind aKind)
 {
@@ -345,11 +339,10 @@
 
 void Entry::RetryLater(const PendingPtr& aPending)
 {
-  const auto step = std::min(static_cast<std::size_t>(aPending->tries) - 1,
-                             kBackoff.size() - 1);
   // The upstream is not at fault: it may be chosen again.
   aPending->tried.clear();
-  this->waiting.emplace(this->hooks.now() + kBackoff.at(step), aPending);
+  this->waiting.emplace(this->hooks.now() + BackoffAfter(aPending->tries),
+                        aPending);
 }
 
 void Entry::Finish(const PendingPtr& aPending, RequestResult aResult)
--- a/src/coordination/retrybudget.h
+++ b/src/coordination/retrybudget.h
@@ -1,11 +1,29 @@
-// Retries as a share of requests, so that trouble is not multiplied.
+// How often and how soon a request is tried again: a bounded number of times,
+// and as a share of all requests, so that trouble is not multiplied.
 
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstddef>
 
 namespace kumquat::coordination {
 
+// Of one request, the first included.
+inline constexpr int kMostTries = 4;
+
+// How long the next try waits for the map to catch up, after aTries of them.
+inline std::chrono::milliseconds BackoffAfter(int aTries)
+{
+  using std::chrono::milliseconds;
+  constexpr std::array kBackoff = { milliseconds(20), milliseconds(60),
+                                    milliseconds(180) };
+  const auto step =
+    std::min(static_cast<std::size_t>(aTries) - 1, kBackoff.size() - 1);
+  return kBackoff.at(step);
+}
+
 class RetryBudget
 {
 public:
--- a/src/node/internal/corehooks.cpp
+++ b/src/node/internal/corehooks.cpp
@@ -160,10 +160,6 @@
         [this](state::Version aVersion, const std::string& aText) {
           this->router->Keeper().OnAccepted(aVersion, aText);
         } });
-  const auto counted = [](const std::vector<Counter*>& aCounters,
-                          ErrorKind aKind) {
-    return aCounters.at(static_cast<std::size_t>(aKind))->Value();
-  };
   this->operatorApi = std::make_unique<coordination::OperatorApi>(
     coordination::OperatorView{
       .self = this->self,
@@ -173,10 +169,10 @@
       .isReady = [this] { return this->router->IsReady(); },
       .holdsLease = [this] { return this->router->HoldsLease(); },
       .counts = [this] { return this->router->Duty().Slots().Counts(); },
-      .refusals = [this, counted](
-                    ErrorKind aKind) { return counted(this->refusals, aKind); },
-      .retries = [this, counted](
-                   ErrorKind aKind) { return counted(this->retries, aKind); } },
+      .refusals =
+        [this](ErrorKind aKind) { return this->refusals.Value(aKind); },
+      .retries =
+        [this](ErrorKind aKind) { return this->retries.Value(aKind); } },
     coordination::OperatorHooks{ .token = this->settings.operatorToken,
                                  .metrics =
                                    [this] {
--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -58,6 +58,10 @@
   , self{ aSettings.host, UnixTime().count() }
   , onDeposed(std::move(aOnDeposed))
   , metrics(Now)
+  , refusals(this->metrics, "kumquat_refusals_total",
+             "Requests answered with an error.", "reason")
+  , retries(this->metrics, "kumquat_retries_total",
+            "Tries after a first one, by reason.", "reason")
   , log({ .level = aSettings.logLevel,
           .json = aSettings.logJson,
           .host = aSettings.host.value })
@@ -68,13 +72,6 @@
   , platform(aSettings.ringSize)
   , tick(this->coordination.Context())
 {
-  for (const protocol::ErrorAnswer& answer : protocol::ErrorAnswers()) {
-    const Labels reason{ { "reason", std::string(answer.name) } };
-    this->refusals.push_back(&this->metrics.FindCounter(
-      "kumquat_refusals_total", "Requests answered with an error.", reason));
-    this->retries.push_back(&this->metrics.FindCounter(
-      "kumquat_retries_total", "Tries after a first one, by reason.", reason));
-  }
   this->answered = &this->metrics.FindCounter(
     "kumquat_answers_total", "Requests answered by an upstream.");
 }
@@ -255,7 +252,7 @@
   if (aKind == ErrorKind::kNone) {
     this->answered->Add();
   } else {
-    this->refusals.at(static_cast<std::size_t>(aKind))->Add();
+    this->refusals.Add(aKind);
   }
   return std::move(aResponse);
 }
@@ -300,7 +297,7 @@
 
 void Node::Impl::CountTry(ErrorKind aKind)
 {
-  this->retries.at(static_cast<std::size_t>(aKind))->Add();
+  this->retries.Add(aKind);
 }
 
 void Node::Impl::OnOperator(const HttpRequest& aRequest,
--- a/src/node/internal/nodeimpl.h
+++ b/src/node/internal/nodeimpl.h
@@ -12,6 +12,7 @@
 #include "framework/events.h"
 #include "framework/metrics.h"
 #include "node/node.h"
+#include "protocol/errorcounters.h"
 #include "state/configurationwriter.h"
 #include "state/platform.h"
 #include "transport/dutythread.h"
@@ -93,8 +94,8 @@
   const state::HostRef self;
   const std::function<void()> onDeposed;
   Metrics metrics;
-  std::vector<Counter*> refusals;
-  std::vector<Counter*> retries;
+  protocol::ErrorCounters refusals;
+  protocol::ErrorCounters retries;
   Counter* answered = nullptr;
   // Coordination's thread.
   std::map<state::ServiceName, Summary*> latencies;
