Keys: what a follower said counts from this host's own digest; tests of the assigner

Cause, found by 40 random seeds of the new test (seed 13): an assigner that woke after standing still took old digests, which waited in its connections, for fresh ones and renewed a hold that its successor had waited out: one key held by two upstreams. A successor also looked at the last assigner only, not at those before it. Now a peer names the last digest that it had heard, and what it says counts from that digest's sending; shortcuts for a known end of the last assigner are gone, as the majority covers all of them. Also found by a test: a silent upstream whose entry stands got keys again every three seconds; now ever more rarely, one piece at a time.

--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -347,6 +347,7 @@
   protocol::HostDigest digest;
   digest.sender.__set_host(this->self.host.value);
   digest.sender.__set_incarnation(this->self.incarnation);
+  digest.__set_number(this->peers.NextDigest());
   digest.__set_leaving(this->isLeaving);
   const auto reports = this->upstreams.TakeReports();
   std::ranges::transform(reports, std::back_inserter(digest.uses), UseOf);
--- a/src/node/internal/keysduty.cpp
+++ b/src/node/internal/keysduty.cpp
@@ -244,7 +244,9 @@
   std::vector<protocol::KeyMapMark> marks;
   for (const auto& [service, part] : this->parts) {
     if (part.map.Mark().version > 0) {
-      marks.push_back(ToWire(service, part.map.Mark()));
+      protocol::KeyMapMark mark = ToWire(service, part.map.Mark());
+      mark.__set_heard(this->peers.HeardOf(part.map.Mark().assigner));
+      marks.push_back(std::move(mark));
     }
   }
   return marks;
--- a/src/node/internal/peerduty.cpp
+++ b/src/node/internal/peerduty.cpp
@@ -15,11 +15,20 @@
 
 } // namespace
 
-Peers::Peers(Clock aClock)
-  : clock(std::move(aClock))
+Peers::Peers(state::HostRef aSelf, Clock aClock)
+  : self(std::move(aSelf))
+  , clock(std::move(aClock))
 {
 }
 
+std::int64_t Peers::HeardOf(const state::HostRef& aHost) const
+{
+  const auto found = this->peers.find(aHost.host);
+  return found != this->peers.end() && found->second.host == aHost
+           ? found->second.digest
+           : 0;
+}
+
 void Peers::OnDigest(const protocol::HostDigest& aDigest)
 {
   const state::HostId id{ aDigest.sender.host };
@@ -33,9 +42,14 @@
   peer.leaving = aDigest.leaving;
   peer.operatorVersion = aDigest.operatorVersion;
   peer.upstreamVersion = aDigest.upstreamVersion;
+  peer.digest = aDigest.number;
   peer.maps.clear();
   for (const protocol::KeyMapMark& mark : aDigest.keyMaps) {
-    peer.maps[{ mark.serviceName }] = FromWire(mark);
+    const state::ServiceName service{ mark.serviceName };
+    peer.maps[service] = FromWire(mark);
+    if (peer.maps[service].assigner == this->self) {
+      peer.saidAt[service] = this->times.SentAt(mark.heard);
+    }
   }
   this->silent.erase(id);
 }
@@ -57,7 +71,11 @@
 {
   std::vector<ownership::PeerView> views;
   for (const auto& [id, peer] : this->peers) {
-    ownership::PeerView view{ peer.host, peer.heardAt, peer.leaving, {} };
+    ownership::PeerView view{ peer.host, peer.heardAt, peer.leaving, {}, {} };
+    const auto said = peer.saidAt.find(aService);
+    if (said != peer.saidAt.end()) {
+      view.saidAt = said->second;
+    }
     const auto map = peer.maps.find(aService);
     if (map != peer.maps.end()) {
       view.map = map->second;
--- a/src/node/internal/peerduty.h
+++ b/src/node/internal/peerduty.h
@@ -5,6 +5,7 @@
 
 #include "framework/clock.h"
 #include "ownership/assigner.h"
+#include "ownership/digesttimes.h"
 #include "ownership/keymap.h"
 #include "protocol/gen/peer_types.h"
 #include "state/types.h"
@@ -25,15 +26,23 @@
   bool leaving = false;
   state::Version operatorVersion = 0;
   state::Version upstreamVersion = 0;
+  // Of its run; the last that was heard.
+  std::int64_t digest = 0;
   std::map<state::ServiceName, ownership::MapMark> maps;
+  // Where a map is this host's own: a time at which the peer surely went by it.
+  std::map<state::ServiceName, TimePoint> saidAt;
 };
 
 class Peers
 {
 public:
-  explicit Peers(Clock aClock);
+  Peers(state::HostRef aSelf, Clock aClock);
+
+  // The number of the digest that is sent now.
+  std::int64_t NextDigest() { return this->times.Next(this->clock()); }
+  // The last digest that was heard from a host's run; 0 where there is none.
+  std::int64_t HeardOf(const state::HostRef& aHost) const;
 
-  // A record of the hosts' table; the address is where the peer connects.
   void OnDigest(const protocol::HostDigest& aDigest);
 
   const std::map<state::HostId, KnownPeer>& All() const { return this->peers; }
@@ -45,7 +54,9 @@
   std::vector<state::HostId> TakeSilent();
 
 private:
+  const state::HostRef self;
   Clock clock;
+  ownership::DigestTimes times;
   std::map<state::HostId, KnownPeer> peers;
   std::set<state::HostId> silent;
 };
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -123,6 +123,9 @@
   bool leaving = false;
   // The map that it goes by.
   MapMark map;
+  // Where that is this host's own: a time at which it surely went by it, on
+  // this host's clock; see DigestTimes.
+  TimePoint saidAt;
 };
 
 class Assigner
@@ -252,6 +255,9 @@
   const OwnerView* FindOwner(const std::vector<OwnerView>& aOwners,
                              const Holder& aHolder) const;
   bool IsTroubled(const state::UpstreamId& aId) const;
+  void SetTroubled(const state::UpstreamId& aId);
+  // It has been given keys and has not answered yet.
+  bool IsAwaited(const Holder& aHolder) const;
   std::vector<Key> SortedRequests();
   void Write(const Assignment& aNext);
   void Publish();
@@ -275,11 +281,18 @@
   TimePoint planDue;
   TimePoint balanceDue;
   TimePoint claimedAt;
-  // The assigner before, while it may still renew.
-  state::HostRef foreignHost;
+  // Assigners before this one may still renew.
+  bool foreignMayRenew = false;
+  // What they renewed has lapsed by then.
   TimePoint foreignLapse;
-  // Upstreams that did not answer orders, and until when they get no keys.
-  std::map<state::UpstreamId, TimePoint> troubled;
+  // Upstreams that did not answer orders; until they answer one, each further
+  // failure doubles the time in which they get no keys.
+  struct Trouble
+  {
+    TimePoint until;
+    std::chrono::milliseconds lasts{ 0 };
+  };
+  std::map<state::UpstreamId, Trouble> troubled;
   std::deque<std::pair<TimePoint, Key>> requests;
   std::vector<OwnerView> owners;
 };
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -52,6 +52,7 @@
 constexpr int kFailuresToLose = 2;
 constexpr milliseconds kSilentHolder{ 1300 };
 constexpr milliseconds kTroubled{ 3000 };
+constexpr milliseconds kLongestTrouble{ 24'000 };
 // Requests of so long are weighed; some 300 at 130 a second.
 constexpr milliseconds kRequestWindow{ 2500 };
 constexpr std::size_t kMostRequests = 20'000;
@@ -291,15 +292,10 @@
   this->confirming = false;
   this->step = 0;
   const bool isFirst = aStored.assigner.host.value.empty();
-  this->foreignHost = aStored.assigner;
   this->claimedAt = now;
-  // An earlier run of this very host has ended, or this one would not be.
-  if (isFirst || aStored.assigner.host == this->options.self.host) {
-    this->foreignHost = {};
-    this->foreignLapse = this->LapseFromNow();
-  } else {
-    this->foreignLapse = TimePoint::max();
-  }
+  // Not only the last one: those before it may have stood still ever since.
+  this->foreignMayRenew = !isFirst;
+  this->foreignLapse = isFirst ? TimePoint{} : TimePoint::max();
   this->assignment = *parsed;
   for (const AssignedRange& one : parsed->ranges) {
     Range range;
@@ -368,36 +364,26 @@
   return followers * 3 >= known * 2;
 }
 
-// The assigner before has stopped where it runs no more, goes by this one's
-// map, or can have neither a confirmation nor enough hosts behind it; from then
-// on only what it sent before counts.
+// Assigners before this one have stopped where they can have neither a
+// confirmation nor enough hosts behind them; from then on only what they sent
+// before counts. A host never goes back to an older map, so what it said of one
+// was said before it took this one.
 void Assigner::CheckForeign()
 {
-  const auto peers = this->hooks.peers();
-  for (const PeerView& peer : peers) {
+  for (const PeerView& peer : this->hooks.peers()) {
     // A map of a later version comes from an assigner that has claimed since.
     if (peer.map.version > this->stored.assignmentVersion &&
         peer.map.assigner != this->options.self && !this->writing) {
       this->StepDown("a peer knows a later map");
       return;
     }
-    if (this->foreignHost.host.value.empty() ||
-        peer.host.host != this->foreignHost.host) {
-      continue;
-    }
-    const bool ended = peer.host.incarnation > this->foreignHost.incarnation;
-    const bool follows = peer.map.assigner == this->options.self;
-    if (ended || follows) {
-      this->foreignLapse = std::min(this->foreignLapse, this->LapseFromNow());
-      this->foreignHost = {};
-    }
   }
   const auto [followers, known] = this->Followers();
-  if (!this->foreignHost.host.value.empty() && followers * 2 > known) {
+  if (this->foreignMayRenew && followers * 2 > known) {
     const TimePoint now = this->hooks.now();
     const TimePoint stops = std::max(this->claimedAt + kConfirmed, now + kSaid);
     this->foreignLapse = this->LapseFromNow() + (stops - now);
-    this->foreignHost = {};
+    this->foreignMayRenew = false;
   }
 }
 
@@ -666,6 +652,7 @@
   if (aReply.result == OrderResult::kDone) {
     range->lastAnswer = now;
     range->failures = 0;
+    this->troubled.erase(range->stored.holder.upstream);
     range->handover.clear();
     if (!range->granted) {
       range->granted = true;
@@ -686,7 +673,7 @@
                       (now - range->lastAnswer >= kSilentHolder ||
                        aReply.result == OrderResult::kUnreachable);
   if (surely || silent) {
-    this->troubled[range->stored.holder.upstream] = now + kTroubled;
+    this->SetTroubled(range->stored.holder.upstream);
     this->planDue = now;
     this->Plan();
   }
@@ -697,7 +684,29 @@
 bool Assigner::IsTroubled(const state::UpstreamId& aId) const
 {
   const auto found = this->troubled.find(aId);
-  return found != this->troubled.end() && found->second > this->hooks.now();
+  return found != this->troubled.end() &&
+         found->second.until > this->hooks.now();
+}
+
+void Assigner::SetTroubled(const state::UpstreamId& aId)
+{
+  const TimePoint now = this->hooks.now();
+  Trouble& trouble = this->troubled[aId];
+  // All its ranges fail together; that is one trouble.
+  if (trouble.until > now) {
+    return;
+  }
+  trouble.lasts = trouble.lasts.count() == 0
+                    ? kTroubled
+                    : std::min(kLongestTrouble, trouble.lasts * 2);
+  trouble.until = now + trouble.lasts;
+}
+
+bool Assigner::IsAwaited(const Holder& aHolder) const
+{
+  return std::ranges::any_of(this->ranges, [&aHolder](const Range& aRange) {
+    return aRange.stored.holder == aHolder && !aRange.granted;
+  });
 }
 
 const OwnerView* Assigner::FindOwner(const std::vector<OwnerView>& aOwners,
--- /dev/null
+++ b/src/ownership/tests/assigner_test.cpp
@@ -0,0 +1,339 @@
+// Who holds which keys while assigners, upstreams and the store fail.
+
+#include "ownership/tests/keysworld.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace kumquat::ownership::tests {
+
+class AssignerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(AssignerTest);
+  CPPUNIT_TEST(testAllKeysAreHeldSoonAfterTheStart);
+  CPPUNIT_TEST(testLeavingUpstreamIsReleased);
+  CPPUNIT_TEST(testSilentUpstreamIsWaitedOut);
+  CPPUNIT_TEST(testRebornUpstreamNeedNotBeWaitedOut);
+  CPPUNIT_TEST(testKilledAssignerCostsNoHold);
+  CPPUNIT_TEST(testAssignerAndUpstreamLostTogether);
+  CPPUNIT_TEST(testStoreOutageCostsNoHold);
+  CPPUNIT_TEST(testAssignerTurnedAwayAndCutOffStops);
+  CPPUNIT_TEST(testThawedAssignerChangesNothing);
+  CPPUNIT_TEST(testLateGrantIsFencedOff);
+  CPPUNIT_TEST(testLostAnswersOfTheStore);
+  CPPUNIT_TEST(testSilentUpstreamIsTriedRarely);
+  CPPUNIT_TEST(testRandomTroubleNeverGivesAKeyTwice);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void testAllKeysAreHeldSoonAfterTheStart()
+  {
+    KeysWorld world(12, 14);
+    CPPUNIT_ASSERT(
+      world.RunUntil([&] { return world.AllHeld(); }, milliseconds(6000)));
+    CPPUNIT_ASSERT(!world.AssignerName().empty());
+  }
+
+  // An operator takes an upstream away. It is alive, so its keys are released
+  // and served elsewhere within moments, not after its hold has run out.
+  void testLeavingUpstreamIsReleased()
+  {
+    KeysWorld world(5, 4);
+    Settle(world);
+    world.Upstream("u1").mayOwn = false;
+    const bool moved = world.RunUntil(
+      [&] { return world.Upstream("u1").holds.empty() && world.AllHeld(); },
+      milliseconds(900));
+    CPPUNIT_ASSERT(moved);
+    CPPUNIT_ASSERT(world.Upstream("u1").releases > 0);
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
+  // An upstream stops answering its orders while callers' requests still reach
+  // it. It may go on serving its keys until its hold runs out, so nobody else
+  // may have them before; after that they are served again.
+  void testSilentUpstreamIsWaitedOut()
+  {
+    KeysWorld world(5, 4);
+    Settle(world);
+    world.Upstream("u1").silent = true;
+    const bool back = world.RunUntil(
+      [&] {
+        return world.AllHeld() && world.Upstream("u1").holds.size() > 0 &&
+               world.Upstream("u1").holds.front().until <= world.Now();
+      },
+      milliseconds(7000));
+    CPPUNIT_ASSERT(back);
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
+  // An upstream crashes and is back at once under its old name: the new life
+  // holds nothing, and its keys need not wait for the hold of the old one.
+  void testRebornUpstreamNeedNotBeWaitedOut()
+  {
+    KeysWorld world(5, 4);
+    Settle(world);
+    world.AddUpstream("u1", 2);
+    CPPUNIT_ASSERT(
+      world.RunUntil([&] { return world.AllHeld(); }, milliseconds(1000)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
+  // The host that assigns is killed. Another takes over before any hold runs
+  // out, and goes on with what it finds: no caller notices.
+  void testKilledAssignerCostsNoHold()
+  {
+    KeysWorld world(12, 14);
+    Settle(world);
+    const std::string before = world.AssignerName();
+    world.KillHost(before);
+    for (int i = 0; i < 80; ++i) {
+      world.RunFor(milliseconds(100));
+      CPPUNIT_ASSERT(world.AllHeld());
+    }
+    CPPUNIT_ASSERT(world.AssignerName() != before);
+    CPPUNIT_ASSERT(!world.AssignerName().empty());
+  }
+
+  // A data centre loses power with the assigner and an upstream in it, and
+  // neither comes back. The successor does not know what the lost assigner
+  // still sends, but the other hosts do: within 9 s the keys are served again.
+  // Waiting for the longest time that an assigner could go on alone kept them
+  // unserved for 15 s.
+  void testAssignerAndUpstreamLostTogether()
+  {
+    KeysWorld world(12, 14);
+    Settle(world);
+    world.KillHost(world.AssignerName());
+    world.Upstream("u3").silent = true;
+    world.Upstream("u3").mayOwn = false;
+    world.RunFor(milliseconds(3200));
+    CPPUNIT_ASSERT(
+      world.RunUntil([&] { return world.AllHeld(); }, milliseconds(5800)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
+  // The store is away for everybody for half a minute. Nobody can claim or
+  // change anything, and every upstream keeps what it has.
+  void testStoreOutageCostsNoHold()
+  {
+    KeysWorld world(12, 14);
+    Settle(world);
+    world.storeDown = true;
+    for (int i = 0; i < 300; ++i) {
+      world.RunFor(milliseconds(100));
+      CPPUNIT_ASSERT(world.AllHeld());
+    }
+    world.storeDown = false;
+    world.RunFor(milliseconds(3000));
+    CPPUNIT_ASSERT(world.AllHeld());
+  }
+
+  // The assigner hears neither the store nor any peer, but reaches upstreams.
+  // Another takes over and moves keys away from an upstream that does not
+  // answer it; the old one must have stopped renewing that upstream's hold.
+  void testAssignerTurnedAwayAndCutOffStops()
+  {
+    KeysWorld world(12, 14);
+    Settle(world);
+    const std::string old = world.AssignerName();
+    world.turnedAway.insert(old);
+    world.cutFromPeers.insert(old);
+    world.RunFor(milliseconds(12'000));
+    CPPUNIT_ASSERT(world.AssignerName() != old);
+    CPPUNIT_ASSERT(world.AllHeld());
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
+  // The assigner stands still for some seconds and wakes up as if nothing had
+  // happened, with keys moved by its successor meanwhile. Its old orders must
+  // not bring a key back.
+  void testThawedAssignerChangesNothing()
+  {
+    KeysWorld world(12, 14);
+    Settle(world);
+    const std::string old = world.AssignerName();
+    world.Freeze(old);
+    world.RunFor(milliseconds(2500));
+    world.Upstream("u2").mayOwn = false;
+    world.RunFor(milliseconds(2000));
+    world.Upstream("u2").mayOwn = true;
+    world.Thaw(old);
+    world.RunFor(milliseconds(5000));
+    CPPUNIT_ASSERT(world.AllHeld());
+    CPPUNIT_ASSERT(!world.AssignerOf(old).IsAssigner());
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
+  // An upstream answers no grant and carries it out five seconds later, when
+  // its keys are long elsewhere. It has seen the release's higher token by
+  // then, so the late grant is refused.
+  void testLateGrantIsFencedOff()
+  {
+    KeysWorld world(5, 4);
+    Settle(world);
+    world.Upstream("u1").late = milliseconds(5000);
+    world.RunFor(milliseconds(20'000));
+    world.Upstream("u1").late = milliseconds(0);
+    world.RunFor(milliseconds(8000));
+    CPPUNIT_ASSERT(world.AllHeld());
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
+  // A third of the writes are carried out, now or seconds later, and never
+  // answered, while upstreams leave and return. What was written is read back.
+  void testLostAnswersOfTheStore()
+  {
+    KeysWorld world(5, 6);
+    Settle(world);
+    world.lostAnswers = 35;
+    for (int i = 0; i < 12; ++i) {
+      FakeUpstream& one = world.Upstream("u" + std::to_string(i % 6));
+      one.mayOwn = false;
+      world.RunFor(milliseconds(2500));
+      one.mayOwn = true;
+    }
+    world.lostAnswers = 0;
+    world.RunFor(milliseconds(6000));
+    CPPUNIT_ASSERT(world.AllHeld());
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
+  // An upstream stays silent for good, though its entry stands. It is tried
+  // again less and less often, and with one piece of keys at a time: each try
+  // takes those keys out of service until the hold has run out.
+  void testSilentUpstreamIsTriedRarely()
+  {
+    KeysWorld world(5, 6);
+    Settle(world);
+    world.Upstream("u1").silent = true;
+    world.RunFor(milliseconds(8000));
+    int gaps = 0;
+    for (int i = 0; i < 300; ++i) {
+      world.RunFor(milliseconds(100));
+      gaps += world.AllHeld() ? 0 : 1;
+    }
+    CPPUNIT_ASSERT(gaps < 130);
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
+  // Everything at once, for a minute, by 40 seeds: kills, freezes, cuts, an
+  // outage for some or all, lost answers, upstreams that fall silent, carry
+  // orders out late, leave and start anew. No key is ever held twice, and
+  // within 25 s of the last trouble every key is held again.
+  void testRandomTroubleNeverGivesAKeyTwice()
+  {
+    constexpr unsigned kSeeds = 40;
+    for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+      KeysWorld world(7, 6, seed);
+      Settle(world);
+      std::mt19937 random(seed);
+      for (int i = 0; i < 60; ++i) {
+        Trouble(world, random);
+        world.RunFor(milliseconds(1000));
+      }
+      Calm(world);
+      const bool held =
+        world.RunUntil([&] { return world.AllHeld(); }, milliseconds(25'000));
+      const std::string name = "seed " + std::to_string(seed) + ": ";
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string(), world.Violation());
+      CPPUNIT_ASSERT_MESSAGE(name + "keys are left over", held);
+    }
+  }
+
+private:
+  static void Settle(KeysWorld& aWorld)
+  {
+    CPPUNIT_ASSERT(
+      aWorld.RunUntil([&] { return aWorld.AllHeld(); }, milliseconds(8000)));
+    aWorld.RunFor(milliseconds(2000));
+  }
+
+  static std::string Pick(const std::vector<std::string>& aNames,
+                          std::mt19937& aRandom)
+  {
+    return aNames[aRandom() % aNames.size()];
+  }
+
+  static void Trouble(KeysWorld& aWorld, std::mt19937& aRandom)
+  {
+    const std::string host = Pick(aWorld.Hosts(), aRandom);
+    const std::string assigner = aWorld.AssignerName();
+    const std::string victim =
+      aRandom() % 2 == 0 && !assigner.empty() ? assigner : host;
+    FakeUpstream& upstream =
+      aWorld.Upstream("u" + std::to_string(aRandom() % 6));
+    switch (aRandom() % 14) {
+      case 0:
+        aWorld.KillHost(victim);
+        aWorld.StartHost(victim);
+        return;
+      case 1:
+        if (!aWorld.IsFrozen(victim)) {
+          aWorld.Freeze(victim);
+        }
+        return;
+      case 2:
+        for (const std::string& name : aWorld.Hosts()) {
+          if (aWorld.IsFrozen(name)) {
+            aWorld.Thaw(name);
+          }
+        }
+        return;
+      case 3:
+        aWorld.storeDown = !aWorld.storeDown;
+        return;
+      case 4:
+        aWorld.turnedAway.insert(victim);
+        return;
+      case 5:
+        aWorld.turnedAway.clear();
+        return;
+      case 6:
+        aWorld.cutFromPeers.insert(victim);
+        return;
+      case 7:
+        aWorld.cutFromPeers.clear();
+        return;
+      case 8:
+        aWorld.lostAnswers = aRandom() % 2 == 0 ? 35 : 0;
+        return;
+      case 9:
+        upstream.silent = !upstream.silent;
+        return;
+      case 10:
+        upstream.late = milliseconds(upstream.late.count() > 0 ? 0 : 4000);
+        return;
+      case 11:
+        upstream.mayOwn = !upstream.mayOwn;
+        return;
+      case 12:
+        aWorld.AddUpstream(upstream.holder.upstream.value,
+                           upstream.holder.born + 1);
+        return;
+      default:
+        return;
+    }
+  }
+
+  static void Calm(KeysWorld& aWorld)
+  {
+    aWorld.storeDown = false;
+    aWorld.lostAnswers = 0;
+    aWorld.turnedAway.clear();
+    aWorld.cutFromPeers.clear();
+    for (const std::string& name : aWorld.Hosts()) {
+      if (aWorld.IsFrozen(name)) {
+        aWorld.Thaw(name);
+      }
+    }
+    for (auto& [name, one] : aWorld.Upstreams()) {
+      one.silent = false;
+      one.late = milliseconds(0);
+      one.mayOwn = true;
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AssignerTest);
+
+} // namespace kumquat::ownership::tests
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -233,6 +233,8 @@
   2: i64 version
   3: i64 step
   4: HostRef assigner
+  // The last digest that the sender had heard from that assigner's run.
+  5: i64 heard
 }
 
 // What a host tells all others a few times a second.
@@ -246,6 +248,8 @@
   6: list<KeyMapMark> keyMaps
   // Only in digests to the assigner of the service.
   7: list<KeyUse> keyUses
+  // Counts the digests of the sender's run.
+  8: i64 number
 }
 
 struct KeyRange {
