--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -2,7 +2,9 @@
 
 #include "node/internal/gatewayimpl.h"
 
+#include "node/callers.h"
 #include "node/internal/clocks.h"
+#include "node/internal/listening.h"
 #include "platform/messages.h"
 #include "platform/names.h"
 
@@ -46,37 +48,6 @@
 // keep the same ones.
 constexpr std::uint64_t kServedSample = 16;
 
-std::string IpOf(const std::string& aAddress)
-{
-  return aAddress.substr(0, aAddress.rfind(':'));
-}
-
-HttpResponse PlainText(int aStatus, std::string aText)
-{
-  HttpResponse response;
-  response.status = aStatus;
-  response.headers = { { "Content-Type", "text/plain; charset=utf-8" } };
-  response.body = std::move(aText);
-  return response;
-}
-
-ErrorKind KindOf(transport::ServerRefusal aRefusal)
-{
-  using transport::ServerRefusal;
-  switch (aRefusal) {
-    case ServerRefusal::kHeaderTooLarge:
-      return ErrorKind::kHeaderTooLarge;
-    case ServerRefusal::kBodyTooLarge:
-      return ErrorKind::kBodyTooLarge;
-    case ServerRefusal::kTooManyConnections:
-      return ErrorKind::kTooManyConnections;
-    case ServerRefusal::kMalformed:
-    case ServerRefusal::kTooSlow:
-      break;
-  }
-  return ErrorKind::kMalformedRequest;
-}
-
 } // namespace
 
 Gateway::Impl::Impl(const state::GatewaySettings& aSettings)
@@ -136,19 +107,19 @@
     IpOf(this->settings.peerAddress),
     std::vector<std::string>{ std::string(platform::kOperatorTable),
                               std::string(platform::kUpstreamTable) },
-    StoreDuty::Hooks{
-      [this](TableNews aNews) {
-        this->serving.Hand([this, news = std::move(aNews)]() mutable {
-          this->OnTableNews(std::move(news));
-        });
-      },
-      [this](bool aWell) {
-        this->serving.Hand([this, aWell] {
-          this->isStoreWell = aWell;
-          this->log.Write(aWell ? Event::kStoreBack : Event::kStoreDown);
-          this->keys->SetStoreWell(aWell);
-        });
-      } });
+    StoreDuty::Hooks{ [this](TableNews aNews) {
+                       this->serving.Hand([this, news = std::move(aNews)] {
+                         this->OnTableNews(news);
+                       });
+                     },
+                      [this](bool aWell) {
+                        this->serving.Hand([this, aWell] {
+                          this->isStoreWell = aWell;
+                          this->log.Write(aWell ? Event::kStoreBack
+                                                : Event::kStoreDown);
+                          this->keys->SetStoreWell(aWell);
+                        });
+                      } });
   for (const std::error_code error :
        { this->ListenForPeers(), this->ListenForChecks(),
          this->ListenForMetrics(), this->ListenForCallers() }) {
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -66,7 +66,7 @@
   void OnEnded(const routing::RequestTrace& aTrace);
   void OnFrame(const protocol::HostRef& aFrom, const protocol::Frame& aFrame);
   void OnDigest(const protocol::HostDigest& aDigest);
-  void OnTableNews(TableNews aNews);
+  void OnTableNews(const TableNews& aNews);
   void ApplyOperatorRows();
   void ApplyUpstreamRows(const std::vector<state::StoredRow>& aChanged,
                          std::chrono::milliseconds aGrace);
@@ -81,8 +81,6 @@
   void Later(std::chrono::milliseconds aPause, std::function<void()> aWork);
   void PublishGauges();
   bool IsReady() const;
-  void Answer(const transport::HttpServer::Respond& aRespond,
-              transport::HttpResponse aResponse);
 
   state::GatewaySettings settings;
   const state::HostRef self;
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -109,7 +109,7 @@
     });
 }
 
-void Gateway::Impl::OnTableNews(TableNews aNews)
+void Gateway::Impl::OnTableNews(const TableNews& aNews)
 {
   const std::vector<state::StoredRow> changed =
     this->tables.Apply(aNews.table, aNews.rows, aNews.whole, aNews.version);
@@ -226,7 +226,7 @@
       answer.rows.push_back(std::move(one));
     }
     protocol::Frame frame;
-    frame.__set_tableCopy(std::move(answer));
+    frame.__set_tableCopy(answer);
     static_cast<void>(this->network->Send(aFrom.host, frame));
   } else if (aFrame.__isset.tableCopy) {
     TableNews news;
@@ -241,7 +241,7 @@
     this->log.Write(Event::kTableFromPeer, { { "peer", aFrom.host },
                                              { "table", news.table },
                                              { "version", news.version } });
-    this->OnTableNews(std::move(news));
+    this->OnTableNews(news);
   }
 }
 
@@ -256,9 +256,9 @@
   const KnownPeer& peer = this->peers.All().at(id);
   this->AskBehind(peer);
   if (this->keys->IsAssigner()) {
-    for (auto& update : this->keys->UpdatesFor(peer)) {
+    for (const auto& update : this->keys->UpdatesFor(peer)) {
       protocol::Frame frame;
-      frame.__set_keyMapUpdate(std::move(update));
+      frame.__set_keyMapUpdate(update);
       static_cast<void>(this->network->Send(id.value, frame));
     }
   }
--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -4,6 +4,7 @@
 
 #include "node/callers.h"
 #include "node/internal/clocks.h"
+#include "node/internal/listening.h"
 
 #include <algorithm>
 #include <thread>
@@ -36,20 +37,6 @@
   return { { aRef.host }, aRef.incarnation };
 }
 
-std::string IpOf(const std::string& aAddress)
-{
-  return aAddress.substr(0, aAddress.rfind(':'));
-}
-
-HttpResponse PlainText(int aStatus, std::string aText)
-{
-  HttpResponse response;
-  response.status = aStatus;
-  response.headers = { { "Content-Type", "text/plain; charset=utf-8" } };
-  response.body = std::move(aText);
-  return response;
-}
-
 } // namespace
 
 Node::Impl::Impl(const state::Settings& aSettings,
--- /dev/null
+++ b/src/node/tests/tables_test.cpp
@@ -0,0 +1,120 @@
+// Copies of the store's tables, and what peers say.
+
+#include "node/internal/peerduty.h"
+#include "node/internal/tables.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace kumquat::node {
+
+using std::chrono::milliseconds;
+
+class TablesTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TablesTest);
+  CPPUNIT_TEST(testLateCopyBringsNothingBack);
+  CPPUNIT_TEST(testWholeCopyTellsWhatIsGone);
+  CPPUNIT_TEST(testChangesAlreadyCopiedAreNoNews);
+  CPPUNIT_TEST(testOldDigestsAreNoFreshWord);
+  CPPUNIT_TEST(testDigestOfAnEndedRunIsIgnored);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // A peer's copy of the configuration was long on its way, and the store has
+  // told a newer one meanwhile: the older must not come into force again.
+  void testLateCopyBringsNothingBack()
+  {
+    this->tables.Apply("op", { Row("config", "new", 9) }, false, 9);
+    const auto changed =
+      this->tables.Apply("op", { Row("config", "old", 7) }, true, 7);
+    CPPUNIT_ASSERT(changed.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("new"),
+                         this->tables.Find("op").rows.at("config").value);
+  }
+
+  // A host missed changes, as the store's history was dropped: what is gone
+  // shows only by its absence.
+  void testWholeCopyTellsWhatIsGone()
+  {
+    this->tables.Apply("servers", { Row("a", "", 1), Row("b", "", 2) }, true,
+                       2);
+    const auto changed =
+      this->tables.Apply("servers", { Row("b", "", 2) }, true, 5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changed.size());
+    CPPUNIT_ASSERT(changed[0].removed);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), changed[0].key);
+    CPPUNIT_ASSERT_EQUAL(state::Version{ 5 },
+                         this->tables.Find("servers").version);
+  }
+
+  void testChangesAlreadyCopiedAreNoNews()
+  {
+    this->tables.Apply("servers", { Row("a", "", 6) }, true, 6);
+    CPPUNIT_ASSERT(
+      this->tables.Apply("servers", { Row("a", "", 6) }, false, 8).empty());
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 1 },
+      this->tables.Apply("servers", { Row("c", "", 7) }, false, 8).size());
+  }
+
+  // A host stood still for four seconds. The digests that waited in its
+  // connections were sent in answer to its digests of before; they must not
+  // count as if they had been said now.
+  void testOldDigestsAreNoFreshWord()
+  {
+    const state::HostRef self{ { "h0" }, 1 };
+    Peers peers(self, [this] { return this->now; });
+    const std::int64_t number = peers.NextDigest();
+    const TimePoint sent = this->now;
+    protocol::HostDigest digest;
+    digest.sender.__set_host("h1");
+    digest.sender.__set_incarnation(1);
+    protocol::KeyMapMark mark = ToWire({ "stoc" }, { 3, 1, self });
+    mark.__set_heard(number);
+    digest.keyMaps.push_back(mark);
+    this->now += milliseconds(4000);
+    peers.OnDigest(digest);
+    const auto views = peers.ViewsOf({ "stoc" });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, views.size());
+    CPPUNIT_ASSERT(views[0].heardAt == this->now);
+    CPPUNIT_ASSERT(views[0].saidAt == sent);
+    CPPUNIT_ASSERT(views[0].map.assigner == self);
+  }
+
+  void testDigestOfAnEndedRunIsIgnored()
+  {
+    Peers peers({ { "h0" }, 1 }, [this] { return this->now; });
+    protocol::HostDigest digest;
+    digest.sender.__set_host("h1");
+    digest.sender.__set_incarnation(5);
+    digest.__set_number(3);
+    peers.OnDigest(digest);
+    digest.sender.__set_incarnation(4);
+    digest.__set_leaving(true);
+    peers.OnDigest(digest);
+    CPPUNIT_ASSERT(!peers.All().at({ "h1" }).leaving);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 3 }, peers.HeardOf({ { "h1" }, 5 }));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, peers.HeardOf({ { "h1" }, 6 }));
+    this->now += milliseconds(1500);
+    CPPUNIT_ASSERT(peers.Live().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, peers.TakeSilent().size());
+    CPPUNIT_ASSERT(peers.TakeSilent().empty());
+  }
+
+private:
+  static state::StoredRow Row(std::string aKey, std::string aValue,
+                              state::Version aVersion)
+  {
+    return { "", "", std::move(aKey), std::move(aValue), aVersion, false };
+  }
+
+  TableCopies tables;
+  TimePoint now{ std::chrono::hours(1) };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TablesTest);
+
+} // namespace kumquat::node
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -274,16 +274,16 @@
     this->sweep.expires_after(kSweepEvery);
     this->sweep.async_wait(
       [self = this->weak_from_this()](const beast::error_code& aError) {
-        const auto state = self.lock();
-        if (aError || !state) {
+        const auto held = self.lock();
+        if (aError || !held) {
           return;
         }
         const TimePoint now = std::chrono::steady_clock::now();
-        for (const auto& session : state->Held()) {
+        for (const auto& session : held->Held()) {
           session->CheckTime(now);
         }
-        if (!state->stopping || !state->sessions.empty()) {
-          state->Sweep();
+        if (!held->stopping || !held->sessions.empty()) {
+          held->Sweep();
         }
       });
   }
--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -213,6 +213,7 @@
       aRespond(response);
     };
     std::vector<std::unique_ptr<RawCaller>> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.push_back(std::make_unique<RawCaller>());
     }
