--- a/src/coordination/retrybudget.h
+++ b/src/coordination/retrybudget.h
@@ -39,6 +39,13 @@
   {
   }
 
+  // What was saved beyond it is lost.
+  void SetMostTokens(double aMostTokens)
+  {
+    this->mostTokens = aMostTokens;
+    this->tokens = std::min(this->tokens, aMostTokens);
+  }
+
   void OnRequest()
   {
     this->tokens =
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -58,7 +58,7 @@
     world.Upstream("u1").silent = true;
     const bool back = world.RunUntil(
       [&] {
-        return world.AllHeld() && world.Upstream("u1").holds.size() > 0 &&
+        return world.AllHeld() && !world.Upstream("u1").holds.empty() &&
                world.Upstream("u1").holds.front().until <= world.Now();
       },
       milliseconds(7000));
--- a/src/ownership/tests/balance_test.cpp
+++ b/src/ownership/tests/balance_test.cpp
@@ -114,8 +114,8 @@
     CPPUNIT_ASSERT_EQUAL(PrintAssignment(assignment), PrintAssignment(*again));
     for (const char* text :
          { "", "{}", "[1]", R"({"nextFence":1,"ranges":[]})",
-           R"({"nextFence":1,"ranges":[{"first":1,"last":65535,)"
-           R"("holder":["u",1],"fence":1}]})" }) {
+           R"({"nextFence":1,"ranges":[{"first":1,"last":65535,
+               "holder":["u",1],"fence":1}]})" }) {
       CPPUNIT_ASSERT(ParseAssignment(text).has_error());
     }
   }
@@ -143,6 +143,7 @@
   static std::vector<Holder> Holders(int aCount)
   {
     std::vector<Holder> holders;
+    holders.reserve(static_cast<std::size_t>(aCount));
     for (int i = 0; i < aCount; ++i) {
       holders.push_back({ { "u" + std::to_string(i) }, 1 });
     }
--- a/src/ownership/tests/keysworld.h
+++ b/src/ownership/tests/keysworld.h
@@ -25,6 +25,8 @@
 
 constexpr milliseconds kTick{ 100 };
 constexpr milliseconds kWay{ 2 };
+constexpr milliseconds kStoreTimeout{ 1500 };
+constexpr milliseconds kOrderTimeout{ 700 };
 
 struct FakeUpstream
 {
@@ -153,6 +155,7 @@
   std::vector<std::string> Hosts() const
   {
     std::vector<std::string> names;
+    names.reserve(this->hosts.size());
     for (const auto& [name, host] : this->hosts) {
       names.push_back(name);
     }
@@ -238,7 +241,7 @@
   void OnHost(const HostPtr& aHost, milliseconds aDelay,
               std::function<void()> aWork)
   {
-    this->At(aDelay, [this, aHost, work = std::move(aWork)] {
+    this->At(aDelay, [aHost, work = std::move(aWork)] {
       if (!aHost->alive) {
         return;
       }
@@ -300,7 +303,8 @@
     hooks.read = [this, weak](Assigner::ReadDone aDone) {
       this->Read(weak.lock(), std::move(aDone));
     };
-    hooks.write = [this, weak](KeysWrite aWrite, Assigner::WriteDone aDone) {
+    hooks.write = [this, weak](const KeysWrite& aWrite,
+                               Assigner::WriteDone aDone) {
       this->Write(weak.lock(), aWrite, std::move(aDone));
     };
     hooks.order = [this, weak](const Order& aOrder, Assigner::OrderDone aDone) {
@@ -338,10 +342,9 @@
 
   void Read(const HostPtr& aHost, Assigner::ReadDone aDone)
   {
-    constexpr milliseconds kTimeout{ 1500 };
     this->At(kWay, [this, aHost, done = std::move(aDone)] {
       if (!this->ReachesStore(*aHost)) {
-        this->OnHost(aHost, kTimeout, [done] {
+        this->OnHost(aHost, kStoreTimeout, [done] {
           done(std::make_error_code(std::errc::timed_out));
         });
         return;
@@ -353,10 +356,9 @@
   void Write(const HostPtr& aHost, const KeysWrite& aWrite,
              Assigner::WriteDone aDone)
   {
-    constexpr milliseconds kTimeout{ 1500 };
     this->At(kWay, [this, aHost, write = aWrite, done = std::move(aDone)] {
       if (!this->ReachesStore(*aHost)) {
-        this->OnHost(aHost, kTimeout,
+        this->OnHost(aHost, kStoreTimeout,
                      [done] { done(state::WriteOutcome::kUnknown, 0); });
         return;
       }
@@ -364,7 +366,7 @@
         // Carried out now or seconds later, if it still may be.
         this->At(milliseconds(this->Chance(50) ? 0 : 3000),
                  [this, write] { this->Perform(write); });
-        this->OnHost(aHost, kTimeout,
+        this->OnHost(aHost, kStoreTimeout,
                      [done] { done(state::WriteOutcome::kUnknown, 0); });
         return;
       }
@@ -397,11 +399,10 @@
   void Carry(const HostPtr& aHost, const Order& aOrder,
              Assigner::OrderDone aDone)
   {
-    constexpr milliseconds kTimeout{ 700 };
     this->At(kWay, [this, aHost, order = aOrder, done = std::move(aDone)] {
       FakeUpstream& upstream = this->upstreams.at(order.upstream.value);
       const auto noAnswer = [this, aHost, done] {
-        this->OnHost(aHost, kTimeout, [done] {
+        this->OnHost(aHost, kOrderTimeout, [done] {
           done({ OrderResult::kNoAnswer, {} });
         });
       };
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -170,6 +170,7 @@
   struct ServiceState;
 
   ServiceState& StateOf(const state::ServiceName& aName);
+  double MostResends() const;
   const state::ServiceName& PickService(const Route& aRoute);
   double UsualMs(const state::ServiceName& aName);
   void LearnBytes(const Request& aRequest, std::size_t aAnswered);
@@ -189,8 +190,9 @@
                      std::string_view aWord);
   void Fail(const RequestPtr& aRequest, protocol::ErrorKind aError);
   void Refuse(const RequestPtr& aRequest, protocol::ErrorKind aError);
-  void Finish(RequestPtr aRequest, CallerAnswer aAnswer);
-  void OnDeadline(RequestPtr aRequest);
+  // The caller holds the request, as its end takes it out of the map.
+  void Finish(const RequestPtr& aRequest, CallerAnswer aAnswer);
+  void OnDeadline(const RequestPtr& aRequest);
 
   const DispatcherOptions options;
   Upstreams& upstreams;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -27,6 +27,11 @@
 // Times that one request is sent where each send was refused or never left.
 // Four find a free upstream among fifteen unless all are full.
 constexpr std::size_t kMostSends = 4;
+// Part of the allowed further sends that is used: requests of one span are
+// counted with sends of another where the spans are cut differently.
+constexpr double kBudgetMargin = 0.8;
+// Hosts that are assumed while fewer have been heard.
+constexpr std::size_t kLeastHosts = 4;
 // An answer that arrives in the last moment has to reach the caller too.
 constexpr milliseconds kAnswerMargin{ 10 };
 // A hand-over of keys: the work on them ends, a release and a grant are
@@ -132,6 +137,18 @@
 {
   this->hostCount = std::max<std::size_t>(1, aHosts.size());
   this->coldPace.SetHosts(aHosts);
+  for (const auto& [name, service] : this->services) {
+    service->budget.SetMostTokens(this->MostResends());
+  }
+}
+
+// This host's part of what all may send once more beside the share. A host
+// that has just started has heard nobody yet, and must not take the whole.
+double Dispatcher::MostResends() const
+{
+  const auto hosts = std::max(kLeastHosts, this->hostCount);
+  return std::max(1.0, kBudgetMargin * this->options.resendExtra /
+                         static_cast<double>(hosts));
 }
 
 Dispatcher::ServiceState& Dispatcher::StateOf(const state::ServiceName& aName)
@@ -140,9 +157,7 @@
   if (!state) {
     state = std::make_unique<ServiceState>();
     state->budget = coordination::RetryBudget(
-      this->options.resendShare,
-      std::max(1.0, this->options.resendExtra /
-                      static_cast<double>(this->hostCount)));
+      kBudgetMargin * this->options.resendShare, this->MostResends());
   }
   return *state;
 }
@@ -604,7 +619,7 @@
                { {}, aError, RetryAfter(this->Outlook(*aRequest), spread) });
 }
 
-void Dispatcher::Finish(RequestPtr aRequest, CallerAnswer aAnswer)
+void Dispatcher::Finish(const RequestPtr& aRequest, CallerAnswer aAnswer)
 {
   const TimePoint now = this->hooks.now();
   RequestTrace trace;
@@ -634,7 +649,7 @@
   }
 }
 
-void Dispatcher::OnDeadline(RequestPtr aRequest)
+void Dispatcher::OnDeadline(const RequestPtr& aRequest)
 {
   if (!aRequest->isRunning) {
     this->StateOf(aRequest->service).waiting.remove(aRequest);
@@ -665,8 +680,9 @@
   while (!this->deadlines.empty() &&
          this->deadlines.begin()->first <= now + kAnswerMargin) {
     const auto found = this->requests.find(this->deadlines.begin()->second);
-    // By value: the end of the request takes it out of the map.
-    this->OnDeadline(RequestPtr(found->second));
+    // Its end takes it out of the map, and a reference into that with it.
+    const RequestPtr request = found->second;
+    this->OnDeadline(request);
   }
   for (const auto& [name, service] : this->services) {
     if (!service->waiting.empty() && service->lookAgain <= now) {
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(testUnsignedSuccessIsNone);
   CPPUNIT_TEST(testAttemptsAreBounded);
   CPPUNIT_TEST(testResendsKeepToTheirShare);
+  CPPUNIT_TEST(testNewHostTakesItsPartOnly);
   CPPUNIT_TEST(testCallerGoneCancelsWhatMayRepeat);
   CPPUNIT_TEST(testDeadlineIsAnsweredInTime);
   CPPUNIT_TEST(testHopelessRequestIsRefusedAtOnce);
@@ -201,6 +202,19 @@
     CPPUNIT_ASSERT(this->resent >= kRequests / 20);
   }
 
+  // All hosts were killed and are back, and each has heard nobody yet. If each
+  // took itself for the only one, together they would send once more many times
+  // what is allowed.
+  void testNewHostTakesItsPartOnly()
+  {
+    for (int i = 0; i < 12; ++i) {
+      this->dispatcher->OnSendFailed(this->Ask("/look/1"),
+                                     TransportError::kBroken);
+      this->now += milliseconds(400);
+    }
+    CPPUNIT_ASSERT(this->resent <= 5);
+  }
+
   void testCallerGoneCancelsWhatMayRepeat()
   {
     const auto look = this->Ask("/look/1");
@@ -333,8 +347,10 @@
   void testColdUpstreamIsPaced()
   {
     constexpr double kPerSecond = 5;
+    constexpr int kHosts = 12;
     std::vector<state::HostId> hosts;
-    for (int i = 0; i < 12; ++i) {
+    hosts.reserve(kHosts);
+    for (int i = 0; i < kHosts; ++i) {
       hosts.push_back({ "h" + std::to_string(i) });
     }
     std::vector<ColdPace> paces(hosts.begin(), hosts.end());
