--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -25,8 +25,8 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  // Newer settings; only the log's level and the bounds of resending change
-  // within a run, the addresses stay.
+  // Newer settings; within a run only the grace changes. This, the next and
+  // Stop are for one thread.
   void Reload(const state::GatewaySettings& aSettings);
   // The text that was to be reloaded is not sound; the settings stay.
   void OnReloadFailed(const std::string& aFault);
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -462,10 +462,8 @@
 
 void Gateway::Impl::Reload(const state::GatewaySettings& aSettings)
 {
-  this->serving.Hand([this, aSettings] {
-    this->settings.grace = aSettings.grace;
-    this->log.Write(Event::kSettingsReloaded);
-  });
+  this->settings.grace = aSettings.grace;
+  this->log.Write(Event::kSettingsReloaded);
 }
 
 void Gateway::Impl::OnReloadFailed(const std::string& aFault)
