Steward learns of a restart from health reports; a woken assigner takes no old word for fresh

An upstream that restarted while nothing ran there kept the room of its old process until its first answer, and fell over when two requests met. Health reports now reset the ramp, and work without an answer has the health asked for at once. Ruled out: the ramp itself (resets on an answer's incarnation), the stand-in's grace of 250 ms (a report comes each 200 ms).

Cause 2: Assigner::Followers counted what peers said from its arrival. A host that stood still for 12 s renewed a hold that its successor had waited out.

--- a/src/coordination/internal/steward.cpp
+++ b/src/coordination/internal/steward.cpp
@@ -3,6 +3,7 @@
 #include "coordination/steward.h"
 
 #include <algorithm>
+#include <charconv>
 #include <iterator>
 #include <ranges>
 #include <utility>
@@ -118,16 +119,28 @@
     [&aRef](const Running& aRunning) { return aRunning.upstream == aRef; }));
 }
 
-void Steward::OnRestarted(const UpstreamRef& aRef)
+void Steward::OnIncarnation(const UpstreamRef& aRef,
+                            state::Incarnation aIncarnation)
 {
   Upstream* upstream = this->Find(aRef);
-  if (upstream == nullptr) {
+  if (upstream == nullptr || upstream->incarnation == aIncarnation) {
     return;
   }
-  upstream->ramp.Reset();
+  NoteIncarnation(*upstream, aIncarnation);
   this->roomChanged.Send(this->Count(*upstream));
 }
 
+// Failure: the upstream is back as a new process with nothing warm, though
+// nobody said so. Given what the old one bore it falls over.
+void Steward::NoteIncarnation(Upstream& aUpstream,
+                              state::Incarnation aIncarnation)
+{
+  if (aUpstream.incarnation != 0 && aUpstream.incarnation != aIncarnation) {
+    aUpstream.ramp.Reset();
+  }
+  aUpstream.incarnation = aIncarnation;
+}
+
 bool Steward::Holds(const UpstreamRef& aRef) const
 {
   return this->Find(aRef) != nullptr;
@@ -328,6 +341,8 @@
   }
   if (aAnswer) {
     this->hooks.answered(found->second.upstream, *aAnswer);
+  } else {
+    this->hooks.unanswered(found->second.upstream);
   }
   RequestResult result = JudgeUpstreamAnswer(std::move(aAnswer));
   if (Upstream* upstream = this->Find(found->second.upstream)) {
@@ -373,12 +388,10 @@
   if (aResult.error != ErrorKind::kNone) {
     return;
   }
-  const std::string incarnation(aResult.response.Header("Kumquat-Incarnation"));
-  // Back as a new process, with nothing warm, though nobody said so.
-  if (!aUpstream.incarnation.empty() && aUpstream.incarnation != incarnation) {
-    aUpstream.ramp.Reset();
-  }
-  aUpstream.incarnation = incarnation;
+  const std::string_view text = aResult.response.Header("Kumquat-Incarnation");
+  state::Incarnation incarnation = 0;
+  std::from_chars(text.data(), text.data() + text.size(), incarnation);
+  NoteIncarnation(aUpstream, incarnation);
   aUpstream.ramp.OnGood(aResult.response.Header("Kumquat-State") == kColdState);
   ++aUpstream.served;
   const double took = Seconds(now - aRunning.sentAt);
--- a/src/coordination/internal/stewardduty.cpp
+++ b/src/coordination/internal/stewardduty.cpp
@@ -54,6 +54,8 @@
                  const transport::HttpResponse& aResponse) {
             this->OnAnswered(aRef, aResponse);
           },
+        .unanswered =
+          [this](const UpstreamRef& aRef) { this->watch.AskSoon(aRef); },
         .name = this->hooks.self.host.value })
   , watch({ .now = this->hooks.now,
             .ask = [this](const UpstreamRef& aRef,
@@ -87,6 +89,7 @@
   this->watch.IncarnationSeen().Listen(
     [this](const UpstreamRef& aRef, const state::Incarnation& aIncarnation) {
       this->grants->OnIncarnation(aRef, aIncarnation);
+      this->steward.OnIncarnation(aRef, aIncarnation);
     });
   this->steward.RequestEnded().Listen(
     [this](const UpstreamRef& aRef) { this->SendHandOver(aRef); });
--- a/src/coordination/internal/upstreamwatch.cpp
+++ b/src/coordination/internal/upstreamwatch.cpp
@@ -76,6 +76,14 @@
   this->usableChanged.Send(aRef);
 }
 
+void UpstreamWatch::AskSoon(const UpstreamRef& aRef)
+{
+  const auto found = this->watched.find(aRef);
+  if (found != this->watched.end()) {
+    found->second.due = this->hooks.now();
+  }
+}
+
 void UpstreamWatch::OnTimer()
 {
   const TimePoint now = this->hooks.now();
--- a/src/coordination/steward.h
+++ b/src/coordination/steward.h
@@ -62,6 +62,8 @@
     std::function<void(const state::UpstreamRef&,
                        const transport::HttpResponse&)>
       answered;
+    // A request there got no answer: the connection broke or was refused.
+    std::function<void(const state::UpstreamRef&)> unanswered;
     // The name that upstreams know the steward by.
     std::string name;
   };
@@ -79,8 +81,10 @@
   // Requests of the steward before this one that still run there, and the
   // slots that it had come to allow.
   void SetForeign(const state::UpstreamRef& aRef, int aRunning, int aAllowed);
-  // The upstream came back as a new process: it starts cold.
-  void OnRestarted(const state::UpstreamRef& aRef);
+  // What the upstream says of itself, in an answer to work or to a question
+  // about its health: a new process of it starts cold.
+  void OnIncarnation(const state::UpstreamRef& aRef,
+                     state::Incarnation aIncarnation);
 
   // Requests sent to the upstream and not answered; also after Release.
   int RunningAt(const state::UpstreamRef& aRef) const;
@@ -130,7 +134,8 @@
     bool open = false;
     // Of its answers, in seconds; 0 until there is one.
     double meanServiceTime = 0;
-    std::string incarnation;
+    // Of its process; 0 until something was heard from it.
+    state::Incarnation incarnation = 0;
   };
 
   using Upstreams =
@@ -143,6 +148,8 @@
   UpstreamCall MakeCall(const Upstream& aUpstream, const Work& aWork) const;
   void Learn(Upstream& aUpstream, const Running& aRunning,
              const RequestResult& aResult);
+  static void NoteIncarnation(Upstream& aUpstream,
+                              state::Incarnation aIncarnation);
   void FreeSlot(const state::UpstreamRef& aRef);
   void ExpireQueue(Upstream& aUpstream);
   static void RefuseQueue(Upstream& aUpstream, protocol::ErrorKind aWhy);
--- a/src/coordination/tests/steward_test.cpp
+++ b/src/coordination/tests/steward_test.cpp
@@ -25,6 +25,8 @@
   CPPUNIT_TEST_SUITE(StewardTest);
   CPPUNIT_TEST(testColdUpstreamGetsOneRequestAtATime);
   CPPUNIT_TEST(testNewIncarnationStartsTheRampAgain);
+  CPPUNIT_TEST(testHealthReportOfANewProcessStartsTheRampAgain);
+  CPPUNIT_TEST(testUnansweredWorkIsTold);
   CPPUNIT_TEST(testNothingIsSentWithoutTheLease);
   CPPUNIT_TEST(testQueueIsRefusedWhenTheLeaseIsLost);
   CPPUNIT_TEST(testWhatWouldBeLateIsRefusedAtOnce);
@@ -64,6 +66,29 @@
     CPPUNIT_ASSERT_EQUAL(1, this->steward.CountOf(kUpstream).allowed);
   }
 
+  // An upstream restarts while nothing runs there. Its health report shows the
+  // new process before any answer does; the next requests come one at a time,
+  // where three at once made it fall over, cold as it is.
+  void testHealthReportOfANewProcessStartsTheRampAgain()
+  {
+    this->WarmUp();
+    this->steward.OnIncarnation(kUpstream, 1);
+    CPPUNIT_ASSERT_EQUAL(3, this->steward.CountOf(kUpstream).allowed);
+    this->steward.OnIncarnation(kUpstream, 2);
+    this->Submit(3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->sent.size());
+  }
+
+  // A connection breaks in the middle of a request. The upstream may have
+  // restarted, and its health is asked for at once.
+  void testUnansweredWorkIsTold()
+  {
+    this->Submit(1);
+    this->steward.OnAnswer(this->sent.front().id,
+                           make_error_code(transport::TransportError::kBroken));
+    CPPUNIT_ASSERT_EQUAL(1, this->unanswered);
+  }
+
   // A host is paused past its lease and wakes in the middle of its work: its
   // upstreams belong to another by now, and what it sends would run beside.
   void testNothingIsSentWithoutTheLease()
@@ -145,6 +170,7 @@
 
   TimePoint now{ std::chrono::hours(1) };
   bool leased = true;
+  int unanswered = 0;
   milliseconds deadline{ 2000 };
   RequestId lastId = 0;
   std::vector<UpstreamCall> sent;
@@ -161,6 +187,7 @@
                        const std::string&) { return state::Epoch{ 1 }; },
       .answered = [](const state::UpstreamRef&,
                      const transport::HttpResponse&) {},
+      .unanswered = [this](const state::UpstreamRef&) { ++this->unanswered; },
       .name = "host-1" }
   };
 };
--- a/src/coordination/upstreamwatch.h
+++ b/src/coordination/upstreamwatch.h
@@ -45,6 +45,8 @@
   void Remove(const state::UpstreamRef& aRef);
   // Seen on an answer to work: sooner than any health report.
   void OnState(const state::UpstreamRef& aRef, std::string_view aState);
+  // Work that went there got no answer: the upstream may have restarted.
+  void AskSoon(const state::UpstreamRef& aRef);
   void OnTimer();
 
   // It drains, or several questions in a row got no answer.
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -348,9 +348,11 @@
   std::size_t known = 1;
   for (const PeerView& peer : this->hooks.peers()) {
     known += now - peer.heardAt < kForgotten ? 1 : 0;
-    followers +=
-      now - peer.heardAt < kSaid && peer.map.assigner == this->options.self ? 1
-                                                                            : 0;
+    // Failure: a host that stood still finds old digests in its connections.
+    // Counted from their arrival they would let it renew holds that its
+    // successor has waited out; see DigestTimes.
+    const bool follows = peer.map.assigner == this->options.self;
+    followers += follows && now - peer.saidAt < kSaid ? 1 : 0;
   }
   return { followers, known };
 }
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testStoreOutageCostsNoHold);
   CPPUNIT_TEST(testAssignerTurnedAwayAndCutOffStops);
   CPPUNIT_TEST(testThawedAssignerChangesNothing);
+  CPPUNIT_TEST(testWokenAssignerTakesNoOldWordForFresh);
   CPPUNIT_TEST(testLateGrantIsFencedOff);
   CPPUNIT_TEST(testLostAnswersOfTheStore);
   CPPUNIT_TEST(testSilentUpstreamIsTriedRarely);
@@ -164,6 +165,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
   }
 
+  // The assigner's host stands still for twelve seconds. Its successor cannot
+  // reach one upstream, waits its hold out and gives its keys to others. Then
+  // the host wakes, and its connections are full of digests by which its peers
+  // still went by its map. Taken for fresh they let it renew the hold, and the
+  // upstream, within reach again, served keys that others had by then.
+  void testWokenAssignerTakesNoOldWordForFresh()
+  {
+    KeysWorld world(12, 14);
+    Settle(world);
+    const std::string old = world.AssignerName();
+    // Its peers' digests have been sent and not arrived.
+    world.RunFor(kTick - world.Now().time_since_epoch() % kTick +
+                 milliseconds(1));
+    world.Freeze(old);
+    // Orders that were under way come to their end.
+    world.RunFor(kTick);
+    world.Upstream("u2").silent = true;
+    world.RunFor(milliseconds(12'000));
+    CPPUNIT_ASSERT(world.AllHeld());
+    world.Upstream("u2").silent = false;
+    world.Thaw(old);
+    world.RunFor(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
   // An upstream answers no grant and carries it out five seconds later, when
   // its keys are long elsewhere. It has seen the release's higher token by
   // then, so the late grant is refused.
--- a/src/ownership/tests/keysworld.h
+++ b/src/ownership/tests/keysworld.h
@@ -70,7 +70,7 @@
 
   TimePoint Now() const { return this->now; }
 
-  void RunFor(milliseconds aTime)
+  void RunFor(Duration aTime)
   {
     const TimePoint end = this->now + aTime;
     while (!this->events.empty() && this->events.begin()->first <= end) {
