--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -232,6 +232,8 @@
   bool IsAssignerHeard() const;
   bool IsAssignerHeardWithin(std::chrono::milliseconds aSilence) const;
   int RankAmongHosts() const;
+  // Whether more upstreams may be about to show before any keys are dealt.
+  bool IsTooEarlyToDeal(const StoredKeys& aStored);
   // Whether the claim's host may live and just not have been heard here yet.
   bool IsToBeMet(const state::HostRef& aClaimant);
   void Claim(const StoredKeys& aStored);
@@ -283,6 +285,8 @@
   bool storeWell = true;
   TimePoint startedAt;
   TimePoint claimNotBefore;
+  // Upstreams that were known at the last look before any keys were dealt.
+  std::size_t ownersSeen = 0;
   // The claimant that was asked for last; see Hooks::meet.
   state::HostRef met;
   // Of this host's own tenure.
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -43,6 +43,9 @@
 // who else is there.
 constexpr milliseconds kStartPause{ 900 };
 constexpr milliseconds kClaimPause{ 700 };
+// Keys are dealt for the first time when no upstream has shown since the last
+// look, or when so much has passed since the start; traffic waits for longer.
+constexpr milliseconds kFirstDeal{ 3500 };
 constexpr milliseconds kPlanEvery{ 400 };
 // Keys that have just moved stay for a while: what they did to the loads shows
 // only then, and each move keeps their callers waiting.
@@ -231,6 +234,17 @@
     }));
 }
 
+// Failure: hosts and upstreams start together, and the first claimant knew 31 of
+// 137 upstreams, once one of 14. The others were filled by halves of what those
+// had, and the first seconds of traffic were spent on moves.
+bool Assigner::IsTooEarlyToDeal(const StoredKeys& aStored)
+{
+  const std::size_t before =
+    std::exchange(this->ownersSeen, this->owners.size());
+  return aStored.assignmentVersion == 0 && before != this->owners.size() &&
+         this->hooks.now() - this->startedAt < kFirstDeal;
+}
+
 bool Assigner::IsToBeMet(const state::HostRef& aClaimant)
 {
   const bool isKnown =
@@ -264,12 +278,15 @@
     if (this->phase != Phase::kClaiming) {
       return;
     }
-    const bool waits =
-      !aStored || this->IsAssignerHeard() || this->IsToBeMet(aStored->assigner);
-    if (waits) {
+    if (!aStored || this->IsAssignerHeard() ||
+        this->IsTooEarlyToDeal(*aStored)) {
+      this->phase = Phase::kIdle;
+      this->claimNotBefore = this->hooks.now() + kClaimPause;
+      return;
+    }
+    if (this->IsToBeMet(aStored->assigner)) {
       this->phase = Phase::kIdle;
-      this->claimNotBefore =
-        this->hooks.now() + (aStored ? kSilence : kClaimPause);
+      this->claimNotBefore = this->hooks.now() + kSilence;
       return;
     }
     this->Claim(*aStored);
