--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -46,6 +46,8 @@
 constexpr milliseconds kUntilClose{ 3300 };
 // What is left of the grace to end in good order.
 constexpr milliseconds kEndMargin{ 900 };
+// For the last answers to get out, of what is left of the grace.
+constexpr milliseconds kLastAnswers{ 400 };
 constexpr milliseconds kStopCheck{ 20 };
 // In the log, of a request without a key.
 constexpr std::int64_t kNoKey = -1;
@@ -512,8 +514,15 @@
   this->serving.Hand([this] { this->dispatcher->StopTaking(); });
   std::this_thread::sleep_until(start + kUntilClose);
   this->callerServer->StopAccepting();
-  while (this->callerServer->Connections() > 0 && Now() < latest) {
-    std::this_thread::sleep_for(kStopCheck);
+  const auto waitUntil = [this](TimePoint aLatest) {
+    while (this->callerServer->Connections() > 0 && Now() < aLatest) {
+      std::this_thread::sleep_for(kStopCheck);
+    }
+  };
+  waitUntil(latest);
+  if (this->callerServer->Connections() > 0) {
+    this->serving.Hand([this] { this->dispatcher->GiveUpAll(); });
+    waitUntil(latest + kLastAnswers);
   }
   const bool clean = this->callerServer->Busy() == 0;
   this->log.Write(
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -69,6 +69,8 @@
   void OnDigest(const protocol::HostDigest& aDigest);
   void OnTableNews(const TableNews& aNews);
   void ApplyOperatorRows();
+  void ApplyConfiguration(const state::StoredRow& aRow);
+  bool IsConfigurationBehind() const;
   void ApplyUpstreamRows(const std::vector<state::StoredRow>& aChanged,
                          std::chrono::milliseconds aGrace);
   void ApplyHostRows(const std::vector<state::StoredRow>& aRows);
@@ -129,6 +131,10 @@
   boost::asio::steady_timer tick;
   boost::asio::steady_timer dispatchTimer;
   TimePoint dispatchDue = TimePoint::max();
+  // No configuration is read before that; see ApplyOperatorRows.
+  TimePoint configurationDue;
+  // Version of the row that was read last.
+  state::Version configurationRow = 0;
   // When connections to others were looked over last.
   TimePoint dialledAt;
   // A host that claimed keys and was never heard here; see Assigner::Hooks.
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -353,6 +353,9 @@
   const bool divided = this->neighbours.Cells().IsDivided();
   this->dispatcher->SetHosts(live, divided ? this->neighbours.All() : live);
   this->ChooseReaders(live);
+  if (this->IsConfigurationBehind() && now >= this->configurationDue) {
+    this->ApplyOperatorRows();
+  }
   this->keys->OnTimer();
   this->SendKeyMaps();
   this->SendDigests();
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -49,33 +49,68 @@
   this->upstreams.SetOut(std::move(out));
   const auto row = copy.rows.find(std::string(platform::kConfigurationKey));
   if (row != copy.rows.end()) {
-    auto configuration = platform::ReadConfiguration(row->second.value);
-    if (!configuration) {
-      this->log.Write(Event::kConfigurationInvalid,
-                      { { "row_version", row->second.version } });
-    } else if (configuration->version > this->routes->Text().version) {
-      this->routes =
-        std::make_shared<const routing::RouteTable>(std::move(*configuration));
-      this->dispatcher->SetRoutes(this->routes);
-      std::set<state::ServiceName> keyed;
-      for (const routing::Service& service : this->routes->Text().services) {
-        if (service.keyed) {
-          keyed.insert(service.name);
-        }
-      }
-      this->keys->SetServices(keyed);
-      const routing::CallerLimits& limits = this->routes->Text().limits;
-      this->callerServer->SetLimits(limits.maxHeaderBytes, limits.maxBodyBytes,
-                                    limits.headerTimeout, limits.idleTimeout);
-      this->log.Write(Event::kConfigurationInForce,
-                      { { "version", this->routes->Text().version } });
-    }
+    this->ApplyConfiguration(row->second);
   }
   this->keys->OnUpstreams();
   this->dispatcher->OnChange();
   this->ArmDispatcher();
 }
 
+// Failure: a configuration of some thousand routes takes a small host a tenth of
+// a second to read, and operators sent three a second; requests waited for
+// seconds and were sent on after their callers had left. Reading takes a tenth
+// of the time at most, and only the newest of what came meanwhile is read.
+void Gateway::Impl::ApplyConfiguration(const state::StoredRow& aRow)
+{
+  constexpr int kPausePerRead = 9;
+  // Well within what operators grant for a change to come into force.
+  constexpr milliseconds kMostPause{ 800 };
+  const TimePoint begin = BootTime();
+  if (aRow.version <= this->configurationRow) {
+    return;
+  }
+  if (begin < this->configurationDue) {
+    // The tick comes back to it.
+    return;
+  }
+  this->configurationRow = aRow.version;
+  auto configuration = platform::ReadConfiguration(aRow.value);
+  if (!configuration) {
+    this->log.Write(Event::kConfigurationInvalid,
+                    { { "row_version", aRow.version } });
+    return;
+  }
+  if (configuration->version <= this->routes->Text().version) {
+    return;
+  }
+  this->routes =
+    std::make_shared<const routing::RouteTable>(std::move(*configuration));
+  this->dispatcher->SetRoutes(this->routes);
+  std::set<state::ServiceName> keyed;
+  for (const routing::Service& service : this->routes->Text().services) {
+    if (service.keyed) {
+      keyed.insert(service.name);
+    }
+  }
+  this->keys->SetServices(keyed);
+  const routing::CallerLimits& limits = this->routes->Text().limits;
+  this->callerServer->SetLimits(limits.maxHeaderBytes, limits.maxBodyBytes,
+                                limits.headerTimeout, limits.idleTimeout);
+  const TimePoint end = BootTime();
+  this->configurationDue =
+    end + std::min<Duration>(kMostPause, kPausePerRead * (end - begin));
+  this->log.Write(Event::kConfigurationInForce,
+                  { { "version", this->routes->Text().version } });
+}
+
+bool Gateway::Impl::IsConfigurationBehind() const
+{
+  const auto& rows =
+    this->tables.Find(std::string(platform::kOperatorTable)).rows;
+  const auto row = rows.find(std::string(platform::kConfigurationKey));
+  return row != rows.end() && row->second.version > this->configurationRow;
+}
+
 void Gateway::Impl::ApplyUpstreamRows(
   const std::vector<state::StoredRow>& aChanged, milliseconds aGrace)
 {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -154,6 +154,9 @@
   // The host is about to end: what comes from now on could be cut off in the
   // middle, and is refused as surely not run.
   void StopTaking() { this->takes = false; }
+  // The host ends now. All requests get an answer of ours, so that answers that
+  // are ready and stand behind them in a connection get out.
+  void GiveUpAll();
 
   RequestNumber OnRequest(CallerRequest aRequest, Respond aRespond);
   // The caller has closed its connection.
@@ -189,6 +192,8 @@
   const UpstreamState* ChooseOwner(const Request& aRequest);
   const UpstreamState* ChooseElsewhere(const Request& aRequest,
                                        const PlacingQuestion& aQuestion);
+  const UpstreamState* Draw(const std::vector<UpstreamState*>& aFrom,
+                            const PlacingQuestion& aQuestion);
   PlacingQuestion Question(const Request& aRequest);
   bool IsAllowedCold(const Request& aRequest, const UpstreamState& aOne) const;
   void Send(const RequestPtr& aRequest, const UpstreamState& aUpstream);
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "routing/spillwindow.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -43,6 +44,9 @@
 // new map does not come first; a hand-over takes about one request's time.
 constexpr milliseconds kMovingPause{ 30 };
 
+// Before a large answer would be late it is had from another data centre; a
+// wait of two looks for room.
+constexpr milliseconds kFarSooner{ 50 };
 // A caller of a host that stops finds another one on its next connection.
 constexpr milliseconds kAskAnotherHost{ 20 };
 
@@ -368,11 +372,13 @@
 
 // Of a few drawn at random: this host knows little of any of them, and would
 // otherwise go through hundreds for each request that waits. Cold ones are fed
-// by their own cell alone, which keeps their pace exact.
+// by their own cell alone, which keeps their pace exact. Bytes between data
+// centres are paid for, so a large answer comes from afar only when waiting on
+// would make it late.
 const UpstreamState* Dispatcher::ChooseElsewhere(
   const Request& aRequest, const PlacingQuestion& aQuestion)
 {
-  constexpr std::size_t kDrawn = 6;
+  constexpr double kLargeBytes = 20'000;
   const TimePoint now = this->hooks.now();
   const std::vector<UpstreamState*>& others =
     this->upstreams.Of(aRequest.service).ofOthers;
@@ -380,10 +386,28 @@
       !this->StateOf(aRequest.service).elsewhere.IsOpen(now)) {
     return nullptr;
   }
+  const auto near = std::ranges::equal_range(
+    others, this->options.dataCentre, {},
+    [](const UpstreamState* aOne) { return aOne->entry.dataCentre; });
+  const UpstreamState* found =
+    this->Draw(std::vector<UpstreamState*>(near.begin(), near.end()),
+               aQuestion);
+  const bool isPressing =
+    !IsInTime(aRequest.waiting, now + kFarSooner, aQuestion.usualMs);
+  if (found != nullptr || (aQuestion.bytes >= kLargeBytes && !isPressing)) {
+    return found;
+  }
+  return this->Draw(others, aQuestion);
+}
+
+const UpstreamState* Dispatcher::Draw(
+  const std::vector<UpstreamState*>& aFrom, const PlacingQuestion& aQuestion)
+{
+  constexpr std::size_t kDrawn = 6;
   std::vector<UpstreamState*> candidates;
-  for (std::size_t i = 0; i < kDrawn; ++i) {
-    UpstreamState* one = others[this->hooks.random(others.size())];
-    if (one->coldUntil <= now) {
+  for (std::size_t i = 0; i < std::min(kDrawn, aFrom.size()); ++i) {
+    UpstreamState* one = aFrom[this->hooks.random(aFrom.size())];
+    if (one->coldUntil <= aQuestion.now) {
       candidates.push_back(one);
     }
   }
@@ -734,6 +758,20 @@
   this->Pump(service);
 }
 
+void Dispatcher::GiveUpAll()
+{
+  this->takes = false;
+  std::vector<RequestPtr> left;
+  std::ranges::transform(this->requests, std::back_inserter(left),
+                         [](const auto& aItem) { return aItem.second; });
+  for (const RequestPtr& request : left) {
+    // The end of one may have ended another.
+    if (this->requests.contains(request->number)) {
+      this->OnDeadline(request);
+    }
+  }
+}
+
 void Dispatcher::OnChange()
 {
   for (const auto& [name, service] : this->services) {
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -73,9 +73,11 @@
   CPPUNIT_TEST(testFullOwnerIsNotAskedAgainAtOnce);
   CPPUNIT_TEST(testReplacedUpstreamGetsNothingMore);
   CPPUNIT_TEST(testStoppingHostTakesNothingNew);
+  CPPUNIT_TEST(testEndingHostAnswersAll);
   CPPUNIT_TEST(testDownloadStaysNear);
   CPPUNIT_TEST(testColdUpstreamIsPaced);
   CPPUNIT_TEST(testFullCellBorrowsFromOthers);
+  CPPUNIT_TEST(testLargeAnswerIsBorrowedNear);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -357,6 +359,22 @@
     CPPUNIT_ASSERT_EQUAL(200, this->answers.at(before).message->status);
   }
 
+  // The host's time is over while two requests run and one waits. Callers that
+  // sent more behind them on the same connection would get nothing, though the
+  // answers are there. Each gets a final answer, and it is true.
+  void testEndingHostAnswersAll()
+  {
+    const auto look = this->Ask("/look/1");
+    const auto book = this->Ask("/book/1");
+    this->owner = KeyOwner{ {}, milliseconds(20) };
+    const auto waiting = this->Ask("/stock/1", milliseconds(1200), Key{ 5 });
+    this->dispatcher->GiveUpAll();
+    CPPUNIT_ASSERT(this->OutcomeOf(look) == Outcome::kUnknown);
+    CPPUNIT_ASSERT(this->OutcomeOf(book) == Outcome::kUnknown);
+    CPPUNIT_ASSERT(this->OutcomeOf(waiting) == Outcome::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->cancelled.size());
+  }
+
   // Bytes between data centres are paid for: a large answer comes from the
   // host's own while that has room, a small one from wherever it is fastest.
   void testDownloadStaysNear()
@@ -433,6 +451,39 @@
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 3 }, elsewhere());
   }
 
+  // Downloads fill this cell's only upstream; idle ones of other cells are in
+  // another data centre. A download waits for room near by, and goes afar only
+  // when it would be late otherwise; a lookup goes at once.
+  void testLargeAnswerIsBorrowedNear()
+  {
+    Configuration configuration = TwoRoutes();
+    Route download = configuration.routes[1];
+    download.name = "download";
+    download.prefix = "/pack/";
+    download.kind = RouteKind::kDownload;
+    configuration.routes.push_back(download);
+    this->Remake(configuration);
+    this->Teach("archeb", 100);
+    for (const char* far : { "a1", "a2" }) {
+      UpstreamEntry entry = this->upstreams.Find({ far })->entry;
+      entry.dataCentre = { "wrecsam" };
+      this->upstreams.Put(entry, this->now);
+    }
+    // "caerdydd" comes before "wrecsam".
+    this->upstreams.SetSpan({ 0, 1.0 / 3 });
+    for (int i = 0; i < 5; ++i) {
+      this->Ask("/pack/1");
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, this->sends.size());
+    this->now += milliseconds(310);
+    this->dispatcher->OnTimer();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 5 }, this->sends.size());
+    CPPUNIT_ASSERT(this->sends.back().upstream.value != "a0");
+    this->Answer(this->sends.back().number, 200);
+    this->Ask("/look/1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 6 }, this->sends.size());
+  }
+
 private:
   struct Load
   {
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -498,8 +498,13 @@
       continue;
     }
     HttpResponse response = std::move(*first->response);
+    // Failure: with a planned stop the connection ended with the first answer,
+    // and requests that were read behind it, and ran, got none. The last of
+    // them asks the caller to close.
+    const bool isLast = this->exchanges.size() == 1;
     const bool keepAlive =
-      first->keepAlive && !(this->state->draining || this->ending);
+      first->keepAlive &&
+      !(isLast && (this->state->draining || this->ending));
     if (response.status == kNoAnswer) {
       open = false;
     } else {
--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(testPipelinedAnswersKeepTheirOrder);
   CPPUNIT_TEST(testGoneCallerIsTold);
   CPPUNIT_TEST(testStopLosesNoRequest);
+  CPPUNIT_TEST(testStopAnswersAllThatWasRead);
   CPPUNIT_TEST(testAnswerOfAnotherIsNotTaken);
   CPPUNIT_TEST_SUITE_END();
 
@@ -231,6 +232,45 @@
     CPPUNIT_ASSERT_EQUAL(taken.load(), answered);
   }
 
+  // A caller has sent three requests at once when the host is stopped, and all
+  // three run. Each gets its answer, in order, and the last one asks the caller
+  // to close; before, the connection ended with the first answer, and the other
+  // two had run for nothing.
+  void testStopAnswersAllThatWasRead()
+  {
+    std::mutex mutex;
+    std::vector<HttpServer::Respond> waiting;
+    std::promise<void> allRead;
+    this->respond = [&](const HttpRequest&,
+                        const HttpServer::Respond& aRespond) {
+      const std::lock_guard lock(mutex);
+      waiting.push_back(aRespond);
+      if (waiting.size() == 3) {
+        allRead.set_value();
+      }
+    };
+    RawCaller caller;
+    caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    allRead.get_future().wait();
+    this->server->Drain();
+    this->server->StopAccepting();
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+      HttpResponse response;
+      response.body = "answer " + std::to_string(i);
+      waiting[i](response);
+    }
+    const std::string answers = caller.ReadAll();
+    const auto first = answers.find("answer 0");
+    const auto second = answers.find("answer 1");
+    const auto third = answers.find("answer 2");
+    CPPUNIT_ASSERT(first < second && second < third);
+    CPPUNIT_ASSERT(third != std::string::npos);
+    const auto close = answers.find("Connection: close");
+    CPPUNIT_ASSERT(close != std::string::npos && close > second);
+  }
+
   // The answer to a request that was given up on comes late, in the place of
   // the next one's: the next caller must not get it.
   void testAnswerOfAnotherIsNotTaken()
