--- a/src/control/internal/operatorcommands.cpp
+++ b/src/control/internal/operatorcommands.cpp
@@ -4,6 +4,7 @@
 
 #include "control/internal/statustext.h"
 #include "state/configuration.h"
+#include "transport/httpstatus.h"
 
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
@@ -24,10 +25,6 @@
 using transport::HttpRequest;
 using transport::HttpResponse;
 
-constexpr int kOk = 200;
-constexpr int kConflictStatus = 409;
-constexpr int kInvalidStatus = 422;
-
 std::string Encode(const std::string& aText)
 {
   return boost::urls::encode(aText, boost::urls::unreserved_chars);
@@ -158,7 +155,7 @@
   if (!response) {
     return this->ReportNoAnswer(response.error());
   }
-  if (response->status != kOk) {
+  if (response->status != transport::status::kOk) {
     return this->ReportRefusal(*response);
   }
   const auto version = json::parse(response->body).at("version").get<Version>();
@@ -172,7 +169,7 @@
   if (!response) {
     return this->ReportNoAnswer(response.error());
   }
-  if (response->status != kOk) {
+  if (response->status != transport::status::kOk) {
     return this->ReportRefusal(*response);
   }
   if (this->options.json) {
@@ -194,7 +191,7 @@
   if (!status) {
     return this->ReportNoAnswer(status.error());
   }
-  if (status->status != kOk) {
+  if (status->status != transport::status::kOk) {
     return this->ReportRefusal(*status);
   }
   Version expected = 0;
@@ -210,7 +207,7 @@
   if (!response) {
     return this->ReportNoAnswer(response.error());
   }
-  if (response->status != kOk) {
+  if (response->status != transport::status::kOk) {
     return this->ReportRefusal(*response);
   }
   this->hooks.out << aName << " is " << (aOut ? "out" : "in") << "\n";
@@ -225,7 +222,7 @@
   if (!response) {
     return this->ReportNoAnswer(response.error());
   }
-  if (response->status != kOk) {
+  if (response->status != transport::status::kOk) {
     return this->ReportRefusal(*response);
   }
   this->hooks.out << (this->options.json
@@ -243,7 +240,7 @@
   if (!response) {
     return this->ReportNoAnswer(response.error());
   }
-  if (response->status != kOk) {
+  if (response->status != transport::status::kOk) {
     return this->ReportRefusal(*response);
   }
   this->hooks.out << response->body;
@@ -273,7 +270,7 @@
   std::size_t told = 0;
   while (true) {
     const auto status = this->Send("GET", "/status");
-    if (status && status->status == kOk) {
+    if (status && status->status == transport::status::kOk) {
       lagging =
         LaggingHosts(json::parse(status->body), aGoal.field, aGoal.target);
       if (lagging.empty()) {
@@ -313,10 +310,10 @@
   if (body.contains("in_force")) {
     this->hooks.err << "in force: " << body["in_force"].dump() << "\n";
   }
-  if (aResponse.status == kConflictStatus) {
+  if (aResponse.status == transport::status::kConflict) {
     return ExitCode::kConflict;
   }
-  if (aResponse.status == kInvalidStatus) {
+  if (aResponse.status == transport::status::kUnprocessable) {
     return ExitCode::kInvalid;
   }
   return body.value("outcome", "") == "unknown" ? ExitCode::kUnknown
--- a/src/coordination/internal/operatorapi.cpp
+++ b/src/coordination/internal/operatorapi.cpp
@@ -4,6 +4,7 @@
 
 #include "coordination/internal/operatorstatus.h"
 #include "state/rows.h"
+#include "transport/httpstatus.h"
 
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
@@ -27,9 +28,6 @@
 using transport::HttpResponse;
 
 constexpr std::string_view kBearer = "Bearer ";
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 
 HttpResponse ToResponse(int aStatus, const ordered_json& aBody)
 {
@@ -119,7 +117,8 @@
 {
   switch (aResult.error) {
     case ErrorKind::kNone:
-      return ToResponse(kOk, { { "version", aResult.version } });
+      return ToResponse(transport::status::kOk,
+                        { { "version", aResult.version } });
     case ErrorKind::kInvalidConfiguration:
       return ToResponse(
         Refusal{ .kind = aResult.error,
@@ -222,7 +221,8 @@
 {
   const auto target = boost::urls::parse_origin_form(aRequest.target);
   if (target.has_error() || target->segments().empty()) {
-    aRespond(ToResponse(kNotFound, { { "message", "no such page" } }));
+    aRespond(ToResponse(transport::status::kNotFound,
+                        { { "message", "no such page" } }));
     return;
   }
   const std::string name = *target->segments().begin();
@@ -230,7 +230,8 @@
     return aPage.name == name && aPage.method == aRequest.method;
   });
   if (page == Pages().end()) {
-    aRespond(ToResponse(kNotFound, { { "message", "no such page" } }));
+    aRespond(ToResponse(transport::status::kNotFound,
+                        { { "message", "no such page" } }));
     return;
   }
   if (page->needsToken && !this->IsAllowed(aRequest)) {
@@ -255,18 +256,19 @@
 void OperatorApi::Ready(const Call& aCall) const
 {
   const bool ready = this->view.isReady();
-  aCall.respond(ready ? PlainText(kOk, "ready\n")
-                      : PlainText(kUnavailable, "not ready\n"));
+  aCall.respond(ready
+                  ? PlainText(transport::status::kOk, "ready\n")
+                  : PlainText(transport::status::kUnavailable, "not ready\n"));
 }
 
 void OperatorApi::ShowMetrics(const Call& aCall) const
 {
-  aCall.respond(PlainText(kOk, this->hooks.metrics()));
+  aCall.respond(PlainText(transport::status::kOk, this->hooks.metrics()));
 }
 
 void OperatorApi::ShowStatus(const Call& aCall) const
 {
-  aCall.respond(ToResponse(kOk, StatusOf(this->view)));
+  aCall.respond(ToResponse(transport::status::kOk, StatusOf(this->view)));
 }
 
 void OperatorApi::ShowExplanation(const Call& aCall) const
@@ -280,15 +282,16 @@
                .message = "no service \"" + service + "\" is configured" }));
     return;
   }
-  aCall.respond(ToResponse(
-    kOk, ExplanationOf(this->view, *configured, aCall.Parameter("key"))));
+  aCall.respond(
+    ToResponse(transport::status::kOk,
+               ExplanationOf(this->view, *configured, aCall.Parameter("key"))));
 }
 
 void OperatorApi::ShowConfiguration(const Call& aCall) const
 {
-  aCall.respond(
-    ToResponse(kOk, { { "version", this->view.keeper.InForce().version },
-                      { "text", this->view.keeper.Text() } }));
+  aCall.respond(ToResponse(transport::status::kOk,
+                           { { "version", this->view.keeper.InForce().version },
+                             { "text", this->view.keeper.Text() } }));
 }
 
 void OperatorApi::ChangeConfiguration(const Call& aCall) const
@@ -409,10 +412,11 @@
                               Version aVersion) const
 {
   aChange.respond(
-    ToResponse(kOk, { { "name", aChange.place.name },
-                      { "out", aChange.place.out },
-                      { "version", aVersion },
-                      { "places_version", this->view.map.PlacesVersion() } }));
+    ToResponse(transport::status::kOk,
+               { { "name", aChange.place.name },
+                 { "out", aChange.place.out },
+                 { "version", aVersion },
+                 { "places_version", this->view.map.PlacesVersion() } }));
 }
 
 void OperatorApi::Tell(Event aEvent, EventFields aFields) const
--- a/src/coordination/internal/requests.cpp
+++ b/src/coordination/internal/requests.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/requests.h"
 
+#include "transport/httpstatus.h"
+
 #include <utility>
 
 namespace kumquat::coordination {
@@ -11,8 +13,6 @@
 
 namespace {
 
-constexpr int kHttpShed = 503;
-constexpr int kHttpFenced = 412;
 constexpr auto kNotRun = "not-run";
 
 ErrorKind KindOf(const std::error_code& aError)
@@ -47,10 +47,10 @@
     return MakeError(KindOf(aAnswer.error()));
   }
   const bool notRun = aAnswer->Header("Kumquat-Outcome") == kNotRun;
-  if (aAnswer->status == kHttpShed && notRun) {
+  if (aAnswer->status == transport::status::kUnavailable && notRun) {
     return MakeError(ErrorKind::kUpstreamShed);
   }
-  if (aAnswer->status == kHttpFenced && notRun) {
+  if (aAnswer->status == transport::status::kPreconditionFailed && notRun) {
     return MakeError(ErrorKind::kUpstreamFenced);
   }
   RequestResult result;
--- a/src/coordination/internal/stewardduty.cpp
+++ b/src/coordination/internal/stewardduty.cpp
@@ -3,6 +3,7 @@
 #include "coordination/stewardduty.h"
 
 #include "state/rows.h"
+#include "transport/httpstatus.h"
 
 #include <algorithm>
 #include <ranges>
@@ -24,8 +25,6 @@
 constexpr milliseconds kHandOverWait{ 500 };
 // A planner that got a grant ended writes at once, or never.
 constexpr milliseconds kMoveWait{ 3000 };
-constexpr int kHttpOk = 200;
-constexpr int kHttpFenced = 412;
 constexpr auto kFenced = "fenced";
 
 } // namespace
@@ -333,7 +332,7 @@
                              const transport::HttpResponse& aResponse)
 {
   this->watch.OnState(aRef, aResponse.Header("Kumquat-State"));
-  if (aResponse.status == kHttpFenced &&
+  if (aResponse.status == transport::status::kPreconditionFailed &&
       aResponse.Header("Kumquat-Error") == kFenced) {
     this->grants->OnFenced(aRef, 0);
   }
@@ -349,15 +348,15 @@
   }
   transport::HttpRequest request;
   request.target = "/health";
-  this->hooks.control(record->address, std::move(request), kControlTimeout,
-                      [aDone](const Result<transport::HttpResponse>& aAnswer) {
-                        if (!aAnswer || aAnswer->status != kHttpOk) {
-                          aDone(
-                            make_error_code(ErrorKind::kUpstreamUnreachable));
-                          return;
-                        }
-                        aDone(ParseHealthReport(aAnswer->body));
-                      });
+  this->hooks.control(
+    record->address, std::move(request), kControlTimeout,
+    [aDone](const Result<transport::HttpResponse>& aAnswer) {
+      if (!aAnswer || aAnswer->status != transport::status::kOk) {
+        aDone(make_error_code(ErrorKind::kUpstreamUnreachable));
+        return;
+      }
+      aDone(ParseHealthReport(aAnswer->body));
+    });
 }
 
 void StewardDuty::Control(const UpstreamRef& aRef, const std::string& aMethod,
--- a/src/coordination/internal/upstreamgrants.cpp
+++ b/src/coordination/internal/upstreamgrants.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/internal/upstreamgrants.h"
 
+#include "transport/httpstatus.h"
+
 #include <algorithm>
 #include <ranges>
 #include <utility>
@@ -10,9 +12,6 @@
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kPreconditionFailed = 412;
-
 } // namespace
 
 UpstreamGrants::UpstreamGrants(state::UpstreamRecord aRecord,
@@ -193,10 +192,10 @@
   }
   this->HearClock(aAnswer->body);
   const auto fence = ParseFenceAnswer(aAnswer->body);
-  if (aAnswer->status == kPreconditionFailed && fence &&
+  if (aAnswer->status == transport::status::kPreconditionFailed && fence &&
       fence->epoch > this->record.epoch) {
     this->OnFenced(fence->epoch);
-  } else if (aAnswer->status == kOk && fence) {
+  } else if (aAnswer->status == transport::status::kOk && fence) {
     this->TakeFence(*fence, now);
   }
 }
@@ -364,14 +363,15 @@
     return;
   }
   this->HearClock(aAnswer->body);
-  if (aAnswer->status == kPreconditionFailed) {
+  if (aAnswer->status == transport::status::kPreconditionFailed) {
     this->OnRefused(aAnswer->body);
     return;
   }
   const GrantPhase phase = grant.life.Phase();
   const bool isWanted =
     phase == GrantPhase::kWaiting || phase == GrantPhase::kInForce;
-  if (aAnswer->status != kOk || grant.slice.epoch != aEpoch || !isWanted) {
+  if (aAnswer->status != transport::status::kOk ||
+      grant.slice.epoch != aEpoch || !isWanted) {
     return;
   }
   const TimePoint counted =
@@ -438,11 +438,11 @@
       found->second.life.Phase() != GrantPhase::kRevoking) {
     return;
   }
-  if (aAnswer && aAnswer->status == kPreconditionFailed) {
+  if (aAnswer && aAnswer->status == transport::status::kPreconditionFailed) {
     this->OnRefused(aAnswer->body);
     return;
   }
-  const bool answered = aAnswer && aAnswer->status == kOk;
+  const bool answered = aAnswer && aAnswer->status == transport::status::kOk;
   // Failure: the upstream is cut off and keeps serving the slice until its
   // grant ends. Without its answer only the time tells that it has stopped.
   found->second.revokeAnswered =
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -74,7 +74,10 @@
   , random(std::random_device{}())
   , serving(kRing)
   , storeThread(kRing)
-  , peers(this->self, BootTime)
+  , peers(this->self, BootTime,
+          [this](const state::HostId& aHost) {
+            return this->neighbours.IsMate(aHost);
+          })
   , neighbours({ aSettings.host, aSettings.dataCentre, aSettings.processors },
                { BootTime,
                  [this](const state::HostId& aHost) {
@@ -163,13 +166,9 @@
     this->refusals.Add(kind);
     return platform::MakeError(kind);
   };
-  auto server =
-    transport::HttpServer::Listen(this->serving.Context(), std::move(options));
-  if (!server) {
-    return server.error();
-  }
-  this->callerServer = std::move(*server);
-  return {};
+  return Keep(
+    transport::HttpServer::Listen(this->serving.Context(), std::move(options)),
+    this->callerServer);
 }
 
 std::error_code Gateway::Impl::ListenForChecks()
@@ -181,13 +180,9 @@
     const bool up = this->IsReady();
     aRespond(PlainText(up ? 200 : 503, up ? "ready\n" : "not ready\n"));
   };
-  auto server =
-    transport::HttpServer::Listen(this->serving.Context(), std::move(options));
-  if (!server) {
-    return server.error();
-  }
-  this->checkServer = std::move(*server);
-  return {};
+  return Keep(
+    transport::HttpServer::Listen(this->serving.Context(), std::move(options)),
+    this->checkServer);
 }
 
 std::error_code Gateway::Impl::ListenForMetrics()
@@ -198,22 +193,16 @@
                            const transport::HttpServer::Respond& aRespond) {
     aRespond(PlainText(200, this->metrics.Text()));
   };
-  auto server = transport::HttpServer::Listen(this->storeThread.Context(),
-                                              std::move(options));
-  if (!server) {
-    return server.error();
-  }
-  this->metricsServer = std::move(*server);
-  return {};
+  return Keep(transport::HttpServer::Listen(this->storeThread.Context(),
+                                            std::move(options)),
+              this->metricsServer);
 }
 
 std::error_code Gateway::Impl::ListenForPeers()
 {
   transport::PeerNetwork::Options options;
   options.address = this->settings.peerAddress;
-  options.hello.sender.__set_host(this->self.host.value);
-  options.hello.sender.__set_incarnation(this->self.incarnation);
-  options.hello.__set_dataCentre(this->settings.dataCentre.value);
+  options.hello = HelloOf(this->self, this->settings.dataCentre);
   options.redialPause = milliseconds(500);
   options.onFrame = [this](const protocol::HostRef& aFrom,
                            const protocol::Frame& aFrame) {
@@ -231,13 +220,9 @@
     this->log.Write(aUp ? Event::kPeerUp : Event::kPeerDown,
                     { { "peer", aPeer.host } });
   };
-  auto listening =
-    transport::PeerNetwork::Listen(this->serving.Context(), std::move(options));
-  if (!listening) {
-    return listening.error();
-  }
-  this->network = std::move(*listening);
-  return {};
+  return Keep(
+    transport::PeerNetwork::Listen(this->serving.Context(), std::move(options)),
+    this->network);
 }
 
 routing::Dispatcher::Hooks Gateway::Impl::DispatcherHooks()
@@ -313,12 +298,8 @@
     return this->neighbours.Preference(aHost);
   };
   hooks.meet = [this](const state::HostRef& aClaimant) {
-    if (!this->neighbours.Cells().IsDivided()) {
-      return false;
-    }
     this->claimant = aClaimant.host;
     this->Dial();
-    return true;
   };
   hooks.publish = [this] {
     if (!this->neighbours.Cells().IsDivided()) {
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -88,6 +88,8 @@
                   protocol::HostDigest aDigest);
   void SendKeyMaps();
   struct Behind;
+  // Whether the peer knows a change of the table that this host does not.
+  bool IsAhead(const KnownPeer& aPeer, const std::string& aTable) const;
   void AskBehind(const KnownPeer& aPeer);
   static bool IsLate(const Behind& aBehind);
   void AskPeer(const state::HostId& aPeer, const std::string& aTable);
@@ -96,7 +98,7 @@
   void RegisterHost();
   // Store's thread.
   void ReadHosts();
-  void ReadHostsOnce();
+  void ReadHostsOnce(std::function<void(bool)> aDone);
   void Later(std::chrono::milliseconds aPause, std::function<void()> aWork);
   void PublishGauges();
   bool IsReady() const;
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -84,26 +84,22 @@
 
 void Gateway::Impl::ReadHosts()
 {
-  this->store->Rows().Read(
-    kHostTable, "", [this](Result<state::RowsRead> aRead) {
-      if (!aRead) {
-        this->Later(kHostsPause, [this] { this->ReadHosts(); });
-        return;
-      }
-      this->serving.Hand(
-        [this, rows = std::move(aRead->rows)] { this->ApplyHostRows(rows); });
-      this->Later(kHostsAgain, [this] { this->ReadHosts(); });
-    });
+  this->ReadHostsOnce([this](bool aRead) {
+    this->Later(aRead ? kHostsAgain : kHostsPause,
+                [this] { this->ReadHosts(); });
+  });
 }
 
-void Gateway::Impl::ReadHostsOnce()
+void Gateway::Impl::ReadHostsOnce(std::function<void(bool)> aDone)
 {
   this->store->Rows().Read(
-    kHostTable, "", [this](Result<state::RowsRead> aRead) {
+    kHostTable, "",
+    [this, done = std::move(aDone)](Result<state::RowsRead> aRead) {
       if (aRead) {
         this->serving.Hand(
           [this, rows = std::move(aRead->rows)] { this->ApplyHostRows(rows); });
       }
+      done(aRead.has_value());
     });
 }
 
@@ -137,9 +133,6 @@
   }
   this->neighbours.SetHosts(std::move(hosts));
   this->upstreams.SetSpan(this->neighbours.Cells().OwnSpan());
-  if (this->neighbours.Cells().IsDivided()) {
-    this->peers.SetMates(this->neighbours.Cells().Mates());
-  }
   this->Dial();
 }
 
@@ -169,7 +162,8 @@
   }
   this->hostsReadDue = now + kHostsAfterHello;
   this->storeThread.Hand([this] {
-    this->Later(kHostsAfterHello, [this] { this->ReadHostsOnce(); });
+    // Where it fails the next regular read will do.
+    this->Later(kHostsAfterHello, [this] { this->ReadHostsOnce([](bool) {}); });
   });
 }
 
@@ -197,12 +191,9 @@
   protocol::TableCopy answer;
   answer.__set_table(aTable);
   answer.__set_version(copy.version);
-  for (const auto& [key, row] : copy.rows) {
-    protocol::TableRow one;
-    one.__set_key(key);
-    one.__set_value(row.value);
-    answer.rows.push_back(std::move(one));
-  }
+  std::ranges::transform(
+    copy.rows, std::back_inserter(answer.rows),
+    [](const auto& aItem) { return ToWire(aItem.second); });
   protocol::Frame frame;
   frame.__set_tableCopy(answer);
   static_cast<void>(this->network->Send(aTo, frame));
@@ -215,11 +206,10 @@
   news.table = aCopy.table;
   news.whole = true;
   news.version = aCopy.version;
-  for (const protocol::TableRow& one : aCopy.rows) {
-    // Rows' own versions are not told; the table's tells what is newer.
-    news.rows.push_back(
-      { news.table, {}, one.key, one.value, news.version, false });
-  }
+  std::ranges::transform(aCopy.rows, std::back_inserter(news.rows),
+                         [&news](const protocol::TableRow& aRow) {
+                           return FromWire(news.table, aRow);
+                         });
   this->log.Write(Event::kTableFromPeer, { { "peer", aFrom },
                                            { "table", news.table },
                                            { "version", news.version } });
@@ -256,14 +246,9 @@
   change.__set_table(aNews.table);
   change.__set_after(aBefore);
   change.__set_graceMs(static_cast<std::int32_t>(aNews.grace.count()));
-  for (const state::StoredRow& row : aNews.rows) {
-    protocol::ChangedRow one;
-    one.__set_key(row.key);
-    one.__set_value(row.value);
-    one.__set_version(row.version);
-    one.__set_removed(row.removed);
-    change.rows.push_back(std::move(one));
-  }
+  std::ranges::transform(
+    aNews.rows, std::back_inserter(change.rows),
+    [](const state::StoredRow& aRow) { return ToWire(aRow); });
   frame.__set_tableChange(change);
   this->network->SendToAll(mates, frame);
 }
@@ -278,10 +263,10 @@
   news.table = aChange.table;
   news.version = own;
   news.grace = milliseconds(aChange.graceMs);
-  for (const protocol::ChangedRow& one : aChange.rows) {
-    news.rows.push_back(
-      { news.table, {}, one.key, one.value, one.version, one.removed });
-  }
+  std::ranges::transform(aChange.rows, std::back_inserter(news.rows),
+                         [&news](const protocol::TableRow& aRow) {
+                           return FromWire(news.table, aRow);
+                         });
   this->OnTableNews(news);
 }
 
@@ -302,15 +287,22 @@
   }
 }
 
+bool Gateway::Impl::IsAhead(const KnownPeer& aPeer,
+                            const std::string& aTable) const
+{
+  const state::Version told = aTable == platform::kOperatorTable
+                                ? aPeer.operatorVersion
+                                : aPeer.upstreamVersion;
+  return told > this->tables.Find(aTable).version;
+}
+
 void Gateway::Impl::AskBehind(const KnownPeer& aPeer)
 {
-  const std::pair<std::string, state::Version> known[] = {
-    { std::string(platform::kOperatorTable), aPeer.operatorVersion },
-    { std::string(platform::kUpstreamTable), aPeer.upstreamVersion }
-  };
   const TimePoint now = BootTime();
-  for (const auto& [table, version] : known) {
-    if (version <= this->tables.Find(table).version) {
+  for (const std::string_view name :
+       { platform::kOperatorTable, platform::kUpstreamTable }) {
+    const std::string table(name);
+    if (!this->IsAhead(aPeer, table)) {
       continue;
     }
     Behind& state =
@@ -350,13 +342,9 @@
 void Gateway::Impl::ForgetBehind()
 {
   std::erase_if(this->behind, [this](const auto& aItem) {
-    const state::Version own = this->tables.Find(aItem.first).version;
-    const bool isOperators = aItem.first == platform::kOperatorTable;
-    return std::ranges::none_of(
-      this->peers.All(), [own, isOperators](const auto& aPeer) {
-        return (isOperators ? aPeer.second.operatorVersion
-                            : aPeer.second.upstreamVersion) > own;
-      });
+    return std::ranges::none_of(this->peers.All(), [&](const auto& aPeer) {
+      return this->IsAhead(aPeer.second, aItem.first);
+    });
   });
 }
 
--- a/src/node/internal/keysduty.cpp
+++ b/src/node/internal/keysduty.cpp
@@ -167,7 +167,6 @@
   }
   if (part.map.Update(mark, part.assigner->Map(), this->hooks.now())) {
     part.ownMark = mark;
-    part.isDue = true;
     this->hooks.publish();
     this->hooks.changed();
   }
@@ -178,7 +177,8 @@
   const TimePoint now = this->hooks.now();
   std::vector<protocol::KeyMapUpdate> updates;
   for (auto& [service, part] : this->parts) {
-    if (!std::exchange(part.isDue, false) || part.map.Mark() != part.ownMark) {
+    // Nothing new, or the map is another host's by now.
+    if (part.ownMark == part.toldMark || part.map.Mark() != part.ownMark) {
       continue;
     }
     const bool isWhole = part.toldMark.version == 0;
--- a/src/node/internal/keysduty.h
+++ b/src/node/internal/keysduty.h
@@ -35,7 +35,7 @@
       order;
     // Of Assigner::Hooks.
     std::function<double(const state::HostId&)> preference;
-    std::function<bool(const state::HostRef&)> meet;
+    std::function<void(const state::HostRef&)> meet;
     // A map has changed here and peers should hear of it; see TakeUpdates.
     std::function<void()> publish;
     // Waiting requests may find an owner now.
@@ -83,7 +83,6 @@
     std::vector<ownership::Key> used;
     // Of this host's own map.
     ownership::MapMark ownMark;
-    bool isDue = false;
     // What peers were told last; nothing where they need the whole.
     ownership::MapMark toldMark;
     std::vector<ownership::MapRange> told;
--- a/src/node/internal/listening.h
+++ b/src/node/internal/listening.h
@@ -2,9 +2,14 @@
 
 #pragma once
 
+#include "framework/result.h"
+#include "protocol/gen/peer_types.h"
+#include "state/types.h"
 #include "transport/http.h"
 
+#include <memory>
 #include <string>
+#include <system_error>
 #include <utility>
 
 namespace kumquat::node {
@@ -24,4 +29,27 @@
   return response;
 }
 
+// What a host says first on each connection to another.
+inline protocol::Hello HelloOf(const state::HostRef& aSelf,
+                               const state::DataCentre& aDataCentre)
+{
+  protocol::Hello hello;
+  hello.sender.__set_host(aSelf.host.value);
+  hello.sender.__set_incarnation(aSelf.incarnation);
+  hello.__set_dataCentre(aDataCentre.value);
+  return hello;
+}
+
+// Keeps what listens; else says why it cannot.
+template<typename Listener>
+std::error_code Keep(Result<std::unique_ptr<Listener>> aListening,
+                     std::unique_ptr<Listener>& aPlace)
+{
+  if (!aListening) {
+    return aListening.error();
+  }
+  aPlace = std::move(*aListening);
+  return {};
+}
+
 } // namespace kumquat::node
--- a/src/node/internal/neighbours.cpp
+++ b/src/node/internal/neighbours.cpp
@@ -77,6 +77,11 @@
   return aHost == this->self.id || this->hosts.contains(aHost);
 }
 
+bool Neighbours::IsMate(const state::HostId& aHost) const
+{
+  return !this->cells.IsDivided() || this->cells.Mates().contains(aHost);
+}
+
 std::vector<state::HostId> Neighbours::All() const
 {
   std::vector<state::HostId> all{ this->self.id };
@@ -197,8 +202,7 @@
   const bool tellsAll = assigns || this->hubs.contains(this->self.id);
   for (const std::string& host : aReachable) {
     const state::HostId id{ host };
-    const bool isMate =
-      !this->cells.IsDivided() || this->cells.Mates().contains(id);
+    const bool isMate = this->IsMate(id);
     if (isMate && matesDue) {
       due.mates.push_back(host);
     }
--- a/src/node/internal/neighbours.h
+++ b/src/node/internal/neighbours.h
@@ -46,6 +46,8 @@
 
   const routing::Cells& Cells() const { return this->cells; }
   bool IsKnown(const state::HostId& aHost) const;
+  // Of this host's cell; all are while there are no cells.
+  bool IsMate(const state::HostId& aHost) const;
   std::vector<state::HostId> All() const;
   // Which host should be asked first for a duty; the higher one.
   double Preference(const state::HostId& aHost) const;
--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -139,13 +139,9 @@
     const ErrorKind kind = KindOf(aRefusal);
     return this->Count(kind, ErrorResponse(kind));
   };
-  auto server =
-    transport::HttpServer::Listen(this->callers.Context(), std::move(options));
-  if (!server) {
-    return server.error();
-  }
-  this->callerServer = std::move(*server);
-  return {};
+  return Keep(
+    transport::HttpServer::Listen(this->callers.Context(), std::move(options)),
+    this->callerServer);
 }
 
 std::error_code Node::Impl::ListenForOperators()
@@ -158,22 +154,16 @@
                            const transport::HttpServer::Respond& aRespond) {
     this->OnOperator(aRequest, aRespond);
   };
-  auto server =
-    transport::HttpServer::Listen(this->callers.Context(), std::move(options));
-  if (!server) {
-    return server.error();
-  }
-  this->operatorServer = std::move(*server);
-  return {};
+  return Keep(
+    transport::HttpServer::Listen(this->callers.Context(), std::move(options)),
+    this->operatorServer);
 }
 
 std::error_code Node::Impl::ListenForPeers()
 {
   transport::PeerNetwork::Options options;
   options.address = this->settings.peerAddress;
-  options.hello.sender.__set_host(this->self.host.value);
-  options.hello.sender.__set_incarnation(this->self.incarnation);
-  options.hello.__set_dataCentre(this->settings.dataCentre.value);
+  options.hello = HelloOf(this->self, this->settings.dataCentre);
   options.onFrame = [this](const protocol::HostRef& aFrom,
                            protocol::Frame aFrame) {
     this->OnFrame(aFrom, std::move(aFrame));
@@ -193,13 +183,9 @@
         [shared = std::make_shared<Task>(std::move(task))] { (*shared)(); });
     }
   };
-  auto network =
-    transport::PeerNetwork::Listen(this->callers.Context(), std::move(options));
-  if (!network) {
-    return network.error();
-  }
-  this->peers = std::move(*network);
-  return {};
+  return Keep(
+    transport::PeerNetwork::Listen(this->callers.Context(), std::move(options)),
+    this->peers);
 }
 
 void Node::Impl::OnCaller(HttpRequest&& aRequest,
--- a/src/node/internal/peerduty.cpp
+++ b/src/node/internal/peerduty.cpp
@@ -17,9 +17,11 @@
 
 } // namespace
 
-Peers::Peers(state::HostRef aSelf, Clock aClock)
+Peers::Peers(state::HostRef aSelf, Clock aClock,
+             std::function<bool(const state::HostId&)> aIsMate)
   : self(std::move(aSelf))
   , clock(std::move(aClock))
+  , isMate(std::move(aIsMate))
 {
 }
 
@@ -63,20 +65,10 @@
   return found == this->peers.end() ? TimePoint{} : found->second.heardAt;
 }
 
-void Peers::SetMates(std::set<state::HostId> aMates)
-{
-  this->mates = std::move(aMates);
-}
-
-bool Peers::IsMate(const state::HostId& aHost) const
-{
-  return !this->mates || this->mates->contains(aHost);
-}
-
 bool Peers::IsSilent(const state::HostId& aHost, const KnownPeer& aPeer) const
 {
   return this->clock() - aPeer.heardAt >=
-         (this->IsMate(aHost) ? kSilence : kFarSilence);
+         (this->isMate(aHost) ? kSilence : kFarSilence);
 }
 
 std::set<state::HostId> Peers::Assigners() const
@@ -101,7 +93,7 @@
 {
   std::vector<state::HostId> live;
   for (const auto& [id, peer] : this->peers) {
-    if (this->IsMate(id) && !this->IsSilent(id, peer) && !peer.leaving) {
+    if (this->isMate(id) && !this->IsSilent(id, peer) && !peer.leaving) {
       live.push_back(id);
     }
   }
--- a/src/node/internal/peerduty.h
+++ b/src/node/internal/peerduty.h
@@ -12,7 +12,6 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,7 +37,10 @@
 class Peers
 {
 public:
-  Peers(state::HostRef aSelf, Clock aClock);
+  // aIsMate: the host tells everything, several times a second; others tell
+  // less often, and may be silent for longer.
+  Peers(state::HostRef aSelf, Clock aClock,
+        std::function<bool(const state::HostId&)> aIsMate);
 
   // The number of the digest that is sent now.
   std::int64_t NextDigest() { return this->times.Next(this->clock()); }
@@ -50,9 +52,6 @@
   const std::map<state::HostId, KnownPeer>& All() const { return this->peers; }
   // The epoch where it never was.
   TimePoint HeardAt(const state::HostId& aHost) const;
-  // Those that tell everything, several times a second; the others tell less
-  // often. Until it is called all are.
-  void SetMates(std::set<state::HostId> aMates);
   // Mates heard within the silence that takes a host as gone.
   std::vector<state::HostId> Live() const;
   // Hosts that assign keys by the newest map that any peer goes by.
@@ -63,14 +62,12 @@
   std::vector<state::HostId> TakeSilent();
 
 private:
-  bool IsMate(const state::HostId& aHost) const;
   bool IsSilent(const state::HostId& aHost, const KnownPeer& aPeer) const;
 
   const state::HostRef self;
   Clock clock;
+  const std::function<bool(const state::HostId&)> isMate;
   ownership::DigestTimes times;
-  // Nothing: all are.
-  std::optional<std::set<state::HostId>> mates;
   std::map<state::HostId, KnownPeer> peers;
   std::set<state::HostId> silent;
 };
--- a/src/node/internal/storeduty.cpp
+++ b/src/node/internal/storeduty.cpp
@@ -202,10 +202,7 @@
       // An answer that was long on its way must not undo what came since.
       if (aRead->version >= aFollower->version) {
         aFollower->version = aRead->version;
-        this->hooks.news({ aFollower->table, true, std::move(aRead->rows),
-                           aRead->version, GraceOf(aFollower->returnedAt),
-                           true });
-        this->WatchLater(aFollower);
+        this->Tell(aFollower, true, std::move(aRead->rows));
         return;
       }
       this->Watch(aFollower);
@@ -235,16 +232,22 @@
       }
       aFollower->version = std::max(aFollower->version, aRead->version);
       if (!aRead->rows.empty()) {
-        this->hooks.news({ aFollower->table, false, std::move(aRead->rows),
-                           aFollower->version, GraceOf(aFollower->returnedAt),
-                           true });
-        this->WatchLater(aFollower);
+        this->Tell(aFollower, false, std::move(aRead->rows));
         return;
       }
       this->Watch(aFollower);
     });
 }
 
+void StoreDuty::Tell(const std::shared_ptr<Follower>& aFollower, bool aWhole,
+                     std::vector<state::StoredRow> aRows)
+{
+  this->hooks.news({ aFollower->table, aWhole, std::move(aRows),
+                     aFollower->version, GraceOf(aFollower->returnedAt),
+                     true });
+  this->WatchLater(aFollower);
+}
+
 void StoreDuty::WatchLater(const std::shared_ptr<Follower>& aFollower)
 {
   aFollower->timer.expires_after(kGather);
--- a/src/node/internal/storeduty.h
+++ b/src/node/internal/storeduty.h
@@ -71,6 +71,8 @@
   void ReadWhole(const std::shared_ptr<Follower>& aFollower);
   void Watch(const std::shared_ptr<Follower>& aFollower);
   void OnAnswer(const std::shared_ptr<Follower>& aFollower);
+  void Tell(const std::shared_ptr<Follower>& aFollower, bool aWhole,
+            std::vector<state::StoredRow> aRows);
   void WatchLater(const std::shared_ptr<Follower>& aFollower);
   void OnFailure(const std::shared_ptr<Follower>& aFollower, bool aWhole);
   void SetWell(bool aWell);
--- a/src/node/internal/tables.cpp
+++ b/src/node/internal/tables.cpp
@@ -3,9 +3,28 @@
 #include "node/internal/tables.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
+#include <string_view>
 
 namespace kumquat::node {
 
+protocol::TableRow ToWire(const state::StoredRow& aRow)
+{
+  protocol::TableRow row;
+  row.__set_key(aRow.key);
+  row.__set_value(aRow.value);
+  row.__set_version(aRow.version);
+  row.__set_removed(aRow.removed);
+  return row;
+}
+
+state::StoredRow FromWire(const std::string& aTable,
+                          const protocol::TableRow& aRow)
+{
+  return { aTable, {}, aRow.key, aRow.value, aRow.version, aRow.removed };
+}
+
 std::vector<state::StoredRow> TableCopies::Apply(
   const std::string& aTable, const std::vector<state::StoredRow>& aRows,
   bool aWhole, state::Version aVersion)
@@ -16,9 +35,12 @@
     return changed;
   }
   if (aWhole) {
+    std::set<std::string_view> present;
+    std::ranges::transform(
+      aRows, std::inserter(present, present.end()),
+      [](const state::StoredRow& aRow) { return std::string_view(aRow.key); });
     for (const auto& [key, row] : copy.rows) {
-      if (std::ranges::find(aRows, key, &state::StoredRow::key) ==
-          aRows.end()) {
+      if (!present.contains(key)) {
         changed.push_back(row);
         changed.back().removed = true;
       }
--- a/src/node/internal/tables.h
+++ b/src/node/internal/tables.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "protocol/gen/peer_types.h"
 #include "state/rowstore.h"
 
 #include <map>
@@ -26,6 +27,13 @@
   state::Version changed = 0;
 };
 
+// A row on its way between hosts. Its own version goes with it: given that of
+// the whole copy, every row would look changed, and its receiver would tell
+// others that it knows more than they do.
+protocol::TableRow ToWire(const state::StoredRow& aRow);
+state::StoredRow FromWire(const std::string& aTable,
+                          const protocol::TableRow& aRow);
+
 class TableCopies
 {
 public:
--- /dev/null
+++ b/src/node/tests/neighbours_test.cpp
@@ -0,0 +1,181 @@
+// Whom a host of a large deployment connects to, tells about itself, and leaves
+// the store to.
+
+#include "node/internal/neighbours.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kumquat::node {
+
+using std::chrono::milliseconds;
+
+class NeighboursTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(NeighboursTest);
+  CPPUNIT_TEST(testFewHostsTellEachOtherEverything);
+  CPPUNIT_TEST(testManyHostsTellTheirCellAndTheHubs);
+  CPPUNIT_TEST(testHubTellsEveryone);
+  CPPUNIT_TEST(testLostHubHasAStandIn);
+  CPPUNIT_TEST(testCellHasTwoReadersThatReachTheStore);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    this->now = TimePoint(std::chrono::hours(1));
+    this->heard.clear();
+  }
+
+  void testFewHostsTellEachOtherEverything()
+  {
+    Neighbours neighbours = this->Make(0, 12);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 11 },
+                         neighbours.TakeDials().begin.size());
+    const auto due = neighbours.TakeDue(Names(12), 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 12 }, due.mates.size());
+    CPPUNIT_ASSERT(due.others.empty());
+    // Nothing has changed since, and the pause is not over.
+    this->now += milliseconds(100);
+    CPPUNIT_ASSERT(neighbours.TakeDue(Names(12), 1).mates.empty());
+    CPPUNIT_ASSERT(!neighbours.TakeDue(Names(12), 2).mates.empty());
+  }
+
+  void testManyHostsTellTheirCellAndTheHubs()
+  {
+    Neighbours neighbours = this->Make(0, 60);
+    neighbours.SetAssigners({ { "host-30" } });
+    const auto dials = neighbours.TakeDials();
+    CPPUNIT_ASSERT(dials.begin.size() < 20);
+    CPPUNIT_ASSERT(dials.begin.contains({ "host-30" }));
+    const auto due = neighbours.TakeDue(Names(60), 0);
+    CPPUNIT_ASSERT(due.mates.size() < 15);
+    CPPUNIT_ASSERT(due.others.size() >= 1 && due.others.size() <= 4);
+    for (const std::string& mate : due.mates) {
+      CPPUNIT_ASSERT(neighbours.IsMate({ mate }));
+    }
+  }
+
+  void testHubTellsEveryone()
+  {
+    Neighbours neighbours = this->Make(0, 60, 5);
+    neighbours.TakeDials();
+    const auto due = neighbours.TakeDue(Names(60), 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 60 },
+                         due.mates.size() + due.others.size());
+    CPPUNIT_ASSERT(neighbours.Preference({ "host-0" }) >
+                   neighbours.Preference({ "host-1" }));
+  }
+
+  // A hub's host loses power. Until it is heard again another one of its data
+  // centre hears everyone, and the first is dialled on.
+  void testLostHubHasAStandIn()
+  {
+    Neighbours neighbours = this->Make(0, 60);
+    neighbours.TakeDials();
+    const std::set<std::string> before = this->HubsOf(neighbours);
+    const std::string lost = *before.begin();
+    this->now += milliseconds(2500);
+    for (const std::string& name : Names(60)) {
+      if (name != lost) {
+        this->heard[{ name }] = this->now;
+      }
+    }
+    const auto dials = neighbours.TakeDials();
+    CPPUNIT_ASSERT(dials.begin.contains({ lost }));
+    const std::set<std::string> after = this->HubsOf(neighbours);
+    CPPUNIT_ASSERT(!after.contains(lost));
+    CPPUNIT_ASSERT_EQUAL(before.size(), after.size());
+    this->heard[{ lost }] = this->now;
+    neighbours.TakeDials();
+    CPPUNIT_ASSERT(this->HubsOf(neighbours) == before);
+  }
+
+  // Two of a cell follow the store. The store turns both away, and two others
+  // do, while the first go on trying.
+  void testCellHasTwoReadersThatReachTheStore()
+  {
+    std::set<state::HostId> turnedAway;
+    const auto readers = [&] {
+      std::set<state::HostId> reading;
+      const Neighbours first = this->Make(0, 60);
+      for (const state::HostId& mate : first.Cells().Mates()) {
+        const int number = std::stoi(mate.value.substr(5));
+        Neighbours neighbours = this->Make(number, 60);
+        neighbours.TakeDials();
+        const std::set<state::HostId>& mates = first.Cells().Mates();
+        const bool isHub = neighbours.Preference(mate) > 1;
+        if (!isHub && neighbours.IsReader({ mates.begin(), mates.end() },
+                                          [&](const state::HostId& aHost) {
+                                            return !turnedAway.contains(aHost);
+                                          })) {
+          reading.insert(mate);
+        }
+      }
+      return reading;
+    };
+    const std::set<state::HostId> usual = readers();
+    CPPUNIT_ASSERT(usual.size() == 1 || usual.size() == 2);
+    turnedAway = usual;
+    const std::set<state::HostId> more = readers();
+    CPPUNIT_ASSERT_EQUAL(2 * usual.size(), more.size());
+    CPPUNIT_ASSERT(std::ranges::includes(more, usual));
+  }
+
+private:
+  static std::set<std::string> Names(int aCount)
+  {
+    std::set<std::string> names;
+    for (int i = 0; i < aCount; ++i) {
+      names.insert("host-" + std::to_string(i));
+    }
+    return names;
+  }
+
+  static routing::CellHost HostOf(int aNumber, double aProcessors)
+  {
+    return { { "host-" + std::to_string(aNumber) },
+             { std::string(1, static_cast<char>('a' + aNumber % 3)) },
+             aProcessors };
+  }
+
+  // Host aSelf of aCount, with so many processors where the others have one.
+  Neighbours Make(int aSelf, int aCount, double aProcessors = 1)
+  {
+    Neighbours neighbours(
+      HostOf(aSelf, aProcessors),
+      { [this] { return this->now; },
+        [this](const state::HostId& aHost) { return this->heard[aHost]; } });
+    std::vector<HostAddress> hosts;
+    hosts.reserve(static_cast<std::size_t>(aCount));
+    for (int i = 0; i < aCount; ++i) {
+      hosts.push_back({ HostOf(i, 1), "10.0.0.1:" + std::to_string(7000 + i) });
+    }
+    neighbours.SetHosts(std::move(hosts));
+    return neighbours;
+  }
+
+  // As the host sees them: they go before all others.
+  static std::set<std::string> HubsOf(const Neighbours& aNeighbours)
+  {
+    std::set<std::string> hubs;
+    for (const std::string& name : Names(60)) {
+      if (aNeighbours.Preference({ name }) > 100) {
+        hubs.insert(name);
+      }
+    }
+    return hubs;
+  }
+
+  TimePoint now;
+  std::map<state::HostId, TimePoint> heard;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NeighboursTest);
+
+} // namespace kumquat::node
--- a/src/node/tests/tables_test.cpp
+++ b/src/node/tests/tables_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testLateCopyBringsNothingBack);
   CPPUNIT_TEST(testWholeCopyTellsWhatIsGone);
   CPPUNIT_TEST(testReadingWholeIsNoChange);
+  CPPUNIT_TEST(testCopyOfAPeerIsNoChange);
   CPPUNIT_TEST(testChangesAlreadyCopiedAreNoNews);
   CPPUNIT_TEST(testOldDigestsAreNoFreshWord);
   CPPUNIT_TEST(testDigestOfAnEndedRunIsIgnored);
@@ -71,6 +72,26 @@
                          this->tables.Find("servers").changed);
   }
 
+  // The store turns a host away, and it asks a peer for the table. Without the
+  // rows' own versions all of them looked changed as of the peer's last read,
+  // were applied anew each time, and the host told others of changes that
+  // there were not.
+  void testCopyOfAPeerIsNoChange()
+  {
+    this->tables.Apply("servers", { Row("a", "", 1), Row("b", "", 2) }, true,
+                       90);
+    std::vector<state::StoredRow> copied;
+    for (const auto& [key, row] : this->tables.Find("servers").rows) {
+      copied.push_back(FromWire("servers", ToWire(row)));
+    }
+    TableCopies other;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                         other.Apply("servers", copied, true, 90).size());
+    CPPUNIT_ASSERT_EQUAL(state::Version{ 2 }, other.Find("servers").changed);
+    CPPUNIT_ASSERT(other.Apply("servers", copied, true, 95).empty());
+    CPPUNIT_ASSERT_EQUAL(state::Version{ 2 }, other.Find("servers").changed);
+  }
+
   void testChangesAlreadyCopiedAreNoNews()
   {
     this->tables.Apply("servers", { Row("a", "", 6) }, true, 6);
@@ -87,7 +108,8 @@
   void testOldDigestsAreNoFreshWord()
   {
     const state::HostRef self{ { "h0" }, 1 };
-    Peers peers(self, [this] { return this->now; });
+    Peers peers(
+      self, [this] { return this->now; }, AllAreMates);
     const std::int64_t number = peers.NextDigest();
     const TimePoint sent = this->now;
     protocol::HostDigest digest;
@@ -107,7 +129,8 @@
 
   void testDigestOfAnEndedRunIsIgnored()
   {
-    Peers peers({ { "h0" }, 1 }, [this] { return this->now; });
+    Peers peers(
+      { { "h0" }, 1 }, [this] { return this->now; }, AllAreMates);
     protocol::HostDigest digest;
     digest.sender.__set_host("h1");
     digest.sender.__set_incarnation(5);
@@ -126,6 +149,8 @@
   }
 
 private:
+  static bool AllAreMates(const state::HostId& /*aHost*/) { return true; }
+
   static state::StoredRow Row(std::string aKey, std::string aValue,
                               state::Version aVersion)
   {
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -149,10 +149,10 @@
     // The host that should assign first, of any two: the higher one; empty
     // where all are alike.
     std::function<double(const state::HostId&)> preference;
-    // Where not every host hears every other: asks for a connection to the
-    // host that has claimed the keys and says true; it is then heard within
-    // moments, if it lives. Empty where all hear each other.
-    std::function<bool(const state::HostRef&)> meet;
+    // A host that was never heard as the assigner has claimed the keys. Where
+    // not every host hears every other, asks for a connection to it; may be
+    // empty.
+    std::function<void(const state::HostRef&)> meet;
     // The map has changed.
     std::function<void()> publish;
     // What happened, to which keys or upstream, with what figures.
@@ -234,7 +234,10 @@
   int RankAmongHosts() const;
   // Whether more upstreams may be about to show before any keys are dealt.
   bool IsTooEarlyToDeal(const StoredKeys& aStored);
-  // Whether the claim's host may live and just not have been heard here yet.
+  // When this host deals keys for the first time, whatever it knows.
+  TimePoint LatestDeal() const;
+  // Whether the claim's host may live and has just not been heard as the
+  // assigner yet. Said once of each.
   bool IsToBeMet(const state::HostRef& aClaimant);
   void Claim(const StoredKeys& aStored);
   void StartHolding(const StoredKeys& aStored);
@@ -263,7 +266,6 @@
   bool PlanLosses(Assignment& aNext, const std::vector<OwnerView>& aOwners);
   bool PlanBalance(Assignment& aNext, const std::vector<OwnerView>& aOwners);
   bool PlanJoins(Assignment& aNext);
-  bool PlanEvenShares(Assignment& aNext, const BalanceQuestion& aQuestion);
   void GiveAway(Assignment& aNext, const Range& aRange,
                 const std::vector<Key>& aRequests,
                 std::vector<std::pair<OwnerView, double>>& aLoads);
--- a/src/ownership/keymap.h
+++ b/src/ownership/keymap.h
@@ -13,7 +13,7 @@
 
 namespace kumquat::ownership {
 
-using Key = std::uint16_t;
+using state::Key;
 
 constexpr Key kLastKey = 65535;
 
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -10,6 +10,7 @@
 {
   CPPUNIT_TEST_SUITE(AssignerTest);
   CPPUNIT_TEST(testAllKeysAreHeldSoonAfterTheStart);
+  CPPUNIT_TEST(testOneHostDealsTheKeys);
   CPPUNIT_TEST(testLeavingUpstreamIsReleased);
   CPPUNIT_TEST(testSilentUpstreamIsWaitedOut);
   CPPUNIT_TEST(testRebornUpstreamNeedNotBeWaitedOut);
@@ -34,6 +35,27 @@
     CPPUNIT_ASSERT(!world.AssignerName().empty());
   }
 
+  // Hosts and upstreams start together, and an upstream shows each 300 ms. The
+  // hosts wait until no more seem to come; when the time for that was over all
+  // at once, four of them claimed the keys one after the other within 100 ms,
+  // before they had heard of each other.
+  void testOneHostDealsTheKeys()
+  {
+    KeysWorld world(12, 2);
+    world.digestPause = milliseconds(300);
+    for (int i = 2; i < 17; ++i) {
+      world.AddUpstream("u" + std::to_string(i), 1);
+      world.RunFor(milliseconds(300));
+    }
+    Settle(world);
+    const auto wins =
+      std::ranges::count_if(world.Log(), [](const std::string& aLine) {
+        return aLine.find("assigner-won") != std::string::npos;
+      });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 1 }, wins);
+    CPPUNIT_ASSERT_EQUAL(std::string(), world.Violation());
+  }
+
   // An operator takes an upstream away. It is alive, so its keys are released
   // and served elsewhere within moments, not after its hold has run out.
   void testLeavingUpstreamIsReleased()
--- a/src/ownership/tests/keysworld.h
+++ b/src/ownership/tests/keysworld.h
@@ -94,6 +94,9 @@
     return aHolds();
   }
 
+  // Between two digests of a host.
+  milliseconds digestPause{ kTick };
+
   // --- troubles
 
   bool storeDown = false;
@@ -224,6 +227,7 @@
     std::map<std::string, PeerView> peers;
     MapMark map;
     DigestTimes times;
+    TimePoint digestDue;
     // Last digest of each peer.
     std::map<std::string, std::int64_t> heard;
 
@@ -257,7 +261,10 @@
   {
     this->OnHost(aHost, kTick, [this, aHost] {
       aHost->assigner->OnTimer();
-      this->SendDigest(aHost);
+      if (this->now >= aHost->digestDue) {
+        aHost->digestDue = this->now + this->digestPause;
+        this->SendDigest(aHost);
+      }
       this->Tick(aHost);
     });
   }
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -275,14 +275,10 @@
   1: string table
 }
 
+// A row as the store has it, or had it when it was removed.
 struct TableRow {
   1: string key
   2: binary value
-}
-
-struct ChangedRow {
-  1: string key
-  2: binary value
   3: i64 version
   4: bool removed
 }
@@ -293,7 +289,7 @@
   1: string table
   // Of the copy that it changes; of no use where that is not known.
   2: i64 after
-  3: list<ChangedRow> rows
+  3: list<TableRow> rows
   // How long a row that is gone may still be taken as there.
   4: i32 graceMs
 }
--- a/src/routing/cells.h
+++ b/src/routing/cells.h
@@ -44,13 +44,11 @@
 public:
   explicit Cells(state::HostId aSelf);
 
-  // All hosts that are known, this one included. False where they are the same
-  // as before.
-  bool SetHosts(std::vector<CellHost> aHosts);
+  // All hosts that are known, this one included.
+  void SetHosts(std::vector<CellHost> aHosts);
 
   // Without it all hosts are one cell.
   bool IsDivided() const { return this->divided; }
-  std::size_t HostCount() const { return this->hosts.size(); }
   // Of this host's cell, itself included.
   const std::set<state::HostId>& Mates() const { return this->mates; }
   Span OwnSpan() const { return this->span; }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -30,8 +30,7 @@
 
 namespace kumquat::routing {
 
-// Where a keyed service's keys lie.
-using Key = std::uint16_t;
+using state::Key;
 
 struct CallerRequest
 {
--- a/src/routing/internal/cells.cpp
+++ b/src/routing/internal/cells.cpp
@@ -53,17 +53,16 @@
 {
 }
 
-bool Cells::SetHosts(std::vector<CellHost> aHosts)
+void Cells::SetHosts(std::vector<CellHost> aHosts)
 {
   std::ranges::sort(aHosts, {}, OrderOf);
   if (std::ranges::equal(aHosts, this->hosts, IsSame)) {
-    return false;
+    return;
   }
   this->hosts = std::move(aHosts);
   this->divided = this->hosts.size() > kMostUndivided;
   this->Divide();
   this->RankHubs();
-  return true;
 }
 
 void Cells::Divide()
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -1,8 +1,6 @@
 // A request from its arrival to its one answer.
 
-#include "routing/dispatcher.h"
-
-#include "routing/spillwindow.h"
+#include "routing/internal/dispatcherparts.h"
 
 #include <algorithm>
 #include <iterator>
@@ -14,17 +12,12 @@
 using protocol::ErrorKind;
 using std::chrono::milliseconds;
 using transport::TransportError;
-using MsDouble = std::chrono::duration<double, std::milli>;
 
 namespace {
 
-// What a request takes of a service of which nothing is known yet.
-constexpr double kUnknownServiceMs = 120;
 // Waiting requests look for room this often even if nothing was heard: peers'
 // digests come every 200 ms, and a paced cold upstream tells nothing at all.
 constexpr milliseconds kLookAgain{ 25 };
-// Of a download of which nothing is known yet.
-constexpr double kUnknownDownloadBytes = 50'000;
 // Weight of one request in the average size; sizes of a route hardly change.
 constexpr double kBytesWeight = 0.05;
 // Times that one request is sent where each send was refused or never left.
@@ -37,16 +30,9 @@
 constexpr std::size_t kLeastHosts = 4;
 // An answer that arrives in the last moment has to reach the caller too.
 constexpr milliseconds kAnswerMargin{ 10 };
-// A hand-over of keys: the work on them ends, a release and a grant are
-// answered, and the map reaches all hosts.
-constexpr milliseconds kMoveTakes{ 500 };
 // A request for a key that moves waits so long before it looks again, if the
 // new map does not come first; a hand-over takes about one request's time.
 constexpr milliseconds kMovingPause{ 30 };
-
-// Before a large answer would be late it is had from another data centre; a
-// wait of two looks for room.
-constexpr milliseconds kFarSooner{ 50 };
 // A caller of a host that stops finds another one on its next connection.
 constexpr milliseconds kAskAnotherHost{ 20 };
 
@@ -83,46 +69,6 @@
 
 } // namespace
 
-struct Dispatcher::Request
-{
-  RequestNumber number = 0;
-  CallerRequest caller;
-  Respond respond;
-  // Keeps `route` alive while a newer configuration comes into force.
-  std::shared_ptr<const RouteTable> routes;
-  const Route* route = nullptr;
-  state::ServiceName service;
-  WaitingRequest waiting;
-  std::multimap<TimePoint, RequestNumber>::iterator deadline;
-  // Upstreams that may have run it.
-  int mayHaveRunAt = 0;
-  std::vector<state::UpstreamId> tried;
-  // The one that has just refused it; full now, but perhaps not for long.
-  state::UpstreamId refusedBy;
-  std::size_t sends = 0;
-  // Not looked at before; for keys on the move.
-  TimePoint notBefore;
-
-  // While it runs.
-  bool isRunning = false;
-  // At an upstream of another cell.
-  bool isElsewhere = false;
-  state::UpstreamId upstream;
-  TimePoint sentAt;
-  int before = 0;
-
-  Duration waited{ 0 };
-  std::string story;
-};
-
-struct Dispatcher::ServiceState
-{
-  std::list<RequestPtr> waiting;
-  coordination::RetryBudget budget;
-  SpillWindow elsewhere;
-  TimePoint lookAgain;
-};
-
 Dispatcher::Dispatcher(DispatcherOptions aOptions, Upstreams& aUpstreams,
                        Hooks aHooks)
   : options(std::move(aOptions))
@@ -210,76 +156,6 @@
   return best->service;
 }
 
-double Dispatcher::UsualMs(const state::ServiceName& aName)
-{
-  const double known = this->upstreams.UsualMs(aName);
-  return known > 0 ? known : kUnknownServiceMs;
-}
-
-bool Dispatcher::IsKeyed(const Request& aRequest) const
-{
-  const Service* service = aRequest.routes->FindService(aRequest.service);
-  return service != nullptr && service->keyed && aRequest.caller.key;
-}
-
-ServiceOutlook Dispatcher::Outlook(const Request& aRequest)
-{
-  if (this->IsKeyed(aRequest)) {
-    return this->OwnerOutlook(aRequest);
-  }
-  ServiceOutlook outlook;
-  outlook.usualMs = this->UsualMs(aRequest.service);
-  ServiceState& service = this->StateOf(aRequest.service);
-  outlook.queued = service.waiting.size();
-  const TimePoint now = this->hooks.now();
-  const ServiceUpstreams& upstreamsOf = this->upstreams.Of(aRequest.service);
-  for (const UpstreamState* one : upstreamsOf.ofCell) {
-    if (one->ejectedUntil <= now) {
-      const double ms = one->serviceMs > 0 ? one->serviceMs : outlook.usualMs;
-      outlook.perSecond += 1000.0 * one->entry.slots / ms;
-    }
-  }
-  outlook.perSecond /= static_cast<double>(this->cellCount);
-  if (!upstreamsOf.ofOthers.empty()) {
-    outlook.perSecond += 1000.0 * service.elsewhere.Allowed() / outlook.usualMs;
-  }
-  return outlook;
-}
-
-// One upstream runs the key's requests, and all hosts send it theirs. While
-// keys move they wait for about one request; when that takes longer something
-// is wrong, and nobody can say for how long.
-ServiceOutlook Dispatcher::OwnerOutlook(const Request& aRequest)
-{
-  ServiceOutlook outlook;
-  outlook.usualMs = this->UsualMs(aRequest.service);
-  const KeyOwner owner =
-    this->hooks.owner(aRequest.service, *aRequest.caller.key);
-  const UpstreamState* one = this->upstreams.Find(owner.upstream);
-  if (one == nullptr || !this->upstreams.MayUse(*one)) {
-    outlook.queued = 1;
-    outlook.perSecond = owner.since < kMoveTakes ? 1000.0 / outlook.usualMs : 0;
-    return outlook;
-  }
-  if (one->serviceMs > 0) {
-    outlook.usualMs = one->serviceMs;
-  }
-  if (one->ejectedUntil > this->hooks.now()) {
-    outlook.queued = 1;
-    return outlook;
-  }
-  const auto& waiting = this->StateOf(aRequest.service).waiting;
-  outlook.queued = static_cast<std::size_t>(
-    std::ranges::count_if(waiting, [&](const RequestPtr& aOther) {
-      return aOther->caller.key &&
-             this->hooks.owner(aOther->service, *aOther->caller.key).upstream ==
-               owner.upstream;
-    }));
-  outlook.perSecond = 1000.0 * one->entry.slots / outlook.usualMs /
-                      static_cast<double>(this->hostCount);
-  return outlook;
-}
-
 RequestNumber Dispatcher::OnRequest(CallerRequest aRequest, Respond aRespond)
 {
   auto request = std::make_shared<Request>();
@@ -329,105 +205,6 @@
   return request->number;
 }
 
-bool Dispatcher::IsAllowedCold(const Request& aRequest,
-                               const UpstreamState& aOne) const
-{
-  const TimePoint now = this->hooks.now();
-  if (aOne.coldUntil <= now) {
-    return true;
-  }
-  const Service* service = aRequest.routes->FindService(aRequest.service);
-  const ColdPace& pace =
-    this->IsKeyed(aRequest) ? this->ownerPace : this->coldPace;
-  return service == nullptr ||
-         pace.MaySend(aOne.entry.id, service->coldPerSecond, now);
-}
-
-const UpstreamState* Dispatcher::Choose(const Request& aRequest)
-{
-  if (this->IsKeyed(aRequest)) {
-    return this->ChooseOwner(aRequest);
-  }
-  std::vector<UpstreamState*> candidates =
-    this->upstreams.Of(aRequest.service).ofCell;
-  std::erase_if(candidates, [&](const UpstreamState* aOne) {
-    return !this->IsAllowedCold(aRequest, *aOne);
-  });
-  const PlacingQuestion question = this->Question(aRequest);
-  const UpstreamState* near = Place(candidates, question, this->hooks.random);
-  return near != nullptr ? near : this->ChooseElsewhere(aRequest, question);
-}
-
-const UpstreamState* Dispatcher::ChooseOwner(const Request& aRequest)
-{
-  const UpstreamState* one = this->upstreams.Find(
-    this->hooks.owner(aRequest.service, *aRequest.caller.key).upstream);
-  return one != nullptr && this->upstreams.MayUse(*one) &&
-             HasRoom(*one, this->hooks.now()) &&
-             this->IsAllowedCold(aRequest, *one)
-           ? one
-           : nullptr;
-}
-
-// Of a few drawn at random: this host knows little of any of them, and would
-// otherwise go through hundreds for each request that waits. Cold ones are fed
-// by their own cell alone, which keeps their pace exact. Bytes between data
-// centres are paid for, so a large answer comes from afar only when waiting on
-// would make it late.
-const UpstreamState* Dispatcher::ChooseElsewhere(
-  const Request& aRequest, const PlacingQuestion& aQuestion)
-{
-  constexpr double kLargeBytes = 20'000;
-  const TimePoint now = this->hooks.now();
-  const std::vector<UpstreamState*>& others =
-    this->upstreams.Of(aRequest.service).ofOthers;
-  if (others.empty() ||
-      !this->StateOf(aRequest.service).elsewhere.IsOpen(now)) {
-    return nullptr;
-  }
-  const auto near = std::ranges::equal_range(
-    others, this->options.dataCentre, {},
-    [](const UpstreamState* aOne) { return aOne->entry.dataCentre; });
-  const UpstreamState* found = this->Draw(
-    std::vector<UpstreamState*>(near.begin(), near.end()), aQuestion);
-  const bool isPressing =
-    !IsInTime(aRequest.waiting, now + kFarSooner, aQuestion.usualMs);
-  if (found != nullptr || (aQuestion.bytes >= kLargeBytes && !isPressing)) {
-    return found;
-  }
-  return this->Draw(others, aQuestion);
-}
-
-const UpstreamState* Dispatcher::Draw(const std::vector<UpstreamState*>& aFrom,
-                                      const PlacingQuestion& aQuestion)
-{
-  constexpr std::size_t kDrawn = 6;
-  std::vector<UpstreamState*> candidates;
-  for (std::size_t i = 0; i < std::min(kDrawn, aFrom.size()); ++i) {
-    UpstreamState* one = aFrom[this->hooks.random(aFrom.size())];
-    if (one->coldUntil <= aQuestion.now) {
-      candidates.push_back(one);
-    }
-  }
-  return Place(candidates, aQuestion, this->hooks.random);
-}
-
-PlacingQuestion Dispatcher::Question(const Request& aRequest)
-{
-  PlacingQuestion question;
-  question.now = this->hooks.now();
-  question.dataCentre = this->options.dataCentre;
-  question.tried = aRequest.tried;
-  question.tried.push_back(aRequest.refusedBy);
-  const auto bytes = this->routeBytes.find(aRequest.route->name);
-  question.bytes = bytes != this->routeBytes.end() ? bytes->second
-                   : aRequest.route->kind == RouteKind::kDownload
-                     ? kUnknownDownloadBytes
-                     : 0;
-  question.usualMs = this->UsualMs(aRequest.service);
-  return question;
-}
-
 bool Dispatcher::TryPlace(const RequestPtr& aRequest)
 {
   if (aRequest->notBefore > this->hooks.now()) {
@@ -447,10 +224,7 @@
   const TimePoint now = this->hooks.now();
   aRequest->isRunning = true;
   aRequest->upstream = aUpstream.entry.id;
-  const std::vector<UpstreamState*>& others =
-    this->upstreams.Of(aRequest->service).ofOthers;
-  aRequest->isElsewhere = !this->IsKeyed(*aRequest) &&
-                          std::ranges::find(others, &aUpstream) != others.end();
+  aRequest->isElsewhere = !this->IsKeyed(*aRequest) && !aUpstream.isOfCell;
   if (aRequest->isElsewhere) {
     this->StateOf(aRequest->service).elsewhere.OnSent();
   }
--- /dev/null
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -0,0 +1,196 @@
+// Where a request may go now, and what it may expect if it waits.
+
+#include "routing/internal/dispatcherparts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquat::routing {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// What a request takes of a service of which nothing is known yet.
+constexpr double kUnknownServiceMs = 120;
+// Of a download of which nothing is known yet.
+constexpr double kUnknownDownloadBytes = 50'000;
+// A hand-over of keys: the work on them ends, a release and a grant are
+// answered, and the map reaches all hosts.
+constexpr milliseconds kMoveTakes{ 500 };
+// Before a large answer would be late it is had from another data centre; a
+// wait of two looks for room.
+constexpr milliseconds kFarSooner{ 50 };
+
+} // namespace
+
+double Dispatcher::UsualMs(const state::ServiceName& aName)
+{
+  const double known = this->upstreams.UsualMs(aName);
+  return known > 0 ? known : kUnknownServiceMs;
+}
+
+bool Dispatcher::IsKeyed(const Request& aRequest) const
+{
+  const Service* service = aRequest.routes->FindService(aRequest.service);
+  return service != nullptr && service->keyed && aRequest.caller.key;
+}
+
+ServiceOutlook Dispatcher::Outlook(const Request& aRequest)
+{
+  if (this->IsKeyed(aRequest)) {
+    return this->OwnerOutlook(aRequest);
+  }
+  ServiceOutlook outlook;
+  outlook.usualMs = this->UsualMs(aRequest.service);
+  ServiceState& service = this->StateOf(aRequest.service);
+  outlook.queued = service.waiting.size();
+  const TimePoint now = this->hooks.now();
+  const ServiceUpstreams& upstreamsOf = this->upstreams.Of(aRequest.service);
+  for (const UpstreamState* one : upstreamsOf.ofCell) {
+    if (one->ejectedUntil <= now) {
+      const double ms = one->serviceMs > 0 ? one->serviceMs : outlook.usualMs;
+      outlook.perSecond += 1000.0 * one->entry.slots / ms;
+    }
+  }
+  outlook.perSecond /= static_cast<double>(this->cellCount);
+  if (!upstreamsOf.ofOthers.empty()) {
+    outlook.perSecond += 1000.0 * service.elsewhere.Allowed() / outlook.usualMs;
+  }
+  return outlook;
+}
+
+// One upstream runs the key's requests, and all hosts send it theirs. While
+// keys move they wait for about one request; when that takes longer something
+// is wrong, and nobody can say for how long.
+ServiceOutlook Dispatcher::OwnerOutlook(const Request& aRequest)
+{
+  ServiceOutlook outlook;
+  outlook.usualMs = this->UsualMs(aRequest.service);
+  const KeyOwner owner =
+    this->hooks.owner(aRequest.service, *aRequest.caller.key);
+  const UpstreamState* one = this->upstreams.Find(owner.upstream);
+  if (one == nullptr || !this->upstreams.MayUse(*one)) {
+    outlook.queued = 1;
+    outlook.perSecond = owner.since < kMoveTakes ? 1000.0 / outlook.usualMs : 0;
+    return outlook;
+  }
+  if (one->serviceMs > 0) {
+    outlook.usualMs = one->serviceMs;
+  }
+  if (one->ejectedUntil > this->hooks.now()) {
+    outlook.queued = 1;
+    return outlook;
+  }
+  const auto& waiting = this->StateOf(aRequest.service).waiting;
+  outlook.queued = static_cast<std::size_t>(
+    std::ranges::count_if(waiting, [&](const RequestPtr& aOther) {
+      return aOther->caller.key &&
+             this->hooks.owner(aOther->service, *aOther->caller.key).upstream ==
+               owner.upstream;
+    }));
+  outlook.perSecond = 1000.0 * one->entry.slots / outlook.usualMs /
+                      static_cast<double>(this->hostCount);
+  return outlook;
+}
+
+bool Dispatcher::IsAllowedCold(const Request& aRequest,
+                               const UpstreamState& aOne) const
+{
+  const TimePoint now = this->hooks.now();
+  if (aOne.coldUntil <= now) {
+    return true;
+  }
+  const Service* service = aRequest.routes->FindService(aRequest.service);
+  const ColdPace& pace =
+    this->IsKeyed(aRequest) ? this->ownerPace : this->coldPace;
+  return service == nullptr ||
+         pace.MaySend(aOne.entry.id, service->coldPerSecond, now);
+}
+
+const UpstreamState* Dispatcher::Choose(const Request& aRequest)
+{
+  if (this->IsKeyed(aRequest)) {
+    return this->ChooseOwner(aRequest);
+  }
+  std::vector<UpstreamState*> candidates =
+    this->upstreams.Of(aRequest.service).ofCell;
+  std::erase_if(candidates, [&](const UpstreamState* aOne) {
+    return !this->IsAllowedCold(aRequest, *aOne);
+  });
+  const PlacingQuestion question = this->Question(aRequest);
+  const UpstreamState* near = Place(candidates, question, this->hooks.random);
+  return near != nullptr ? near : this->ChooseElsewhere(aRequest, question);
+}
+
+const UpstreamState* Dispatcher::ChooseOwner(const Request& aRequest)
+{
+  const UpstreamState* one = this->upstreams.Find(
+    this->hooks.owner(aRequest.service, *aRequest.caller.key).upstream);
+  return one != nullptr && this->upstreams.MayUse(*one) &&
+             HasRoom(*one, this->hooks.now()) &&
+             this->IsAllowedCold(aRequest, *one)
+           ? one
+           : nullptr;
+}
+
+// Of a few drawn at random: this host knows little of any of them, and would
+// otherwise go through hundreds for each request that waits. Cold ones are fed
+// by their own cell alone, which keeps their pace exact. Bytes between data
+// centres are paid for, so a large answer comes from afar only when waiting on
+// would make it late.
+const UpstreamState* Dispatcher::ChooseElsewhere(
+  const Request& aRequest, const PlacingQuestion& aQuestion)
+{
+  constexpr double kLargeBytes = 20'000;
+  const TimePoint now = this->hooks.now();
+  const std::vector<UpstreamState*>& others =
+    this->upstreams.Of(aRequest.service).ofOthers;
+  if (others.empty() ||
+      !this->StateOf(aRequest.service).elsewhere.IsOpen(now)) {
+    return nullptr;
+  }
+  const auto near = std::ranges::equal_range(
+    others, this->options.dataCentre, {},
+    [](const UpstreamState* aOne) { return aOne->entry.dataCentre; });
+  const UpstreamState* found = this->Draw(
+    std::vector<UpstreamState*>(near.begin(), near.end()), aQuestion);
+  const bool isPressing =
+    !IsInTime(aRequest.waiting, now + kFarSooner, aQuestion.usualMs);
+  if (found != nullptr || (aQuestion.bytes >= kLargeBytes && !isPressing)) {
+    return found;
+  }
+  return this->Draw(others, aQuestion);
+}
+
+const UpstreamState* Dispatcher::Draw(const std::vector<UpstreamState*>& aFrom,
+                                      const PlacingQuestion& aQuestion)
+{
+  constexpr std::size_t kDrawn = 6;
+  std::vector<UpstreamState*> candidates;
+  for (std::size_t i = 0; i < std::min(kDrawn, aFrom.size()); ++i) {
+    UpstreamState* one = aFrom[this->hooks.random(aFrom.size())];
+    if (one->coldUntil <= aQuestion.now) {
+      candidates.push_back(one);
+    }
+  }
+  return Place(candidates, aQuestion, this->hooks.random);
+}
+
+PlacingQuestion Dispatcher::Question(const Request& aRequest)
+{
+  PlacingQuestion question;
+  question.now = this->hooks.now();
+  question.dataCentre = this->options.dataCentre;
+  question.tried = aRequest.tried;
+  question.tried.push_back(aRequest.refusedBy);
+  const auto bytes = this->routeBytes.find(aRequest.route->name);
+  question.bytes = bytes != this->routeBytes.end() ? bytes->second
+                   : aRequest.route->kind == RouteKind::kDownload
+                     ? kUnknownDownloadBytes
+                     : 0;
+  question.usualMs = this->UsualMs(aRequest.service);
+  return question;
+}
+
+} // namespace kumquat::routing
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -190,8 +190,9 @@
       service.all, std::back_inserter(usable),
       [this](const UpstreamState* aOne) { return this->MayUse(*aOne); });
     for (std::size_t i = 0; i < usable.size(); ++i) {
-      const bool own = IsInSpan(this->span, i, usable.size());
-      (own ? service.ofCell : service.ofOthers).push_back(usable[i]);
+      UpstreamState* one = usable[i];
+      one->isOfCell = IsInSpan(this->span, i, usable.size());
+      (one->isOfCell ? service.ofCell : service.ofOthers).push_back(one);
     }
   }
 }
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -74,6 +74,9 @@
 {
   UpstreamEntry entry;
   TimePoint coldUntil;
+  // Of those that this host's cell counts; see ServiceUpstreams. Set by the
+  // index.
+  bool isOfCell = true;
   // When each request of this host that still runs there was sent.
   std::multiset<TimePoint> running;
   // Of all peers that were heard lately.
--- a/src/state/internal/platform.cpp
+++ b/src/state/internal/platform.cpp
@@ -3,6 +3,7 @@
 #include "state/platform.h"
 
 #include "protocol/errorkind.h"
+#include "transport/httpstatus.h"
 
 #include <nlohmann/json.hpp>
 
@@ -26,8 +27,6 @@
 constexpr std::chrono::milliseconds kTableTimeout{ 2000 };
 constexpr std::chrono::milliseconds kObjectTimeout{ 5000 };
 constexpr std::chrono::milliseconds kListTimeout{ 2000 };
-constexpr int kHttpOk = 200;
-constexpr int kHttpBadRequest = 400;
 
 json ToAttributes(const Row& aRow)
 {
@@ -149,7 +148,7 @@
                 TableHooks::QueryDone aDone,
                 const Result<HttpResponse>& aResult)
   {
-    if (!aResult || aResult->status != kHttpOk) {
+    if (!aResult || aResult->status != transport::status::kOk) {
       aDone(make_error_code(ErrorKind::kStoreUnavailable));
       return;
     }
@@ -175,11 +174,11 @@
                        TableHooks::WriteDone aDone,
                        const Result<HttpResponse>& aResult)
   {
-    if (aResult && aResult->status == kHttpOk) {
+    if (aResult && aResult->status == transport::status::kOk) {
       aDone(WriteOutcome::kWritten);
       return;
     }
-    if (aResult && aResult->status == kHttpBadRequest) {
+    if (aResult && aResult->status == transport::status::kBadRequest) {
       // A cancelled transaction may be our own write's second arrival; only
       // the read-back tells. Every other refusal wrote nothing.
       if (!ErrorType(*aResult).ends_with("TransactionCanceledException")) {
@@ -218,7 +217,7 @@
   static WriteOutcome JudgeReadBack(const Row& aWritten,
                                     const Result<HttpResponse>& aResult)
   {
-    if (!aResult || aResult->status != kHttpOk) {
+    if (!aResult || aResult->status != transport::status::kOk) {
       return WriteOutcome::kUnknown;
     }
     const json body = json::parse(aResult->body, nullptr, false);
@@ -280,7 +279,8 @@
   request.body = std::move(aContent);
   this->send(this->address, std::move(request), kObjectTimeout,
              [done = std::move(aDone)](const Result<HttpResponse>& aResult) {
-               const bool written = aResult && aResult->status == kHttpOk;
+               const bool written =
+                 aResult && aResult->status == transport::status::kOk;
                done(written ? std::error_code()
                             : make_error_code(ErrorKind::kStoreUnavailable));
              });
@@ -293,7 +293,8 @@
   request.target = "/kumquat/" + aName;
   this->send(this->address, std::move(request), kObjectTimeout,
              [done = std::move(aDone)](Result<HttpResponse> aResult) {
-               if (!aResult || aResult->status != kHttpOk || aResult->rest) {
+               if (!aResult || aResult->status != transport::status::kOk ||
+                   aResult->rest) {
                  done(make_error_code(ErrorKind::kStoreUnavailable));
                  return;
                }
@@ -362,7 +363,7 @@
   request.target = "/apis/discovery.k8s.io/v1/endpointslices";
   this->send(this->address, std::move(request), kListTimeout,
              [done = std::move(aDone)](const Result<HttpResponse>& aResult) {
-               if (!aResult || aResult->status != kHttpOk) {
+               if (!aResult || aResult->status != transport::status::kOk) {
                  done(make_error_code(ErrorKind::kStoreUnavailable));
                  return;
                }
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -18,6 +18,9 @@
 // Unique within its service.
 using UpstreamId = Id<struct UpstreamTag>;
 
+// Where a keyed service's keys lie.
+using Key = std::uint16_t;
+
 // Counts the writes to one row; 0 means that the row is not there.
 using Version = std::int64_t;
 // Raised with each change of owner; the higher one wins.
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -4,6 +4,7 @@
 
 #include "framework/clock.h"
 #include "transport/address.h"
+#include "transport/httpstatus.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -328,10 +329,9 @@
 
   bool IsOwn(const HttpResponse& aResponse, const std::string& aEcho) const
   {
-    constexpr int kFirstError = 400;
     const std::string_view echo = aResponse.Header(this->options.echoHeader);
     return echo == aEcho || (!this->options.errorsNeedEcho && echo.empty() &&
-                             aResponse.status >= kFirstError);
+                             aResponse.status >= status::kFirstError);
   }
 
   asio::awaitable<Result<HttpResponse>> ReadHead(ConnectionPtr aConnection,
