--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -189,6 +189,7 @@
   bool TryPlace(const RequestPtr& aRequest);
   const UpstreamState* Choose(const Request& aRequest);
   const UpstreamState* ChooseOwner(const Request& aRequest);
+  bool KeepsNear(const Request& aRequest, const PlacingQuestion& aQuestion);
   const UpstreamState* ChooseElsewhere(const Request& aRequest,
                                        const PlacingQuestion& aQuestion);
   const UpstreamState* Draw(const std::vector<UpstreamState*>& aFrom,
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -22,6 +22,21 @@
 // wait of two looks for room.
 constexpr milliseconds kFarSooner{ 50 };
 
+// Leaves out those of other data centres where one at hand serves.
+void KeepOnlyNear(std::vector<UpstreamState*>& aCandidates,
+                  const PlacingQuestion& aQuestion)
+{
+  const auto isNear = [&aQuestion](const UpstreamState* aOne) {
+    return aOne->entry.dataCentre == aQuestion.dataCentre &&
+           aOne->ejectedUntil <= aQuestion.now;
+  };
+  if (std::ranges::any_of(aCandidates, isNear)) {
+    std::erase_if(aCandidates, [&](const UpstreamState* aOne) {
+      return !isNear(aOne);
+    });
+  }
+}
+
 } // namespace
 
 double Dispatcher::UsualMs(const state::ServiceName& aName)
@@ -119,6 +134,9 @@
     return !this->IsAllowedCold(aRequest, *aOne);
   });
   const PlacingQuestion question = this->Question(aRequest);
+  if (this->KeepsNear(aRequest, question)) {
+    KeepOnlyNear(candidates, question);
+  }
   const UpstreamState* near = Place(candidates, question, this->hooks.random);
   return near != nullptr ? near : this->ChooseElsewhere(aRequest, question);
 }
@@ -134,15 +152,23 @@
            : nullptr;
 }
 
+// Bytes between data centres are paid for, and a large answer's cost more than
+// a short wait: it comes from afar only when waiting on would make it late.
+bool Dispatcher::KeepsNear(const Request& aRequest,
+                           const PlacingQuestion& aQuestion)
+{
+  constexpr double kLargeBytes = 20'000;
+  return aQuestion.bytes >= kLargeBytes &&
+         IsInTime(aRequest.waiting, aQuestion.now + kFarSooner,
+                  aQuestion.usualMs);
+}
+
 // Of a few drawn at random: this host knows little of any of them, and would
 // otherwise go through hundreds for each request that waits. Cold ones are fed
-// by their own cell alone, which keeps their pace exact. Bytes between data
-// centres are paid for, so a large answer comes from afar only when waiting on
-// would make it late.
+// by their own cell alone, which keeps their pace exact.
 const UpstreamState* Dispatcher::ChooseElsewhere(
   const Request& aRequest, const PlacingQuestion& aQuestion)
 {
-  constexpr double kLargeBytes = 20'000;
   const TimePoint now = this->hooks.now();
   const std::vector<UpstreamState*>& others =
     this->upstreams.Of(aRequest.service).ofOthers;
@@ -155,9 +181,7 @@
     [](const UpstreamState* aOne) { return aOne->entry.dataCentre; });
   const UpstreamState* found = this->Draw(
     std::vector<UpstreamState*>(near.begin(), near.end()), aQuestion);
-  const bool isPressing =
-    !IsInTime(aRequest.waiting, now + kFarSooner, aQuestion.usualMs);
-  if (found != nullptr || (aQuestion.bytes >= kLargeBytes && !isPressing)) {
+  if (found != nullptr || this->KeepsNear(aRequest, aQuestion)) {
     return found;
   }
   return this->Draw(others, aQuestion);
--- a/src/routing/internal/placing.cpp
+++ b/src/routing/internal/placing.cpp
@@ -26,7 +26,7 @@
 // that of a request's whole worth for 50 to 150 KB. A download thus stays near
 // unless the near ones are much slower; a small request hardly minds.
 constexpr double kFarMs = 3;
-constexpr double kFarMsPerKilobyte = 3;
+constexpr double kFarMsPerKilobyte = 8;
 // A failure costs the request about another whole try.
 constexpr double kFailureCost = 2.0;
 
@@ -87,22 +87,31 @@
                                                   aOne->entry.id) ==
                                   aQuestion.tried.end();
                        });
-  // A half of the open ones, three at least: enough to find a fast one or one
-  // that is near, few enough that hosts with the same view part.
+  const auto isNear = [&aQuestion](const UpstreamState* aOne) {
+    return aOne->entry.dataCentre == aQuestion.dataCentre;
+  };
+  // All near ones, which are few, and a half of the others, three at least:
+  // enough to find a fast one, few enough that hosts with the same view part.
+  // A draw of all alike mostly left the near ones out, and two thirds of the
+  // bytes went between data centres while upstreams beside their callers idled.
   constexpr std::size_t kLeastDrawn = 3;
+  const auto far = std::ranges::partition(open, isNear);
   const std::size_t drawn =
-    std::min(open.size(), std::max(kLeastDrawn, (open.size() + 1) / 2));
+    std::min(far.size(), std::max(kLeastDrawn, (far.size() + 1) / 2));
+  for (std::size_t i = 0; i < drawn; ++i) {
+    std::swap(far[i], far[i + aRandom(far.size() - i)]);
+  }
+  open.erase(far.begin() + static_cast<std::ptrdiff_t>(drawn), open.end());
   const UpstreamState* best = nullptr;
   double bestMs = std::numeric_limits<double>::max();
-  for (std::size_t i = 0; i < drawn; ++i) {
-    std::swap(open[i], open[i + aRandom(open.size() - i)]);
-    double expected = ExpectedMs(*open[i], aQuestion);
-    if (open[i]->entry.dataCentre != aQuestion.dataCentre) {
+  for (const UpstreamState* one : open) {
+    double expected = ExpectedMs(*one, aQuestion);
+    if (!isNear(one)) {
       expected += kFarMs + kFarMsPerKilobyte * aQuestion.bytes / 1000;
     }
     if (expected < bestMs) {
       bestMs = expected;
-      best = open[i];
+      best = one;
     }
   }
   return best;
