--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -31,9 +31,8 @@
            aOne->ejectedUntil <= aQuestion.now;
   };
   if (std::ranges::any_of(aCandidates, isNear)) {
-    std::erase_if(aCandidates, [&](const UpstreamState* aOne) {
-      return !isNear(aOne);
-    });
+    std::erase_if(aCandidates,
+                  [&](const UpstreamState* aOne) { return !isNear(aOne); });
   }
 }
 
--- a/src/routing/internal/placing.cpp
+++ b/src/routing/internal/placing.cpp
@@ -26,7 +26,7 @@
 // that of a request's whole worth for 50 to 150 KB. A download thus stays near
 // unless the near ones are much slower; a small request hardly minds.
 constexpr double kFarMs = 3;
-constexpr double kFarMsPerKilobyte = 8;
+constexpr double kFarMsPerKilobyte = 16;
 // A failure costs the request about another whole try.
 constexpr double kFailureCost = 2.0;
 
