Owners' queues are told; restarted hosts go by stored holders; nothing is sent for callers that have left

Change: right before its first byte is sent, after connecting, a request's caller is looked at (one peek at the socket); a request whose caller has left ends without an answer and tells nothing about the upstream. Ruled out: order of read-ahead and handling alone (a connection attempt is another turn of the loop). testLateReadRequestOfAGoneCaller... failed before (the upstream ran 2 of 1) and passes.

Load: an owner of busy keys is full for moments. Cause: each host took all others' queues for an owner to be as long as its own, so with nine hosts the second or third waiting request was refused whatever really waited.

Load: all hosts lose power or are killed. Cause: until an assigner was agreed on, 1.3 s after the start, every keyed request was refused, though the upstreams still held their keys.

Near upstreams are drawn in a random order too: the unit test of overload found that ties went to the first one.

--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -40,7 +40,8 @@
   return { { aUse.upstream },
            aUse.running,
            aUse.answers,
-           aUse.serviceMicros / kMicrosInMs };
+           aUse.serviceMicros / kMicrosInMs,
+           aUse.waiting };
 }
 
 protocol::UpstreamUse UseOf(const routing::UpstreamReport& aReport)
@@ -51,6 +52,7 @@
   use.__set_answers(aReport.answers);
   use.__set_serviceMicros(
     static_cast<std::int32_t>(aReport.serviceMs * kMicrosInMs));
+  use.__set_waiting(aReport.waiting);
   return use;
 }
 
@@ -448,6 +450,7 @@
   protocol::HostDigest digest = this->MakeDigest();
   this->SendDigest(due.others, digest);
   if (!due.mates.empty()) {
+    this->upstreams.SetWaiting(this->dispatcher->WaitingByOwner());
     const auto reports = this->upstreams.TakeReports();
     std::ranges::transform(reports, std::back_inserter(digest.uses), UseOf);
     this->SendDigest(due.mates, digest);
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -124,6 +124,7 @@
         Event::kUpstreamSeen,
         { { "upstream", row.key },
           { "service", entry->service.value },
+          { "data_centre", entry->dataCentre.value },
           { "new_life", static_cast<std::int64_t>(isNewLife) },
           { "leaving", static_cast<std::int64_t>(entry->leaving) },
           { "cold_ms", static_cast<std::int64_t>(entry->coldLeft.count()) },
--- a/src/node/internal/keysduty.cpp
+++ b/src/node/internal/keysduty.cpp
@@ -26,6 +26,8 @@
 // A peer that does not go by a change that was told so long ago has missed it:
 // digests come at least each half second.
 constexpr std::chrono::milliseconds kMissedAfter{ 800 };
+// Between two reads of the stored assignment by a host without a map.
+constexpr std::chrono::milliseconds kHoldersAgain{ 1000 };
 
 std::string PrintHost(const state::HostRef& aHost)
 {
@@ -204,9 +206,44 @@
   return updates;
 }
 
+// Failure: all hosts lose power for a second. It takes them another 1.3 s to
+// agree on an assigner, and until then every keyed request was refused, though
+// the upstreams still held their keys. A host that knows no map goes by the
+// stored holders; one that holds a key no more refuses to run its requests.
+void Keys::ReadHolders(const ServiceName& aService)
+{
+  this->parts.at(aService).holdersDue = this->hooks.now() + kHoldersAgain;
+  this->Read(aService, [this, aService](const Result<StoredKeys>& aStored) {
+    if (!aStored) {
+      return;
+    }
+    // Nothing was dealt yet, and who deals it tells everyone.
+    this->parts.at(aService).holdersDue = TimePoint::max();
+    if (aStored->assignmentVersion == 0) {
+      return;
+    }
+    const auto assignment = ownership::ParseAssignment(aStored->assignment);
+    if (!assignment) {
+      return;
+    }
+    auto stored =
+      ownership::MapOfHolders(*assignment, aStored->assignmentVersion);
+    if (this->parts.at(aService).map.Update(
+          stored.mark, std::move(stored.ranges), this->hooks.now())) {
+      this->hooks.log(aService.value, "stored-holders",
+                      "no assigner was heard yet");
+      this->hooks.changed();
+    }
+  });
+}
+
 void Keys::OnTimer()
 {
+  const TimePoint now = this->hooks.now();
   for (auto& [service, part] : this->parts) {
+    if (part.map.Mark().version == 0 && now >= part.holdersDue) {
+      this->ReadHolders(service);
+    }
     part.assigner->OnTimer();
   }
 }
@@ -343,7 +380,7 @@
 {
   std::set<state::HostId> assigners;
   for (const auto& [service, part] : this->parts) {
-    if (part.map.Mark().version > 0) {
+    if (!part.map.Mark().assigner.host.value.empty()) {
       assigners.insert(part.map.Mark().assigner.host);
     }
   }
--- a/src/node/internal/keysduty.h
+++ b/src/node/internal/keysduty.h
@@ -81,6 +81,8 @@
     ownership::KeyMap map;
     std::unique_ptr<ownership::Assigner> assigner;
     std::vector<ownership::Key> used;
+    // Without a map, when the stored assignment is read next.
+    TimePoint holdersDue;
     // Of this host's own map.
     ownership::MapMark ownMark;
     // What peers were told last; nothing where they need the whole.
@@ -105,6 +107,7 @@
              const ownership::KeysWrite& aWrite,
              ownership::Assigner::WriteDone aDone);
   void Publish(const state::ServiceName& aService);
+  void ReadHolders(const state::ServiceName& aService);
 
   const state::HostRef self;
   const std::chrono::milliseconds mostHold;
--- a/src/ownership/assignment.h
+++ b/src/ownership/assignment.h
@@ -57,4 +57,14 @@
 void Give(Assignment& aAssignment, Key aFirst, Key aLast,
           const Holder& aHolder);
 
+// The holders of a stored assignment, as a map to go by until an assigner is
+// heard: its mark is older than any that the assigner of that version gives.
+struct StoredMap
+{
+  MapMark mark;
+  std::vector<MapRange> ranges;
+};
+
+StoredMap MapOfHolders(const Assignment& aAssignment, state::Version aVersion);
+
 } // namespace kumquat::ownership
--- a/src/ownership/internal/assignment.cpp
+++ b/src/ownership/internal/assignment.cpp
@@ -162,4 +162,17 @@
   aAssignment.ranges = Joined(result);
 }
 
+StoredMap MapOfHolders(const Assignment& aAssignment, state::Version aVersion)
+{
+  constexpr std::int64_t kBeforeAnyStep = -1;
+  StoredMap map;
+  map.mark = { aVersion, kBeforeAnyStep, {} };
+  std::ranges::transform(
+    aAssignment.ranges, std::back_inserter(map.ranges),
+    [](const AssignedRange& aRange) {
+      return MapRange{ aRange.first, aRange.last, aRange.holder.upstream, {} };
+    });
+  return map;
+}
+
 } // namespace kumquat::ownership
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -217,6 +217,8 @@
   3: i32 answers
   // Mean time of one request without its wait for a slot.
   4: i32 serviceMicros
+  // Requests that wait at the host, as only this upstream owns their keys.
+  5: i32 waiting
 }
 
 // Which keys of a service a host was asked for since its last digest; a sample
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -169,6 +169,8 @@
   std::optional<TimePoint> NextDue() const;
 
   std::size_t Waiting() const;
+  // Requests that only one upstream may serve, by that one.
+  std::map<state::UpstreamId, int> WaitingByOwner() const;
   std::size_t Running() const { return this->running; }
   // Sends to upstreams and ends of those, since the start.
   std::int64_t TakenAndEnded() const { return this->changes; }
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -62,6 +62,8 @@
       return ErrorKind::kUpstreamTimeout;
     case TransportError::kCrossed:
       return ErrorKind::kUpstreamCrossed;
+    case TransportError::kCallerGone:
+      return ErrorKind::kCallerGone;
     default:
       return ErrorKind::kUpstreamBroken;
   }
@@ -413,6 +415,13 @@
   }
   const RequestPtr request = found->second;
   const state::ServiceName service = request->service;
+  if (aError == TransportError::kCallerGone) {
+    this->LeaveUpstream(*request, AnswerClass::kNotSent, {}, "caller-gone");
+    request->respond = nullptr;
+    this->Finish(request, { {}, ErrorKind::kCallerGone, {} });
+    this->Pump(service);
+    return;
+  }
   const ErrorKind kind = KindOf(aError);
   const bool sent = aError != TransportError::kUnreachable;
   this->LeaveUpstream(*request,
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -96,18 +96,29 @@
     outlook.queued = 1;
     return outlook;
   }
-  const auto& waiting = this->StateOf(aRequest.service).waiting;
-  outlook.queued = static_cast<std::size_t>(
-    std::ranges::count_if(waiting, [&](const RequestPtr& aOther) {
-      return aOther->caller.key &&
-             this->hooks.owner(aOther->service, *aOther->caller.key).upstream ==
-               owner.upstream;
-    }));
-  outlook.perSecond = 1000.0 * one->entry.slots / outlook.usualMs /
-                      static_cast<double>(this->hostCount);
+  // Hosts of other cells do not tell what waits there; it is taken to be as
+  // much as here.
+  const double known =
+    static_cast<double>(this->cellCount) / static_cast<double>(this->hostCount);
+  const int here = this->WaitingByOwner()[owner.upstream];
+  outlook.queued = static_cast<std::size_t>(here + one->waitingOfPeers);
+  outlook.perSecond = 1000.0 * one->entry.slots / outlook.usualMs * known;
   return outlook;
 }
 
+std::map<state::UpstreamId, int> Dispatcher::WaitingByOwner() const
+{
+  std::map<state::UpstreamId, int> counts;
+  for (const auto& [name, service] : this->services) {
+    for (const RequestPtr& request : service->waiting) {
+      if (this->IsKeyed(*request)) {
+        ++counts[this->hooks.owner(name, *request->caller.key).upstream];
+      }
+    }
+  }
+  return counts;
+}
+
 bool Dispatcher::IsAllowedCold(const Request& aRequest,
                                const UpstreamState& aOne) const
 {
--- a/src/routing/internal/placing.cpp
+++ b/src/routing/internal/placing.cpp
@@ -92,16 +92,19 @@
   };
   // All near ones, which are few, and a half of the others, three at least:
   // enough to find a fast one, few enough that hosts with the same view part.
+  // Of near ones that are as good each is as likely, or hosts would meet there.
   // A draw of all alike mostly left the near ones out, and two thirds of the
   // bytes went between data centres while upstreams beside their callers idled.
   constexpr std::size_t kLeastDrawn = 3;
   const auto far = std::ranges::partition(open, isNear);
+  const std::size_t near = open.size() - far.size();
   const std::size_t drawn =
-    std::min(far.size(), std::max(kLeastDrawn, (far.size() + 1) / 2));
+    near + std::min(far.size(), std::max(kLeastDrawn, (far.size() + 1) / 2));
   for (std::size_t i = 0; i < drawn; ++i) {
-    std::swap(far[i], far[i + aRandom(far.size() - i)]);
+    const std::size_t end = i < near ? near : open.size();
+    std::swap(open[i], open[i + aRandom(end - i)]);
   }
-  open.erase(far.begin() + static_cast<std::ptrdiff_t>(drawn), open.end());
+  open.resize(drawn);
   const UpstreamState* best = nullptr;
   double bestMs = std::numeric_limits<double>::max();
   for (const UpstreamState* one : open) {
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -95,12 +95,16 @@
     UpstreamState fresh;
     if (found != this->upstreams.end()) {
       fresh.runningOfPeers = found->second.runningOfPeers;
+      fresh.waitingOfPeers = found->second.waitingOfPeers;
       // Requests sent to the life before still end here one by one.
       fresh.running = std::move(found->second.running);
     } else {
       for (const auto& [peer, uses] : this->peers) {
         const auto use = uses.find(aEntry.id.value);
-        fresh.runningOfPeers += use == uses.end() ? 0 : use->second;
+        if (use != uses.end()) {
+          fresh.runningOfPeers += use->second.running;
+          fresh.waitingOfPeers += use->second.waiting;
+        }
       }
     }
     this->upstreams[aEntry.id] = std::move(fresh);
@@ -250,6 +254,8 @@
         LearnServiceTime(*upstream, OwnMs(*upstream, tookMs, aBefore), 1);
       }
       return;
+    case AnswerClass::kNotSent:
+      return;
     case AnswerClass::kRefused:
       Average(upstream->failureShare, 1, kFailureWeight);
       upstream->fullUntil = aNow + FullFor(*upstream);
@@ -277,32 +283,42 @@
                        const std::vector<UpstreamReport>& aReports)
 {
   this->ForgetPeer(aPeer);
-  std::unordered_map<std::string, int>& running = this->peers[aPeer];
+  std::unordered_map<std::string, PeerUse>& uses = this->peers[aPeer];
   for (const UpstreamReport& report : aReports) {
-    running[report.id.value] = report.running;
+    uses[report.id.value] = { report.running, report.waiting };
     UpstreamState* upstream = this->Find(report.id);
     if (upstream == nullptr) {
       continue;
     }
     upstream->runningOfPeers += report.running;
+    upstream->waitingOfPeers += report.waiting;
     if (report.answers > 0) {
       LearnServiceTime(*upstream, report.serviceMs, report.answers);
     }
   }
 }
 
+void Upstreams::SetWaiting(const std::map<state::UpstreamId, int>& aWaiting)
+{
+  for (auto& [id, upstream] : this->upstreams) {
+    const auto found = aWaiting.find(id);
+    upstream.waiting = found == aWaiting.end() ? 0 : found->second;
+  }
+}
+
 std::vector<UpstreamReport> Upstreams::TakeReports()
 {
   std::vector<UpstreamReport> reports;
   for (auto& [id, upstream] : this->upstreams) {
     const int own = static_cast<int>(upstream.running.size());
-    if (own == 0 && upstream.freshAnswers == 0) {
+    if (own == 0 && upstream.freshAnswers == 0 && upstream.waiting == 0) {
       continue;
     }
     const double mean = upstream.freshAnswers == 0
                           ? 0
                           : upstream.freshSumMs / upstream.freshAnswers;
-    reports.push_back({ id, own, upstream.freshAnswers, mean });
+    reports.push_back(
+      { id, own, upstream.freshAnswers, mean, upstream.waiting });
     upstream.freshAnswers = 0;
     upstream.freshSumMs = 0;
   }
@@ -315,10 +331,12 @@
   if (found == this->peers.end()) {
     return;
   }
-  for (const auto& [id, running] : found->second) {
+  for (const auto& [id, use] : found->second) {
     if (UpstreamState* upstream = this->Find({ id })) {
       upstream->runningOfPeers =
-        std::max(0, upstream->runningOfPeers - running);
+        std::max(0, upstream->runningOfPeers - use.running);
+      upstream->waitingOfPeers =
+        std::max(0, upstream->waitingOfPeers - use.waiting);
     }
   }
   this->peers.erase(found);
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -71,10 +72,15 @@
   CPPUNIT_TEST(testKeyOnTheMoveWaitsForItsOwner);
   CPPUNIT_TEST(testKeyWithoutOwnerIsRefusedAtOnce);
   CPPUNIT_TEST(testFullOwnerIsNotAskedAgainAtOnce);
+  CPPUNIT_TEST(testShortQueueOfAnOwnerIsWaitedFor);
+  CPPUNIT_TEST(testLongQueueOfAnOwnerIsRefusedAtOnce);
+  CPPUNIT_TEST(testRequestOfAGoneCallerEndsQuietly);
   CPPUNIT_TEST(testReplacedUpstreamGetsNothingMore);
   CPPUNIT_TEST(testStoppingHostTakesNothingNew);
   CPPUNIT_TEST(testEndingHostAnswersAll);
   CPPUNIT_TEST(testDownloadStaysNear);
+  CPPUNIT_TEST(testDownloadWaitsForANearSlot);
+  CPPUNIT_TEST(testNearUpstreamIsNeverOverlooked);
   CPPUNIT_TEST(testColdUpstreamIsPaced);
   CPPUNIT_TEST(testFullCellBorrowsFromOthers);
   CPPUNIT_TEST(testLargeAnswerIsBorrowedNear);
@@ -302,6 +308,53 @@
     CPPUNIT_ASSERT_EQUAL(std::string("s2"), this->sends[0].upstream.value);
   }
 
+  // Twelve hosts, and an owner that is full for a moment. Nobody else has
+  // requests waiting for it. When each host took the others' queues to be as
+  // long as its own, the third lookup was refused while the owner's line was
+  // three long and its caller had time for five.
+  void testShortQueueOfAnOwnerIsWaitedFor()
+  {
+    this->FillOwner();
+    for (int i = 0; i < 4; ++i) {
+      this->Ask("/stock/1", milliseconds(1200), 7);
+    }
+    CPPUNIT_ASSERT(this->answers.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, this->dispatcher->Waiting());
+    CPPUNIT_ASSERT_EQUAL(4, this->dispatcher->WaitingByOwner().at({ "s0" }));
+  }
+
+  // The same owner, and the peers have told of a dozen requests that wait for
+  // it: the next one could not be in time.
+  void testLongQueueOfAnOwnerIsRefusedAtOnce()
+  {
+    this->FillOwner();
+    UpstreamReport report{ { "s0" }, 4, 0, 0, 12 };
+    this->upstreams.OnPeer({ "h1" }, { report });
+    const auto number = this->Ask("/stock/1", milliseconds(1200), 7);
+    CPPUNIT_ASSERT(this->OutcomeOf(number) == Outcome::kNotRun);
+    // Once they are served it may wait again.
+    report.waiting = 0;
+    this->upstreams.OnPeer({ "h1" }, { report });
+    const auto next = this->Ask("/stock/1", milliseconds(1200), 7);
+    CPPUNIT_ASSERT(!this->answers.contains(next));
+  }
+
+  // The connection shows that the caller has left right before its deposit is
+  // sent. The deposit has not run, nobody reads an answer, and the upstream is
+  // no worse for it.
+  void testRequestOfAGoneCallerEndsQuietly()
+  {
+    const auto number = this->Ask("/book/1");
+    const state::UpstreamId upstream = this->sends.back().upstream;
+    this->now += milliseconds(900);
+    this->dispatcher->OnSendFailed(number, TransportError::kCallerGone);
+    CPPUNIT_ASSERT(this->answers.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->sends.size());
+    CPPUNIT_ASSERT_EQUAL(0, this->upstreams.Find(upstream)->Outstanding());
+    CPPUNIT_ASSERT_EQUAL(0.0, this->upstreams.Find(upstream)->serviceMs);
+    CPPUNIT_ASSERT_EQUAL(0.0, this->upstreams.Find(upstream)->failureShare);
+  }
+
   // A key's owner was lost some time ago and its hold has to be waited out.
   void testKeyWithoutOwnerIsRefusedAtOnce()
   {
@@ -398,6 +451,68 @@
     CPPUNIT_ASSERT(Place(candidates, question, zero) != &states[0]);
   }
 
+  // Bookings of 9 KB, one near upstream and eleven as idle in other data
+  // centres. When a half of all was drawn, every second booking never saw the
+  // near one and crossed for nothing; drawn or not, it has to be weighed.
+  void testNearUpstreamIsNeverOverlooked()
+  {
+    std::vector<UpstreamState> states(12);
+    std::vector<UpstreamState*> candidates;
+    for (std::size_t i = 0; i < states.size(); ++i) {
+      states[i].entry.id = { "a" + std::to_string(i) };
+      states[i].entry.slots = 3;
+      states[i].entry.dataCentre = { i == 0 ? "near" : "far" };
+      states[i].serviceMs = 100;
+      candidates.push_back(&states[i]);
+    }
+    PlacingQuestion question;
+    question.now = this->now;
+    question.dataCentre = { "near" };
+    question.bytes = 9000;
+    std::mt19937 random(1);
+    const RandomBelow below = [&random](std::size_t aBelow) {
+      return std::uniform_int_distribution<std::size_t>(0, aBelow - 1)(random);
+    };
+    for (int i = 0; i < 200; ++i) {
+      CPPUNIT_ASSERT(Place(candidates, question, below) == &states[0]);
+    }
+    // A near one that is full is no reason to wait.
+    states[0].runningOfPeers = 4;
+    CPPUNIT_ASSERT(Place(candidates, question, below) != &states[0]);
+  }
+
+  // A crew pulls a photo bundle of 90 KB while the near upstream is full for a
+  // moment. It waits for a near slot while it would be in time; close to its
+  // target it comes from afar rather than late.
+  void testDownloadWaitsForANearSlot()
+  {
+    this->Teach("archeb", 100);
+    this->AddUpstream("a1", "archeb", "abertawe");
+    this->AddUpstream("a2", "archeb", "abertawe");
+    UpstreamAnswer large;
+    large.message.length = 90'000;
+    large.isSigned = true;
+    this->dispatcher->OnAnswer(this->Ask("/look/1"), large);
+    this->upstreams.OnPeer({ "h1" }, { { { "a0" }, 4, 0, 0 } });
+    this->sends.clear();
+    const auto served = this->Ask("/look/1");
+    CPPUNIT_ASSERT(this->sends.empty());
+    this->now += milliseconds(60);
+    this->upstreams.OnPeer({ "h1" }, {});
+    this->dispatcher->OnTimer();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->sends.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a0"), this->sends.back().upstream.value);
+    this->Answer(served, 200);
+    this->upstreams.OnPeer({ "h1" }, { { { "a0" }, 4, 0, 0 } });
+    this->Ask("/look/1");
+    for (int ms = 0; ms < 400 && this->sends.size() < 2; ms += 20) {
+      this->now += milliseconds(20);
+      this->dispatcher->OnTimer();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->sends.size());
+    CPPUNIT_ASSERT(this->sends.back().upstream.value != "a0");
+  }
+
   // A cold upstream bears five requests a second from twelve hosts together.
   // Each host keeps to its share without a word to the others.
   void testColdUpstreamIsPaced()
@@ -572,13 +687,31 @@
       std::make_shared<const RouteTable>(std::move(aConfiguration)));
   }
 
-  void AddUpstream(const std::string& aId, const std::string& aService)
+  // All slots of s0 and the one request ahead are taken by a peer's requests.
+  void FillOwner()
+  {
+    this->dispatcher->SetHosts(Hosts(12), Hosts(12));
+    this->Teach("stoc", 100);
+    this->upstreams.OnPeer({ "h1" }, { { { "s0" }, 4, 0, 0 } });
+  }
+
+  static std::vector<state::HostId> Hosts(int aCount)
+  {
+    std::vector<state::HostId> hosts;
+    for (int i = 0; i < aCount; ++i) {
+      hosts.push_back({ "h" + std::to_string(i) });
+    }
+    return hosts;
+  }
+
+  void AddUpstream(const std::string& aId, const std::string& aService,
+                   const std::string& aCentre = "caerdydd")
   {
     UpstreamEntry entry;
     entry.id = { aId };
     entry.service = { aService };
     entry.address = "10.0.0.1:80";
-    entry.dataCentre = { "caerdydd" };
+    entry.dataCentre = { aCentre };
     entry.slots = 3;
     entry.born = 1;
     this->upstreams.Put(entry, this->now);
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -58,6 +58,8 @@
   kUnreachable,
   // Given up on by us; tells nothing but that it took so long.
   kAbandoned,
+  // Never sent after all; tells nothing.
+  kNotSent,
 };
 
 // What one host tells the others of an upstream.
@@ -68,6 +70,9 @@
   // Answered since the report before, and the mean time that they took.
   int answers = 0;
   double serviceMs = 0;
+  // Requests that wait at the host for this upstream alone, as it owns their
+  // keys.
+  int waiting = 0;
 };
 
 struct UpstreamState
@@ -81,6 +86,9 @@
   std::multiset<TimePoint> running;
   // Of all peers that were heard lately.
   int runningOfPeers = 0;
+  // As in UpstreamReport, of this host and of its peers.
+  int waiting = 0;
+  int waitingOfPeers = 0;
   // What a request takes there when it need not wait, in milliseconds; a
   // moving average, 0 until something was learnt.
   double serviceMs = 0;
@@ -181,10 +189,18 @@
   void OnPeer(const state::HostId& aPeer,
               const std::vector<UpstreamReport>& aReports);
   void ForgetPeer(const state::HostId& aPeer);
+  // How many requests of this host wait for each owner of keys now.
+  void SetWaiting(const std::map<state::UpstreamId, int>& aWaiting);
   // This host's own report; the next one begins anew.
   std::vector<UpstreamReport> TakeReports();
 
 private:
+  struct PeerUse
+  {
+    int running = 0;
+    int waiting = 0;
+  };
+
   void Index();
 
   std::map<state::UpstreamId, UpstreamState> upstreams;
@@ -193,7 +209,7 @@
   bool isIndexed = false;
   Span span;
   std::set<state::DataCentre> out;
-  std::map<state::HostId, std::unordered_map<std::string, int>> peers;
+  std::map<state::HostId, std::unordered_map<std::string, PeerUse>> peers;
 };
 
 } // namespace kumquat::routing
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -32,6 +32,9 @@
   // Runs once, on the server's thread, if the caller closes its connection
   // before its answer has begun.
   std::function<void()> onGone;
+  // Looks at the connection now, on the server's thread: false where the
+  // caller's close is there already and only waits to be read.
+  std::function<bool()> isThere;
 };
 
 struct HttpRequest
@@ -40,7 +43,8 @@
   std::string target = "/";
   std::vector<HttpHeader> headers;
   std::string body;
-  // Of requests that a server has read; null elsewhere.
+  // Of requests that a server has read, and of those that a client passes on
+  // for that caller; null elsewhere.
   std::shared_ptr<CallerLink> link;
 
   // Empty where there is none; names are compared without case.
@@ -78,6 +82,8 @@
   kMalformed,
   // The answer belongs to another request.
   kCrossed,
+  // The caller had left before a byte was sent.
+  kCallerGone,
 };
 
 const std::error_category& TransportCategory();
--- a/src/transport/internal/http.cpp
+++ b/src/transport/internal/http.cpp
@@ -44,6 +44,8 @@
         return "malformed";
       case TransportError::kCrossed:
         return "another request's answer";
+      case TransportError::kCallerGone:
+        return "the caller has left";
     }
     return "unknown";
   }
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -241,6 +241,13 @@
       this->PutIdle(aAddress, connection);
       co_return make_error_code(TransportError::kCancelled);
     }
+    // Failure: a host short of processor time reads requests seconds late, with
+    // their callers' closes right behind them, and sent them on all the same.
+    // Looked at after connecting, as that takes another turn of the loop.
+    if (aRequest.link && aRequest.link->isThere && !aRequest.link->isThere()) {
+      this->PutIdle(aAddress, connection);
+      co_return make_error_code(TransportError::kCallerGone);
+    }
     found->second = connection;
     connection->stream.expires_at(aDeadline);
     const std::string echo(aRequest.Header(this->options.echoHeader));
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -160,6 +160,7 @@
   void Refuse(ServerRefusal aRefusal);
   void Answer(const ExchangePtr& aExchange, HttpResponse aResponse);
   void OnGone();
+  bool IsCallerThere();
   void Wake() { this->wake.cancel(); }
   void Expect(std::chrono::milliseconds aWithin);
   void Close();
@@ -427,6 +428,10 @@
 {
   const auto exchange = std::make_shared<Exchange>();
   exchange->keepAlive = aKeepAlive;
+  exchange->link->isThere = [self = this->weak_from_this()] {
+    const auto session = self.lock();
+    return session && session->IsCallerThere();
+  };
   aRequest.link = exchange->link;
   this->exchanges.push_back(exchange);
   this->state->busy.fetch_add(1);
@@ -465,6 +470,20 @@
   this->Wake();
 }
 
+bool HttpServer::Session::IsCallerThere()
+{
+  if (this->gone || !this->socket.is_open()) {
+    return false;
+  }
+  beast::error_code error;
+  this->socket.non_blocking(true, error);
+  char byte = 0;
+  this->socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                       error);
+  // Nothing to read, or bytes of a next request.
+  return !error || error == asio::error::would_block;
+}
+
 void HttpServer::Session::OnGone()
 {
   if (this->gone) {
--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -14,6 +14,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace kumquat::transport {
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr auto kAddress = "127.0.99.1:18099";
+constexpr auto kUpstreamAddress = "127.0.99.1:18098";
 
 // Runs one call and waits for its end.
 Result<HttpResponse> Call(IoThread& aThread, HttpClient& aClient,
@@ -66,6 +68,7 @@
   CPPUNIT_TEST(testBrokenOffAnswerIsNotWhole);
   CPPUNIT_TEST(testPipelinedAnswersKeepTheirOrder);
   CPPUNIT_TEST(testGoneCallerIsTold);
+  CPPUNIT_TEST(testLateReadRequestOfAGoneCallerIsNotSentOn);
   CPPUNIT_TEST(testStopLosesNoRequest);
   CPPUNIT_TEST(testStopAnswersAllThatWasRead);
   CPPUNIT_TEST(testAnswerOfAnotherIsNotTaken);
@@ -200,6 +203,58 @@
                    std::future_status::ready);
   }
 
+  // A host stands still for a moment. Meanwhile a caller sends a request, runs
+  // out of patience and closes. The host then reads the request and has an idle
+  // connection to an upstream: sent there, it would run for nobody.
+  void testLateReadRequestOfAGoneCallerIsNotSentOn()
+  {
+    HttpServer::Options options;
+    options.address = kUpstreamAddress;
+    std::atomic<int> ran{ 0 };
+    options.handler = [&ran](const HttpRequest&,
+                             const HttpServer::Respond& aRespond) {
+      ++ran;
+      aRespond(HttpResponse{});
+    };
+    auto upstream =
+      HttpServer::Listen(this->thread->Context(), std::move(options));
+    CPPUNIT_ASSERT(upstream.has_value());
+    std::promise<Result<HttpResponse>> first;
+    std::promise<Result<HttpResponse>> second;
+    std::vector<std::promise<Result<HttpResponse>>*> ends{ &first, &second };
+    std::size_t asked = 0;
+    this->respond = [&](const HttpRequest& aRequest,
+                        const HttpServer::Respond& aRespond) {
+      const auto call = this->client->Send(
+        kUpstreamAddress, aRequest, std::chrono::milliseconds(2000),
+        [end = ends[asked++], aRespond](const Result<HttpResponse>& aResult) {
+          end->set_value(aResult);
+          aRespond(HttpResponse{});
+        });
+      aRequest.link->onGone = [this, call] { this->client->Cancel(call); };
+    };
+    RawCaller patient;
+    patient.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(first.get_future().get().has_value());
+    std::promise<void> resume;
+    this->thread->Post([&] { resume.get_future().wait(); });
+    {
+      RawCaller impatient;
+      impatient.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    resume.set_value();
+    const auto result = second.get_future().get();
+    CPPUNIT_ASSERT(!result.has_value());
+    CPPUNIT_ASSERT_EQUAL(1, ran.load());
+    std::promise<void> stopped;
+    this->thread->Post([&] {
+      (*upstream)->StopAccepting();
+      stopped.set_value();
+    });
+    stopped.get_future().wait();
+  }
+
   // A planned stop ends idle connections while a request is on its way in one
   // of them: either it is answered whole or it never reached the handler.
   void testStopLosesNoRequest()
