--- a/src/node/tests/neighbours_test.cpp
+++ b/src/node/tests/neighbours_test.cpp
@@ -55,7 +55,7 @@
     CPPUNIT_ASSERT(dials.begin.contains({ "host-30" }));
     const auto due = neighbours.TakeDue(Names(60), 0);
     CPPUNIT_ASSERT(due.mates.size() < 15);
-    CPPUNIT_ASSERT(due.others.size() >= 1 && due.others.size() <= 4);
+    CPPUNIT_ASSERT(!due.others.empty() && due.others.size() <= 4);
     for (const std::string& mate : due.mates) {
       CPPUNIT_ASSERT(neighbours.IsMate({ mate }));
     }
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -101,7 +101,8 @@
   const double known =
     static_cast<double>(this->cellCount) / static_cast<double>(this->hostCount);
   const int here = this->WaitingByOwner()[owner.upstream];
-  outlook.queued = static_cast<std::size_t>(here + one->waitingOfPeers);
+  outlook.queued = static_cast<std::size_t>(here) +
+                   static_cast<std::size_t>(one->waitingOfPeers);
   outlook.perSecond = 1000.0 * one->entry.slots / outlook.usualMs * known;
   return outlook;
 }
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -698,6 +698,7 @@
   static std::vector<state::HostId> Hosts(int aCount)
   {
     std::vector<state::HostId> hosts;
+    hosts.reserve(static_cast<std::size_t>(aCount));
     for (int i = 0; i < aCount; ++i) {
       hosts.push_back({ "h" + std::to_string(i) });
     }
--- a/src/routing/tests/loadworld.h
+++ b/src/routing/tests/loadworld.h
@@ -166,6 +166,7 @@
       std::make_shared<const RouteTable>(std::move(configuration));
     const int count = this->options.dataCentres * this->options.hostsPerCentre;
     std::vector<state::HostId> all;
+    all.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       all.push_back({ "h" + std::to_string(i) });
     }
