Tables tell how long a host was behind, and how reads of them ended

An operator who asks why one host served an old configuration had only the moment at which each host put it in force. What a host lacked although its peers had named it, for how long, and what became of its own reads meanwhile was in no line and no metric, so the hypotheses of the incident could not be told apart.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -75,6 +75,8 @@
   kPeerRefused = 6006,
   kRingFull = 6007,
   kTableFromPeer = 6008,
+  kTableRead = 6009,
+  kTableCaughtUp = 6010,
 
   kAnswerCrossed = 7001,
   kAnswerTruncated = 7002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -123,6 +123,10 @@
               "a ring between two threads was full; work was refused" },
   EventEntry{ Event::kTableFromPeer, "table-from-peer", kInfo,
               "a peer knew more of a table and passed its copy on" },
+  EventEntry{ Event::kTableRead, "table-read", kInfo,
+              "a whole read of a table at the store ended" },
+  EventEntry{ Event::kTableCaughtUp, "table-caught-up", kInfo,
+              "a change of a table is known that peers had named" },
 
   EventEntry{ Event::kAnswerCrossed, "answer-crossed", kError,
               "an upstream sent another request's answer; it was dropped" },
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -122,19 +122,19 @@
     IpOf(this->settings.peerAddress),
     std::vector<std::string>{ std::string(platform::kOperatorTable),
                               std::string(platform::kUpstreamTable) },
-    StoreDuty::Hooks{ [this](TableNews aNews) {
-                       this->serving.Hand([this, news = std::move(aNews)] {
-                         this->OnTableNews(news);
-                       });
-                     },
-                      [this](bool aWell) {
-                        this->serving.Hand([this, aWell] {
-                          this->isStoreWell = aWell;
-                          this->log.Write(aWell ? Event::kStoreBack
-                                                : Event::kStoreDown);
-                          this->keys->SetStoreWell(aWell);
-                        });
-                      } });
+    StoreDuty::Hooks{
+      [this](TableNews aNews) {
+        this->serving.Hand(
+          [this, news = std::move(aNews)] { this->OnTableNews(news); });
+      },
+      [this](bool aWell) {
+        this->serving.Hand([this, aWell] {
+          this->isStoreWell = aWell;
+          this->log.Write(aWell ? Event::kStoreBack : Event::kStoreDown);
+          this->keys->SetStoreWell(aWell);
+        });
+      },
+      [this](const TableReadEnd& aEnd) { this->OnTableReadEnded(aEnd); } });
   for (const std::error_code error :
        { this->ListenForPeers(), this->ListenForChecks(),
          this->ListenForMetrics(), this->ListenForCallers() }) {
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -68,6 +68,7 @@
   void OnFrame(const protocol::HostRef& aFrom, const protocol::Frame& aFrame);
   void OnDigest(const protocol::HostDigest& aDigest);
   void OnTableNews(const TableNews& aNews);
+  void OnTableReadEnded(const TableReadEnd& aEnd);
   void ApplyOperatorRows();
   void ApplyConfiguration(const state::StoredRow& aRow);
   bool IsConfigurationBehind() const;
@@ -94,6 +95,7 @@
   static bool IsLate(const Behind& aBehind);
   void AskPeer(const state::HostId& aPeer, const std::string& aTable);
   void ForgetBehind();
+  void OnCaughtUp(const std::string& aTable, Duration aBehind);
   void ArmDispatcher();
   void RegisterHost();
   // Store's thread.
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -344,12 +344,33 @@
 void Gateway::Impl::ForgetBehind()
 {
   std::erase_if(this->behind, [this](const auto& aItem) {
-    return std::ranges::none_of(this->peers.All(), [&](const auto& aPeer) {
-      return this->IsAhead(aPeer.second, aItem.first);
-    });
+    const bool isOver =
+      std::ranges::none_of(this->peers.All(), [&](const auto& aPeer) {
+        return this->IsAhead(aPeer.second, aItem.first);
+      });
+    if (isOver) {
+      this->OnCaughtUp(aItem.first, BootTime() - aItem.second.since);
+    }
+    return isOver;
   });
 }
 
+void Gateway::Impl::OnCaughtUp(const std::string& aTable, Duration aBehind)
+{
+  this->metrics
+    .FindSummary("kumquat_table_behind_seconds",
+                 "From a peer's word of a change of a table until this host "
+                 "had it.",
+                 { { "table", aTable } })
+    .Observe(aBehind);
+  const auto behindMs =
+    std::chrono::duration_cast<milliseconds>(aBehind).count();
+  this->log.Write(Event::kTableCaughtUp,
+                  { { "table", aTable },
+                    { "version", this->tables.Find(aTable).version },
+                    { "behind_ms", behindMs } });
+}
+
 // --- what they are told
 
 void Gateway::Impl::Tick()
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -23,6 +23,7 @@
   const state::Version before = this->tables.Find(aNews.table).changed;
   const std::vector<state::StoredRow> changed =
     this->tables.Apply(aNews.table, aNews.rows, aNews.whole, aNews.version);
+  this->ForgetBehind();
   if (changed.empty()) {
     return;
   }
@@ -36,6 +37,18 @@
   }
 }
 
+void Gateway::Impl::OnTableReadEnded(const TableReadEnd& aEnd)
+{
+  const std::string outcome = aEnd.error ? aEnd.error.message() : "read";
+  this->log.Write(
+    Event::kTableRead,
+    { { "table", aEnd.table },
+      { "outcome", outcome },
+      { "rows", static_cast<std::int64_t>(aEnd.rows) },
+      { "took_ms",
+        std::chrono::duration_cast<milliseconds>(aEnd.took).count() } });
+}
+
 void Gateway::Impl::ApplyOperatorRows()
 {
   const TableCopy& copy =
--- a/src/node/internal/storeduty.h
+++ b/src/node/internal/storeduty.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "framework/clock.h"
 #include "framework/result.h"
 #include "state/rowstore.h"
 #include "transport/dutythread.h"
@@ -34,15 +35,26 @@
   bool isOfStore = false;
 };
 
+struct TableReadEnd
+{
+  std::string table;
+  Duration took{ 0 };
+  std::size_t rows = 0;
+  // Empty where it was read.
+  std::error_code error;
+};
+
 class StoreDuty
 {
 public:
   struct Hooks
   {
-    // Both on the store's thread.
+    // All on the store's thread.
     std::function<void(TableNews)> news;
     // The store answers, or does not.
     std::function<void(bool)> well;
+    // A whole read of a table ended.
+    std::function<void(const TableReadEnd&)> readEnded;
   };
 
   StoreDuty(transport::DutyThread& aThread, const std::string& aAddress,
