A leaving upstream is no longer taken as lapsed long after a failed call

Callers' requests reached an upstream 2,005 to 2,158 ms after its entry was removed (bound 2,000), from one host, while all others had dropped it at once.

Cause: a host whose call failed uses what its next answer says is missing for two seconds more, as entries lapse while the store is away. The next call waited for news, up to 20 s, so that its answer came with the next removal, whenever that was: a failure of long ago decided over a fresh word.

Change: the first call after a failure does not wait. Its answer marks the return, and only what is missing then may have lapsed.

Ruled out: an older heartbeat stored after the last one (no leaving upstream came back in any log), slow news (the host knew it 5 ms after the others).

Test, against a store over loopback: failed before, passes. A second one holds the grace where it is due.

--- a/src/node/internal/storeduty.cpp
+++ b/src/node/internal/storeduty.cpp
@@ -20,6 +20,10 @@
 // shows until its time is over. One table is asked often enough that this is
 // seen within seconds; the others are then asked anew.
 constexpr milliseconds kCanaryWait{ 3'000 };
+// Of the first call after a failure. What its answer says is missing may have
+// lapsed with the store; a call that waits is answered with later news only,
+// and those would be taken for lapses as well.
+constexpr milliseconds kCatchUpWait{ 1 };
 // After a failure, doubled up to the second, with as much jitter: all hosts
 // meet the same outage and would return in one step.
 constexpr milliseconds kFirstPause{ 100 };
@@ -221,7 +225,8 @@
   }
   const std::uint64_t generation = ++aFollower->generation;
   this->store->Watch(
-    aFollower->table, aFollower->version, aFollower->wait,
+    aFollower->table, aFollower->version,
+    aFollower->failing ? kCatchUpWait : aFollower->wait,
     [this, aFollower, generation](Result<state::RowsRead> aRead) {
       if (generation != aFollower->generation) {
         return;
--- /dev/null
+++ b/src/node/tests/storeduty_test.cpp
@@ -0,0 +1,128 @@
+// Following the store's tables, against a store over loopback.
+
+#include "node/internal/storeduty.h"
+#include "node/tests/storestandin.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace kumquat::node {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto kStore = "127.0.99.2:18090";
+
+} // namespace
+
+class StoreDutyTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(StoreDutyTest);
+  CPPUNIT_TEST(testLeftUpstreamIsNotTakenAsLapsedLongAfterAFailure);
+  CPPUNIT_TEST(testLapsedUpstreamIsUsedOnAfterAnOutage);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    this->news.clear();
+    this->store.emplace(kStore);
+    this->thread.emplace(64);
+    this->duty.emplace(
+      *this->thread, kStore, "", std::vector<std::string>{ "op", "servers" },
+      StoreDuty::Hooks{ [this](TableNews aNews) { this->OnNews(aNews); },
+                        [](bool) {}, [](const TableReadEnd&) {} });
+    this->thread->Start("store-duty");
+  }
+
+  void tearDown() override
+  {
+    this->thread->Stop();
+    this->duty.reset();
+    this->thread.reset();
+    this->store.reset();
+  }
+
+  // The removal of an upstream in use was taken for a lapse, as a call had
+  // failed once before, and requests reached it for two more seconds.
+  void testLeftUpstreamIsNotTakenAsLapsedLongAfterAFailure()
+  {
+    this->store->Put("i-1", "here");
+    this->duty->Start();
+    this->AwaitRow("i-1", false);
+    std::this_thread::sleep_for(milliseconds(400));
+    this->store->BreakWaiting();
+    std::this_thread::sleep_for(milliseconds(1200));
+    this->store->Remove("i-1");
+    CPPUNIT_ASSERT(this->AwaitRow("i-1", true).grace == milliseconds(0));
+  }
+
+  // Entries that lapse while the store is away are those of live upstreams.
+  void testLapsedUpstreamIsUsedOnAfterAnOutage()
+  {
+    this->store->Put("i-1", "here");
+    this->duty->Start();
+    this->AwaitRow("i-1", false);
+    std::this_thread::sleep_for(milliseconds(400));
+    this->store->SetDown(true);
+    std::this_thread::sleep_for(milliseconds(600));
+    this->store->Remove("i-1");
+    this->store->SetDown(false);
+    CPPUNIT_ASSERT(this->AwaitRow("i-1", true).grace > milliseconds(1000));
+  }
+
+private:
+  void OnNews(const TableNews& aNews)
+  {
+    const std::scoped_lock lock(this->mutex);
+    this->news.push_back(aNews);
+    this->changed.notify_all();
+  }
+
+  // The first news that tell of the row so: a whole table without it says that
+  // it is gone.
+  TableNews AwaitRow(const std::string& aKey, bool aRemoved)
+  {
+    std::unique_lock lock(this->mutex);
+    std::optional<TableNews> found;
+    this->changed.wait_for(lock, std::chrono::seconds(8), [&] {
+      const auto tells = [&](const TableNews& aNews) {
+        const auto row =
+          std::ranges::find(aNews.rows, aKey, &state::StoredRow::key);
+        const bool isThere = row != aNews.rows.end() && !row->removed;
+        const bool isGone =
+          row == aNews.rows.end() ? aNews.whole : row->removed;
+        return aRemoved ? isGone : isThere;
+      };
+      const auto one = std::ranges::find_if(this->news, tells);
+      if (one != this->news.end()) {
+        found = *one;
+      }
+      return found.has_value();
+    });
+    CPPUNIT_ASSERT_MESSAGE("no news of " + aKey, found.has_value());
+    this->news.clear();
+    return *found;
+  }
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<TableNews> news;
+  std::optional<StoreStandIn> store;
+  std::optional<transport::DutyThread> thread;
+  std::optional<StoreDuty> duty;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreDutyTest);
+
+} // namespace kumquat::node
