A late heartbeat brings no leaving or gone upstream back

Callers' requests could reach an upstream that had said it leaves: the platform may carry out a write that got no answer seconds later, so a heartbeat of before can stand in the table after the upstream's last word. Entries of one life were taken in the order of the store, not of the upstream's own count.

Change: an entry with a lower count than a known one of the same life changes nothing; a life that leaves stays leaving; what was removed is remembered for a minute. An address that was taken over by another upstream takes a new life at another address out of use no more. The log's upstream-seen says what became of the entry.

Tests fail with the order by count switched off, and pass.

--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -132,13 +132,13 @@
     const auto entry =
       row.removed ? std::nullopt : platform::ReadUpstream(row.key, row.value);
     if (entry) {
-      const bool isNewLife = this->upstreams.Put(*entry, now);
+      const routing::EntryChange change = this->upstreams.Put(*entry, now);
       this->log.Write(
         Event::kUpstreamSeen,
         { { "upstream", row.key },
           { "service", entry->service.value },
           { "data_centre", entry->dataCentre.value },
-          { "new_life", static_cast<std::int64_t>(isNewLife) },
+          { "change", routing::EntryChangeName(change) },
           { "leaving", static_cast<std::int64_t>(entry->leaving) },
           { "cold_ms", static_cast<std::int64_t>(entry->coldLeft.count()) },
           { "version", row.version } });
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -226,6 +226,7 @@
   const TimePoint now = this->hooks.now();
   aRequest->isRunning = true;
   aRequest->upstream = aUpstream.entry.id;
+  aRequest->address = aUpstream.entry.address;
   aRequest->isElsewhere = !this->IsKeyed(*aRequest) && !aUpstream.isOfCell;
   if (aRequest->isElsewhere) {
     this->StateOf(aRequest->service).elsewhere.OnSent();
@@ -361,7 +362,8 @@
                         "wrong-upstream");
     if (!aAnswer.answeredBy.value.empty() &&
         aAnswer.answeredBy != request->upstream) {
-      this->upstreams.OnReplaced(request->upstream);
+      this->upstreams.OnReplaced(request->upstream, request->address,
+                                 this->hooks.now());
     } else if (request->caller.key) {
       this->hooks.notOwner(service, *request->caller.key, request->upstream);
       // The same upstream may be its owner again.
--- a/src/routing/internal/dispatcherparts.h
+++ b/src/routing/internal/dispatcherparts.h
@@ -32,6 +32,7 @@
   // At an upstream of another cell.
   bool isElsewhere = false;
   state::UpstreamId upstream;
+  std::string address;
   TimePoint sentAt;
   int before = 0;
 
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -5,6 +5,7 @@
 #include "framework/rendezvous.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <iterator>
 #include <utility>
@@ -27,6 +28,16 @@
 constexpr int kUnreachableToEject = 1;
 constexpr milliseconds kFirstEjection{ 300 };
 constexpr milliseconds kLongestEjection{ 2000 };
+// A write that got no answer may be carried out some seconds later.
+constexpr std::chrono::seconds kLastWordKept{ 60 };
+
+constexpr std::array<std::pair<EntryChange, std::string_view>, 3> kEntryChanges{
+  {
+    { EntryChange::kOutdated, "outdated" },
+    { EntryChange::kUpdated, "updated" },
+    { EntryChange::kNewLife, "new-life" },
+  }
+};
 
 double ToMs(Duration aDuration)
 {
@@ -82,12 +93,43 @@
 
 } // namespace
 
-bool Upstreams::Put(const UpstreamEntry& aEntry, TimePoint aNow)
+std::string_view EntryChangeName(EntryChange aChange)
+{
+  return std::ranges::find(kEntryChanges, aChange,
+                           &decltype(kEntryChanges)::value_type::first)
+    ->second;
+}
+
+std::optional<Upstreams::LastWord> Upstreams::LastWordOf(
+  const state::UpstreamId& aId) const
+{
+  const auto here = this->upstreams.find(aId);
+  if (here != this->upstreams.end()) {
+    const UpstreamEntry& entry = here->second.entry;
+    return LastWord{ entry.born, entry.sequence, entry.leaving, {} };
+  }
+  const auto past = this->gone.find(aId);
+  return past == this->gone.end() ? std::nullopt : std::optional(past->second);
+}
+
+void Upstreams::Forget(const state::UpstreamId& aId, TimePoint aNow)
+{
+  if (auto word = this->LastWordOf(aId)) {
+    word->goneAt = aNow;
+    this->gone[aId] = *word;
+  }
+  this->upstreams.erase(aId);
+  this->isIndexed = false;
+}
+
+EntryChange Upstreams::Put(const UpstreamEntry& aEntry, TimePoint aNow)
 {
   const auto found = this->upstreams.find(aEntry.id);
-  if (found != this->upstreams.end() &&
-      found->second.entry.born > aEntry.born) {
-    return false;
+  const std::optional<LastWord> last = this->LastWordOf(aEntry.id);
+  const bool isSameLife = last && aEntry.born != 0 && last->born == aEntry.born;
+  if (last && (last->born > aEntry.born ||
+               (isSameLife && last->sequence > aEntry.sequence))) {
+    return EntryChange::kOutdated;
   }
   const bool newLife =
     found == this->upstreams.end() || found->second.entry.born < aEntry.born;
@@ -112,9 +154,11 @@
   this->isIndexed = false;
   UpstreamState& upstream = this->upstreams[aEntry.id];
   upstream.entry = aEntry;
+  upstream.entry.leaving = aEntry.leaving || (isSameLife && last->leaving);
   upstream.coldUntil = aNow + aEntry.coldLeft;
   upstream.goneAt.reset();
-  return newLife;
+  this->gone.erase(aEntry.id);
+  return newLife ? EntryChange::kNewLife : EntryChange::kUpdated;
 }
 
 void Upstreams::Remove(const state::UpstreamId& aId, TimePoint aNow,
@@ -125,8 +169,7 @@
     return;
   }
   if (aGrace.count() == 0) {
-    this->isIndexed = false;
-    this->upstreams.erase(found);
+    this->Forget(aId, aNow);
     return;
   }
   if (!found->second.goneAt) {
@@ -136,13 +179,17 @@
 
 void Upstreams::Expire(TimePoint aNow)
 {
-  const std::size_t expired =
-    std::erase_if(this->upstreams, [aNow](const auto& aItem) {
-      return aItem.second.goneAt && *aItem.second.goneAt <= aNow;
-    });
-  if (expired > 0) {
-    this->isIndexed = false;
+  std::vector<state::UpstreamId> over;
+  for (const auto& [id, upstream] : this->upstreams) {
+    if (upstream.goneAt && *upstream.goneAt <= aNow) {
+      over.push_back(id);
+    }
   }
+  std::ranges::for_each(
+    over, [&](const state::UpstreamId& aId) { this->Forget(aId, aNow); });
+  std::erase_if(this->gone, [aNow](const auto& aItem) {
+    return aNow - aItem.second.goneAt > kLastWordKept;
+  });
 }
 
 void Upstreams::SetOut(std::set<state::DataCentre> aOut)
@@ -273,10 +320,14 @@
   }
 }
 
-void Upstreams::OnReplaced(const state::UpstreamId& aId)
+void Upstreams::OnReplaced(const state::UpstreamId& aId,
+                           const std::string& aAddress, TimePoint aNow)
 {
-  this->isIndexed = false;
-  this->upstreams.erase(aId);
+  const UpstreamState* upstream = this->Find(aId);
+  // A new life of it may have another address by now.
+  if (upstream != nullptr && upstream->entry.address == aAddress) {
+    this->Forget(aId, aNow);
+  }
 }
 
 void Upstreams::OnPeer(const state::HostId& aPeer,
--- a/src/routing/tests/upstreams_test.cpp
+++ b/src/routing/tests/upstreams_test.cpp
@@ -15,6 +15,9 @@
   CPPUNIT_TEST_SUITE(UpstreamsTest);
   CPPUNIT_TEST(testLongestPrefixWins);
   CPPUNIT_TEST(testOlderLifeChangesNothing);
+  CPPUNIT_TEST(testLateHeartbeatBringsNoLeavingUpstreamBack);
+  CPPUNIT_TEST(testLateHeartbeatBringsNoGoneUpstreamBack);
+  CPPUNIT_TEST(testLateAnswerOfAnOldAddressKeepsTheNewLife);
   CPPUNIT_TEST(testNewLifeForgetsTheOld);
   CPPUNIT_TEST(testLapsedEntryInGrace);
   CPPUNIT_TEST(testUnreachableUpstreamRests);
@@ -44,6 +47,43 @@
     CPPUNIT_ASSERT(!this->upstreams.Find({ "u" })->entry.leaving);
   }
 
+  // A heartbeat of before an upstream's word that it leaves is stored after it.
+  void testLateHeartbeatBringsNoLeavingUpstreamBack()
+  {
+    this->Put(1, false, 7);
+    this->Put(1, true, 9);
+    this->Put(1, false, 8);
+    CPPUNIT_ASSERT(this->upstreams.Find({ "u" })->entry.leaving);
+    this->Put(1, false, 10);
+    CPPUNIT_ASSERT(this->upstreams.Find({ "u" })->entry.leaving);
+    this->Put(2, false, 1);
+    CPPUNIT_ASSERT(!this->upstreams.Find({ "u" })->entry.leaving);
+  }
+
+  // A heartbeat is stored after its upstream's entry was removed.
+  void testLateHeartbeatBringsNoGoneUpstreamBack()
+  {
+    this->Put(1, true, 9);
+    this->upstreams.Remove({ "u" }, this->now, milliseconds(0));
+    this->Put(1, false, 8);
+    CPPUNIT_ASSERT(this->upstreams.Find({ "u" }) == nullptr);
+    this->Put(1, false, 11);
+    CPPUNIT_ASSERT(this->upstreams.Find({ "u" })->entry.leaving);
+    this->upstreams.Remove({ "u" }, this->now, milliseconds(0));
+    this->Put(2, false, 1);
+    CPPUNIT_ASSERT(!this->upstreams.Find({ "u" })->entry.leaving);
+  }
+
+  // A request to an upstream's former address is answered by who has it now.
+  void testLateAnswerOfAnOldAddressKeepsTheNewLife()
+  {
+    this->Put(1, false, 1);
+    this->upstreams.OnReplaced({ "u" }, "10.0.0.9:80", this->now);
+    CPPUNIT_ASSERT(this->upstreams.Find({ "u" }) != nullptr);
+    this->upstreams.OnReplaced({ "u" }, "10.0.0.1:80", this->now);
+    CPPUNIT_ASSERT(this->upstreams.Find({ "u" }) == nullptr);
+  }
+
   void testNewLifeForgetsTheOld()
   {
     this->Put(1, false);
@@ -116,10 +156,12 @@
   }
 
 private:
-  void Put(std::int64_t aBorn, bool aLeaving)
+  void Put(std::int64_t aBorn, bool aLeaving, std::int64_t aSequence = 0)
   {
     UpstreamEntry entry;
     entry.id = { "u" };
+    entry.address = "10.0.0.1:80";
+    entry.sequence = aSequence;
     entry.service = { "stoc" };
     entry.slots = 3;
     entry.leaving = aLeaving;
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -32,10 +32,23 @@
   bool leaving = false;
   // How much longer it is cold, from when the entry was written.
   std::chrono::milliseconds coldLeft{ 0 };
-  // Unix milliseconds of its start: one life has one value.
+  // Unix milliseconds of its start: one life has one value. 0: not told.
   std::int64_t born = 0;
+  // Counts the entries that one life has written.
+  std::int64_t sequence = 0;
 };
 
+// What became of an entry that was read.
+enum class EntryChange
+{
+  // An earlier word of this life, or one of an older life.
+  kOutdated,
+  kUpdated,
+  kNewLife,
+};
+
+std::string_view EntryChangeName(EntryChange aChange);
+
 // What an upstream adds to an answer about its own load.
 struct UpstreamLoad
 {
@@ -137,9 +150,9 @@
   Upstreams(Upstreams&&) = default;
   Upstreams& operator=(Upstreams&&) = default;
 
-  // Takes an upstream's entry; an older life's entry changes nothing. True
-  // where it is a new life.
-  bool Put(const UpstreamEntry& aEntry, TimePoint aNow);
+  // Takes an upstream's entry. Words of one life count in the order in which
+  // they were written, and one that leaves stays so.
+  EntryChange Put(const UpstreamEntry& aEntry, TimePoint aNow);
   // The entry is gone. Entries also lapse because the store was away, and live
   // upstreams are back within two seconds of its return; aGrace is how long
   // this one may still be used, 0 where the store was well.
@@ -182,7 +195,8 @@
                 AnswerClass aClass, const std::optional<UpstreamLoad>& aLoad,
                 TimePoint aNow);
   // Another upstream answers at its address.
-  void OnReplaced(const state::UpstreamId& aId);
+  void OnReplaced(const state::UpstreamId& aId, const std::string& aAddress,
+                  TimePoint aNow);
 
   // A peer's digest; what it has running takes the place of what it told
   // before.
@@ -201,9 +215,23 @@
     int waiting = 0;
   };
 
+  // The last word of a life whose entry is gone.
+  struct LastWord
+  {
+    std::int64_t born = 0;
+    std::int64_t sequence = 0;
+    bool leaving = false;
+    TimePoint goneAt;
+  };
+
   void Index();
+  std::optional<LastWord> LastWordOf(const state::UpstreamId& aId) const;
+  void Forget(const state::UpstreamId& aId, TimePoint aNow);
 
   std::map<state::UpstreamId, UpstreamState> upstreams;
+  // Entries may be written once more after they were removed, as a write
+  // without an answer may be carried out late.
+  std::map<state::UpstreamId, LastWord> gone;
   // Made anew when it is asked for after a change.
   std::map<state::ServiceName, ServiceUpstreams> byService;
   bool isIndexed = false;
