A change between two pages of a table's read is not lost

A host could go on using an upstream that had said it leaves, or an older configuration, until that row changed once more.

Cause: a table of over 500 rows, or 1 MB, is read in pages. The copy took the newest row's version for the one up to which nothing is missing; a row of a later page may be newer than a change of an earlier one, and the news of that change were then dropped as known.

Change: a whole read is complete up to its first page's version only, and a row is compared with the version of the copy's own row. A row that is newer than a read is neither replaced nor taken as gone by it.

The test failed before (no change told), and passes.

--- a/src/node/internal/tables.cpp
+++ b/src/node/internal/tables.cpp
@@ -40,7 +40,7 @@
       aRows, std::inserter(present, present.end()),
       [](const state::StoredRow& aRow) { return std::string_view(aRow.key); });
     for (const auto& [key, row] : copy.rows) {
-      if (!present.contains(key)) {
+      if (!present.contains(key) && row.version <= aVersion) {
         changed.push_back(row);
         changed.back().removed = true;
       }
@@ -48,9 +48,9 @@
   }
   for (const state::StoredRow& row : aRows) {
     const auto known = copy.rows.find(row.key);
-    const bool isNew =
-      aWhole ? known == copy.rows.end() || known->second.version != row.version
-             : row.version > copy.version;
+    const bool isNew = known != copy.rows.end()
+                         ? row.version > known->second.version
+                         : aWhole || row.version > copy.version;
     if (isNew) {
       changed.push_back(row);
     }
@@ -61,7 +61,11 @@
     } else {
       copy.rows[row.key] = row;
     }
-    copy.version = std::max(copy.version, row.version);
+    // The later pages of a read may hold rows of after its first, and what else
+    // changed meanwhile is not known yet.
+    if (!aWhole) {
+      copy.version = std::max(copy.version, row.version);
+    }
     // When a row went that is only found to be missing is not known.
     copy.changed =
       std::max(copy.changed, aWhole && row.removed ? aVersion : row.version);
--- a/src/node/tests/tables_test.cpp
+++ b/src/node/tests/tables_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(testReadingWholeIsNoChange);
   CPPUNIT_TEST(testCopyOfAPeerIsNoChange);
   CPPUNIT_TEST(testChangesAlreadyCopiedAreNoNews);
+  CPPUNIT_TEST(testChangeBetweenTwoPagesOfAReadIsNotLost);
   CPPUNIT_TEST(testOldDigestsAreNoFreshWord);
   CPPUNIT_TEST(testDigestOfAnEndedRunIsIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -102,6 +103,22 @@
       this->tables.Apply("servers", { Row("c", "", 7) }, false, 8).size());
   }
 
+  // A row of the second page is newer than a change of one of the first.
+  void testChangeBetweenTwoPagesOfAReadIsNotLost()
+  {
+    this->tables.Apply("servers", { Row("a", "here", 1), Row("z", "", 108) },
+                       true, 100);
+    const auto changed = this->tables.Apply(
+      "servers", { Row("a", "leaves", 105), Row("z", "", 108) }, false, 108);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changed.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("leaves"),
+                         this->tables.Find("servers").rows.at("a").value);
+    // What a read of then says is missing, or older, changes nothing newer.
+    CPPUNIT_ASSERT(
+      this->tables.Apply("servers", { Row("a", "here", 1) }, true, 105)
+        .empty());
+  }
+
   // A host stood still for four seconds. The digests that waited in its
   // connections were sent in answer to its digests of before; they must not
   // count as if they had been said now.
