A large table is read once over a slow link, and its read counts

Callers' requests were handled by an older configuration at hosts with small links while configurations of some 400 KB came in quick succession.

Cause: a call to the store had 1.5 s for the whole answer, and a host that was told by peers that it is behind began another read after that time and did not listen to the first; a host that stopped following dropped the answer of the read under way, and could begin no other for 1.5 s. So the later of two requests took the word from the earlier, again and again.

--- a/src/node/internal/storeduty.cpp
+++ b/src/node/internal/storeduty.cpp
@@ -36,8 +36,8 @@
 // After news, so that changes which come close together cost one call.
 constexpr milliseconds kGather{ 250 };
 constexpr milliseconds kStoreUnacknowledged{ 1200 };
-// A whole read that is not over after this time will not be.
-constexpr milliseconds kReadTakes{ 1500 };
+// Without a further piece of an answer.
+constexpr milliseconds kNoProgress{ 1500 };
 
 transport::HttpClient::Options ClientOptions(const std::string& aLocalAddress)
 {
@@ -46,6 +46,7 @@
   options.wholeBodyBytes = 64U << 20U;
   options.maxHeaderBytes = 16U << 10U;
   options.unacknowledged = kStoreUnacknowledged;
+  options.bodyProgress = kNoProgress;
   return options;
 }
 
@@ -70,8 +71,9 @@
   TimePoint returnedAt;
   // Answers of calls before the last restart are not listened to.
   std::uint64_t generation = 0;
-  // Of the whole read under way; the epoch where there is none.
-  TimePoint readingSince;
+  // A whole read is under way. It ends by itself, in bounded time without
+  // progress.
+  bool isReading = false;
 };
 
 namespace {
@@ -129,10 +131,7 @@
       this->followers, [&aTable](const std::shared_ptr<Follower>& aOne) {
         return aOne->table == aTable;
       });
-    // Failure: a large table takes a small host longer than it takes peers to
-    // tell that it is behind; begun anew each time, the read never ended.
-    if (found != this->followers.end() &&
-        BootTime() - (*found)->readingSince > kReadTakes) {
+    if (found != this->followers.end() && !(*found)->isReading) {
       (*found)->timer.cancel();
       this->ReadWhole(*found);
     }
@@ -146,6 +145,10 @@
       return;
     }
     for (const auto& follower : this->followers) {
+      // A read under way is taken either way, and goes on to watch or not.
+      if (follower->isReading) {
+        continue;
+      }
       follower->timer.cancel();
       if (aFollowing) {
         this->ReadWhole(follower);
@@ -181,8 +184,10 @@
   for (const auto& other : this->followers) {
     if (other != aFollower) {
       other->failing = true;
-      other->timer.cancel();
-      this->ReadWhole(other);
+      if (!other->isReading) {
+        other->timer.cancel();
+        this->ReadWhole(other);
+      }
     }
   }
 }
@@ -190,7 +195,7 @@
 void StoreDuty::ReadWhole(const std::shared_ptr<Follower>& aFollower)
 {
   const std::uint64_t generation = ++aFollower->generation;
-  aFollower->readingSince = BootTime();
+  aFollower->isReading = true;
   this->store->Read(aFollower->table, "",
                     [this, aFollower, generation,
                      begin = BootTime()](Result<state::RowsRead> aRead) {
@@ -201,7 +206,7 @@
                       if (generation != aFollower->generation) {
                         return;
                       }
-                      aFollower->readingSince = {};
+                      aFollower->isReading = false;
                       if (!aRead) {
                         this->OnFailure(aFollower, true);
                         return;
--- a/src/node/tests/storeduty_test.cpp
+++ b/src/node/tests/storeduty_test.cpp
@@ -30,6 +30,8 @@
   CPPUNIT_TEST_SUITE(StoreDutyTest);
   CPPUNIT_TEST(testLeftUpstreamIsNotTakenAsLapsedLongAfterAFailure);
   CPPUNIT_TEST(testLapsedUpstreamIsUsedOnAfterAnOutage);
+  CPPUNIT_TEST(testLargeTableOverASlowLinkIsReadOnce);
+  CPPUNIT_TEST(testReadUnderWayCountsWhenAHostStopsFollowing);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -81,6 +83,33 @@
     CPPUNIT_ASSERT(this->AwaitRow("i-1", true).grace > milliseconds(1000));
   }
 
+  // A read that took longer than a call may, or than peers take to tell that
+  // the host is behind, was begun anew each time and never ended.
+  void testLargeTableOverASlowLinkIsReadOnce()
+  {
+    this->store->Put("config", std::string(400'000, 'x'));
+    this->store->SetSlow(6, milliseconds(400));
+    this->duty->Start();
+    for (int i = 0; i < 6; ++i) {
+      std::this_thread::sleep_for(milliseconds(400));
+      this->duty->Restart("op");
+    }
+    this->AwaitRow("config", false);
+    CPPUNIT_ASSERT_EQUAL(2, this->store->Reads());
+  }
+
+  // The answer was not listened to, and the next read waited for its time-out.
+  void testReadUnderWayCountsWhenAHostStopsFollowing()
+  {
+    this->store->Put("config", std::string(400'000, 'x'));
+    this->store->SetSlow(6, milliseconds(100));
+    this->duty->Start();
+    std::this_thread::sleep_for(milliseconds(200));
+    this->duty->SetFollowing(false);
+    this->AwaitRow("config", false);
+    CPPUNIT_ASSERT_EQUAL(2, this->store->Reads());
+  }
+
 private:
   void OnNews(const TableNews& aNews)
   {
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -36,6 +36,9 @@
     std::chrono::milliseconds connectTimeout{ 1000 };
     // Without progress on a streamed body.
     std::chrono::milliseconds pieceTimeout{ 10'000 };
+    // Where set, a call's timeout covers the answer's head, and each piece of a
+    // whole body has this time: on a slow link a large one takes long.
+    std::chrono::milliseconds bodyProgress{ 0 };
     // Sent bytes that stay unacknowledged for so long end the connection: a
     // server without power or behind a cut answers nothing at all, and the
     // call would wait for its whole timeout. 0: the system's default.
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -373,6 +373,9 @@
     }
     while (!parser->is_done() &&
            response.body.size() < this->options.wholeBodyBytes) {
+      if (this->options.bodyProgress.count() > 0) {
+        aConnection->stream.expires_after(this->options.bodyProgress);
+      }
       Result<std::string> piece =
         co_await ReadPiece(*aConnection, *parser, this->options.pieceBytes);
       if (!piece) {
