Nothing is sent to an upstream that left, or lost the key, while connecting

A request that waits for a connection, up to 300 ms, went to the upstream that had been chosen before, though that had said meanwhile that it leaves, its data centre had been taken out, or the key had moved.

Cause: the choice was made once, and nothing looked at it again before the first byte. Change: the client asks right before it; a send that is no longer valid is withdrawn and placed anew. It counts neither as a try nor as a further send, as nothing left the host.

It adds up to 300 ms to the time in which requests reach an upstream that left (bound 2,000 ms).

--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -355,8 +355,12 @@
 void Gateway::Impl::SendUpstream(const routing::UpstreamSend& aSend)
 {
   const routing::RequestNumber number = aSend.number;
+  HttpRequest request = platform::MakeUpstreamRequest(aSend);
+  request.isStillValid = [this, number] {
+    return this->dispatcher->IsSendValid(number);
+  };
   const auto call = this->upstreamClient->Send(
-    aSend.address, platform::MakeUpstreamRequest(aSend), aSend.patience,
+    aSend.address, std::move(request), aSend.patience,
     [this, number](Result<HttpResponse> aAnswer) {
       if (!aAnswer &&
           aAnswer.error() == transport::TransportError::kCancelled) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -162,6 +162,9 @@
   void OnCallerGone(RequestNumber aNumber);
   void OnAnswer(RequestNumber aNumber, UpstreamAnswer aAnswer);
   void OnSendFailed(RequestNumber aNumber, transport::TransportError aError);
+  // Whether the upstream that was chosen may still be sent the request, which
+  // waits for a connection: it may have left, or lost the key, meanwhile.
+  bool IsSendValid(RequestNumber aNumber) const;
   // Something changed that waiting requests may have waited for.
   void OnChange();
   void OnTimer();
@@ -201,6 +204,7 @@
   void Send(const RequestPtr& aRequest, const UpstreamState& aUpstream);
   void Enqueue(const RequestPtr& aRequest);
   void Pump(const state::ServiceName& aName);
+  void Withdraw(const RequestPtr& aRequest);
   bool MayResend(const Request& aRequest, protocol::ErrorKind aWhy);
   void Resend(const RequestPtr& aRequest, protocol::ErrorKind aWhy);
   void LeaveUpstream(Request& aRequest, AnswerClass aClass,
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -424,6 +424,11 @@
     this->Pump(service);
     return;
   }
+  if (aError == TransportError::kWithdrawn) {
+    this->Withdraw(request);
+    this->Pump(service);
+    return;
+  }
   const ErrorKind kind = KindOf(aError);
   const bool sent = aError != TransportError::kUnreachable;
   this->LeaveUpstream(*request,
@@ -434,6 +439,37 @@
   this->Pump(service);
 }
 
+bool Dispatcher::IsSendValid(RequestNumber aNumber) const
+{
+  const auto found = this->requests.find(aNumber);
+  if (found == this->requests.end() || !found->second->isRunning) {
+    return false;
+  }
+  const Request& request = *found->second;
+  const UpstreamState* one = this->upstreams.Find(request.upstream);
+  if (one == nullptr || !this->upstreams.MayUse(*one) ||
+      one->entry.address != request.address) {
+    return false;
+  }
+  if (!this->IsKeyed(request)) {
+    return true;
+  }
+  const state::UpstreamId owner =
+    this->hooks.owner(request.service, *request.caller.key).upstream;
+  return owner.value.empty() || owner == request.upstream;
+}
+
+// Nothing left this host, so that it is no further send.
+void Dispatcher::Withdraw(const RequestPtr& aRequest)
+{
+  this->LeaveUpstream(*aRequest, AnswerClass::kNotSent, {}, "withdrawn");
+  std::erase(aRequest->tried, aRequest->upstream);
+  --aRequest->sends;
+  if (!this->TryPlace(aRequest)) {
+    this->Enqueue(aRequest);
+  }
+}
+
 bool Dispatcher::MayResend(const Request& aRequest, ErrorKind aWhy)
 {
   if (aRequest.mayHaveRunAt > 0 && !MayRepeat(aRequest.route->kind)) {
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -70,6 +70,8 @@
   CPPUNIT_TEST(testOverloadKeepsAnswersInTime);
   CPPUNIT_TEST(testUrgentGoesFirstAndNobodyStarves);
   CPPUNIT_TEST(testKeyOnTheMoveWaitsForItsOwner);
+  CPPUNIT_TEST(testSendToAnUpstreamThatLeftWhileConnectingIsWithdrawn);
+  CPPUNIT_TEST(testSendToAFormerOwnerIsWithdrawn);
   CPPUNIT_TEST(testKeyWithoutOwnerIsRefusedAtOnce);
   CPPUNIT_TEST(testFullOwnerIsNotAskedAgainAtOnce);
   CPPUNIT_TEST(testShortQueueOfAnOwnerIsWaitedFor);
@@ -355,6 +357,40 @@
     CPPUNIT_ASSERT_EQUAL(0.0, this->upstreams.Find(upstream)->failureShare);
   }
 
+  // A connection took long, and the request went to an upstream that had said
+  // meanwhile that it leaves.
+  void testSendToAnUpstreamThatLeftWhileConnectingIsWithdrawn()
+  {
+    const auto number = this->Ask("/book/1");
+    const state::UpstreamId first = this->sends.back().upstream;
+    CPPUNIT_ASSERT(this->dispatcher->IsSendValid(number));
+    UpstreamEntry entry = this->upstreams.Find(first)->entry;
+    entry.leaving = true;
+    this->upstreams.Put(entry, this->now);
+    CPPUNIT_ASSERT(!this->dispatcher->IsSendValid(number));
+    this->dispatcher->OnSendFailed(number, TransportError::kWithdrawn);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->sends.size());
+    CPPUNIT_ASSERT(this->sends.back().upstream != first);
+    CPPUNIT_ASSERT_EQUAL(0, this->resent);
+    CPPUNIT_ASSERT_EQUAL(0, this->upstreams.Find(first)->Outstanding());
+    this->Answer(number, 200);
+    CPPUNIT_ASSERT(this->answers.at(number).message.has_value());
+  }
+
+  // The same of a key that moved; nobody owning it is no reason.
+  void testSendToAFormerOwnerIsWithdrawn()
+  {
+    this->AddUpstream("s1", "stoc");
+    this->owner = KeyOwner{ { "s0" }, {} };
+    const auto number = this->Ask("/stock/1", milliseconds(1200), Key{ 5 });
+    this->owner = KeyOwner{ {}, {} };
+    CPPUNIT_ASSERT(this->dispatcher->IsSendValid(number));
+    this->owner = KeyOwner{ { "s1" }, {} };
+    CPPUNIT_ASSERT(!this->dispatcher->IsSendValid(number));
+    this->dispatcher->OnSendFailed(number, TransportError::kWithdrawn);
+    CPPUNIT_ASSERT_EQUAL(std::string("s1"), this->sends.back().upstream.value);
+  }
+
   // A key's owner was lost some time ago and its hold has to be waited out.
   void testKeyWithoutOwnerIsRefusedAtOnce()
   {
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -47,6 +47,9 @@
   // Of requests that a server has read, and of those that a client passes on
   // for that caller; null elsewhere.
   std::shared_ptr<CallerLink> link;
+  // Asked by a client right before the first byte, as connecting takes time;
+  // where it says no, nothing is sent. Empty: always yes.
+  std::function<bool()> isStillValid;
 
   // Empty where there is none; names are compared without case.
   std::string_view Header(std::string_view aName) const;
@@ -85,6 +88,8 @@
   kCrossed,
   // The caller had left before a byte was sent.
   kCallerGone,
+  // It was no longer valid before a byte was sent.
+  kWithdrawn,
 };
 
 const std::error_category& TransportCategory();
--- a/src/transport/internal/http.cpp
+++ b/src/transport/internal/http.cpp
@@ -46,6 +46,8 @@
         return "another request's answer";
       case TransportError::kCallerGone:
         return "the caller has left";
+      case TransportError::kWithdrawn:
+        return "withdrawn";
     }
     return "unknown";
   }
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -252,6 +252,10 @@
     connection->stream.expires_at(aDeadline);
     const std::string echo(aRequest.Header(this->options.echoHeader));
     const auto message = MakeMessage(aAddress, std::move(aRequest));
+    if (aRequest.isStillValid && !aRequest.isStillValid()) {
+      this->PutIdle(aAddress, connection);
+      co_return make_error_code(TransportError::kWithdrawn);
+    }
     const auto [error, bytes] =
       co_await http::async_write(connection->stream, message, kAwait);
     if (error) {
