A host that stops following learns that the store is back

Once a host had stopped following the tables while the store did not answer it, it took the store for away until it was chosen to follow again: it asked its peers only, for whole tables over their small links, and told all others that it does not reach the store.

Cause: the retry was cancelled with the following, and no other call was made. Change: the call that looks for the store's return goes on until it is seen.

The test failed before and passes.

--- a/src/node/internal/storeduty.cpp
+++ b/src/node/internal/storeduty.cpp
@@ -150,7 +150,8 @@
     }
     for (const auto& follower : this->followers) {
       // A read under way is taken either way, and goes on to watch or not.
-      if (follower->isReading) {
+      if (follower->isReading ||
+          (!aFollowing && this->IsAwaitingReturn(follower))) {
         continue;
       }
       follower->timer.cancel();
@@ -184,7 +185,7 @@
   }
   const bool returned = !this->well;
   this->SetWell(true);
-  if (!returned) {
+  if (!returned || !this->following) {
     return;
   }
   for (const auto& other : this->followers) {
@@ -232,7 +233,7 @@
 
 void StoreDuty::Watch(const std::shared_ptr<Follower>& aFollower)
 {
-  if (!this->following) {
+  if (!this->following && !this->IsAwaitingReturn(aFollower)) {
     return;
   }
   const std::uint64_t generation = ++aFollower->generation;
@@ -261,6 +262,14 @@
     });
 }
 
+// Failure: a host that stopped following while the store did not answer it
+// never asked again, and took the store for away for good.
+bool StoreDuty::IsAwaitingReturn(
+  const std::shared_ptr<Follower>& aFollower) const
+{
+  return !this->well && aFollower == this->followers.front();
+}
+
 void StoreDuty::Tell(const std::shared_ptr<Follower>& aFollower, bool aWhole,
                      std::vector<state::StoredRow> aRows)
 {
--- a/src/node/internal/storeduty.h
+++ b/src/node/internal/storeduty.h
@@ -85,6 +85,7 @@
   void OnAnswer(const std::shared_ptr<Follower>& aFollower);
   void Tell(const std::shared_ptr<Follower>& aFollower, bool aWhole,
             std::vector<state::StoredRow> aRows);
+  bool IsAwaitingReturn(const std::shared_ptr<Follower>& aFollower) const;
   void WatchLater(const std::shared_ptr<Follower>& aFollower);
   void OnFailure(const std::shared_ptr<Follower>& aFollower, bool aWhole);
   void SetWell(bool aWell);
--- a/src/node/tests/storeduty_test.cpp
+++ b/src/node/tests/storeduty_test.cpp
@@ -33,18 +33,21 @@
   CPPUNIT_TEST(testLapsedUpstreamIsUsedOnAfterAnOutage);
   CPPUNIT_TEST(testLargeTableOverASlowLinkIsReadOnce);
   CPPUNIT_TEST(testReadUnderWayCountsWhenAHostStopsFollowing);
+  CPPUNIT_TEST(testHostThatFollowsNoMoreLearnsThatTheStoreIsBack);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   void setUp() override
   {
     this->news.clear();
+    this->well = true;
     this->store.emplace(kStore);
     this->thread.emplace(64);
     this->duty.emplace(
       *this->thread, kStore, "", std::vector<std::string>{ "op", "servers" },
       StoreDuty::Hooks{ [this](TableNews aNews) { this->OnNews(aNews); },
-                        [](bool) {}, [](const TableReadEnd&) {} });
+                        [this](bool aWell) { this->OnWell(aWell); },
+                        [](const TableReadEnd&) {} });
     this->thread->Start("store-duty");
   }
 
@@ -124,7 +127,35 @@
     CPPUNIT_ASSERT_EQUAL(2, this->store->Reads());
   }
 
+  // Taken for turned away for good, it asked its peers only, and for the whole.
+  void testHostThatFollowsNoMoreLearnsThatTheStoreIsBack()
+  {
+    this->store->Put("i-1", "here");
+    this->duty->Start();
+    this->AwaitRow("i-1", false);
+    this->store->SetDown(true);
+    this->AwaitWell(false);
+    this->duty->SetFollowing(false);
+    std::this_thread::sleep_for(milliseconds(100));
+    this->store->SetDown(false);
+    this->AwaitWell(true);
+  }
+
 private:
+  void AwaitWell(bool aWell)
+  {
+    std::unique_lock lock(this->mutex);
+    CPPUNIT_ASSERT(this->changed.wait_for(lock, std::chrono::seconds(5),
+                                          [&] { return this->well == aWell; }));
+  }
+
+  void OnWell(bool aWell)
+  {
+    const std::scoped_lock lock(this->mutex);
+    this->well = aWell;
+    this->changed.notify_all();
+  }
+
   void OnNews(const TableNews& aNews)
   {
     const std::scoped_lock lock(this->mutex);
@@ -161,6 +192,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::vector<TableNews> news;
+  bool well = true;
   std::optional<StoreStandIn> store;
   std::optional<transport::DutyThread> thread;
   std::optional<StoreDuty> duty;
