Calls to the store leave on connections that did not rest, at other times each

A host whose connection to the store had gone silent took 1.2 s to find out, in the very call that was to fetch what it lacked; and an outage that began right after a change showed to all hosts only when the same wait was over, 4.5 s later, as all had asked anew in the same moment.

Change: a connection that rested for 0.5 s is not used again; each table has a client of its own, which tells when bytes last came; a wait for news is between half and the whole of its time. The test of a connection that went silent at rest fails without the bound (time-out) and passes.

--- a/src/node/internal/storeduty.cpp
+++ b/src/node/internal/storeduty.cpp
@@ -6,6 +6,7 @@
 #include "platform/store.h"
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 namespace kumquat::node {
@@ -20,6 +21,10 @@
 // shows until its time is over. One table is asked often enough that this is
 // seen within seconds; the others are then asked anew.
 constexpr milliseconds kCanaryWait{ 3'000 };
+// Calls end at other times at each host: after a change all hosts ask anew in
+// the same moment, and an outage that begins then would show to all of them
+// only when the same wait is over.
+constexpr double kLeastWaitShare = 0.5;
 // Of the first call after a failure. What its answer says is missing may have
 // lapsed with the store; a call that waits is answered with later news only,
 // and those would be taken for lapses as well.
@@ -39,8 +44,11 @@
 // After news, so that changes which come close together cost one call.
 constexpr milliseconds kGather{ 250 };
 constexpr milliseconds kStoreUnacknowledged{ 1200 };
+// Between calls on one connection; longer than what is gathered takes.
+constexpr milliseconds kLongestRest{ 500 };
 // Without a further piece of an answer.
 constexpr milliseconds kNoProgress{ 1500 };
+constexpr std::size_t kPieceBytes = 16U << 10U;
 
 transport::HttpClient::Options ClientOptions(const std::string& aLocalAddress)
 {
@@ -50,20 +58,48 @@
   options.maxHeaderBytes = 16U << 10U;
   options.unacknowledged = kStoreUnacknowledged;
   options.bodyProgress = kNoProgress;
+  options.longestRest = kLongestRest;
+  options.pieceBytes = kPieceBytes;
   return options;
 }
 
+std::unique_ptr<state::RowStore> StoreOver(transport::HttpClient& aClient,
+                                           const std::string& aAddress)
+{
+  return std::make_unique<platform::Store>(
+    aAddress,
+    [&aClient](const std::string& aTo, transport::HttpRequest aRequest,
+               milliseconds aTimeout, transport::HttpClient::Done aDone) {
+      aClient.Send(aTo, std::move(aRequest), aTimeout, std::move(aDone));
+    });
+}
+
 } // namespace
 
 struct StoreDuty::Follower
 {
-  Follower(std::string aTable, boost::asio::io_context& aContext)
+  Follower(std::string aTable, boost::asio::io_context& aContext,
+           const std::string& aAddress, const std::string& aLocalAddress)
     : table(std::move(aTable))
+    , client(aContext, this->OwnOptions(aLocalAddress))
+    , store(StoreOver(this->client, aAddress))
     , timer(aContext)
   {
   }
 
+  transport::HttpClient::Options OwnOptions(const std::string& aLocalAddress)
+  {
+    transport::HttpClient::Options options = ClientOptions(aLocalAddress);
+    options.onProgress = [this] { this->heardAt = BootTime(); };
+    return options;
+  }
+
   const std::string table;
+  // Set on the store's thread.
+  std::atomic<TimePoint> heardAt{ TimePoint{} };
+  // Of its own, so that what is heard is about this table.
+  transport::HttpClient client;
+  std::unique_ptr<state::RowStore> store;
   milliseconds wait = kWatchWait;
   state::Version version = 0;
   boost::asio::steady_timer timer;
@@ -104,15 +140,12 @@
   , client(aThread.Context(), ClientOptions(aLocalAddress))
   , random(std::random_device{}())
 {
-  this->store = std::make_unique<platform::Store>(
-    aAddress, [this](const std::string& aTo, transport::HttpRequest aRequest,
-                     milliseconds aTimeout, transport::HttpClient::Done aDone) {
-      this->client.Send(aTo, std::move(aRequest), aTimeout, std::move(aDone));
-    });
+  this->store = StoreOver(this->client, aAddress);
   std::ranges::transform(aTables, std::back_inserter(this->followers),
-                         [&aThread](const std::string& aTable) {
-                           return std::make_shared<Follower>(aTable,
-                                                             aThread.Context());
+                         [&](const std::string& aTable) {
+                           return std::make_shared<Follower>(
+                             aTable, aThread.Context(), aAddress,
+                             aLocalAddress);
                          });
   this->followers.front()->wait = kCanaryWait;
 }
@@ -131,17 +164,30 @@
 void StoreDuty::Restart(const std::string& aTable)
 {
   this->thread.Hand([this, aTable] {
-    const auto found = std::ranges::find_if(
-      this->followers, [&aTable](const std::shared_ptr<Follower>& aOne) {
-        return aOne->table == aTable;
-      });
-    if (found != this->followers.end() && !(*found)->isReading) {
-      (*found)->timer.cancel();
-      this->ReadWhole(*found);
+    const auto follower = this->FollowerOf(aTable);
+    if (follower && !follower->isReading) {
+      follower->timer.cancel();
+      this->ReadWhole(follower);
     }
   });
 }
 
+std::shared_ptr<StoreDuty::Follower> StoreDuty::FollowerOf(
+  const std::string& aTable) const
+{
+  const auto found = std::ranges::find_if(
+    this->followers, [&aTable](const std::shared_ptr<Follower>& aOne) {
+      return aOne->table == aTable;
+    });
+  return found == this->followers.end() ? nullptr : *found;
+}
+
+TimePoint StoreDuty::HeardAt(const std::string& aTable) const
+{
+  const auto follower = this->FollowerOf(aTable);
+  return follower ? follower->heardAt.load() : TimePoint{};
+}
+
 void StoreDuty::SetFollowing(bool aFollowing)
 {
   this->thread.Hand([this, aFollowing] {
@@ -237,9 +283,9 @@
     return;
   }
   const std::uint64_t generation = ++aFollower->generation;
-  this->store->Watch(
+  aFollower->store->Watch(
     aFollower->table, aFollower->version,
-    aFollower->failing ? kCatchUpWait : aFollower->wait,
+    aFollower->failing ? kCatchUpWait : this->SpreadWait(aFollower->wait),
     [this, aFollower, generation](Result<state::RowsRead> aRead) {
       if (generation != aFollower->generation) {
         return;
@@ -270,6 +316,12 @@
   return !this->well && aFollower == this->followers.front();
 }
 
+milliseconds StoreDuty::SpreadWait(milliseconds aWait)
+{
+  std::uniform_real_distribution<double> share(kLeastWaitShare, 1.0);
+  return std::chrono::duration_cast<milliseconds>(aWait * share(this->random));
+}
+
 void StoreDuty::Tell(const std::shared_ptr<Follower>& aFollower, bool aWhole,
                      std::vector<state::StoredRow> aRows)
 {
--- a/src/node/internal/storeduty.h
+++ b/src/node/internal/storeduty.h
@@ -71,6 +71,8 @@
   // that is open may have gone silent. Where nothing is followed it is read
   // once.
   void Restart(const std::string& aTable);
+  // When the last bytes of an answer about the table came; from any thread.
+  TimePoint HeardAt(const std::string& aTable) const;
   // Begins to follow the tables again, or leaves it to others to tell of them.
   void SetFollowing(bool aFollowing);
 
@@ -80,18 +82,21 @@
 private:
   struct Follower;
 
+  std::shared_ptr<Follower> FollowerOf(const std::string& aTable) const;
   void ReadWhole(const std::shared_ptr<Follower>& aFollower);
   void Watch(const std::shared_ptr<Follower>& aFollower);
   void OnAnswer(const std::shared_ptr<Follower>& aFollower);
   void Tell(const std::shared_ptr<Follower>& aFollower, bool aWhole,
             std::vector<state::StoredRow> aRows);
   bool IsAwaitingReturn(const std::shared_ptr<Follower>& aFollower) const;
+  std::chrono::milliseconds SpreadWait(std::chrono::milliseconds aWait);
   void WatchLater(const std::shared_ptr<Follower>& aFollower);
   void OnFailure(const std::shared_ptr<Follower>& aFollower, bool aWhole);
   void SetWell(bool aWell);
 
   transport::DutyThread& thread;
   const Hooks hooks;
+  // Of calls that are not about a table that is followed.
   transport::HttpClient client;
   std::unique_ptr<state::RowStore> store;
   std::vector<std::shared_ptr<Follower>> followers;
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -34,11 +34,16 @@
     // Idle connections kept to one address.
     std::size_t maxIdle = 130;
     std::chrono::milliseconds connectTimeout{ 1000 };
+    // A connection that rested for longer may have gone silent, which nothing
+    // shows but a call that gets no answer; it is not used again. 0: any time.
+    std::chrono::milliseconds longestRest{ 0 };
     // Without progress on a streamed body.
     std::chrono::milliseconds pieceTimeout{ 10'000 };
     // Where set, a call's timeout covers the answer's head, and each piece of a
     // whole body has this time: on a slow link a large one takes long.
     std::chrono::milliseconds bodyProgress{ 0 };
+    // Runs with each head and each piece of a whole body; may be empty.
+    std::function<void()> onProgress;
     // Sent bytes that stay unacknowledged for so long end the connection: a
     // server without power or behind a cut answers nothing at all, and the
     // call would wait for its whole timeout. 0: the system's default.
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -94,21 +94,25 @@
 }
 
 // The server's idle time, from "Keep-Alive: timeout=5", less what a request
-// may be on its way when the server closes.
-TimePoint UsableUntil(const HttpResponse& aResponse)
+// may be on its way when the server closes; and the client's own bound.
+TimePoint UsableUntil(const HttpResponse& aResponse,
+                      std::chrono::milliseconds aLongestRest)
 {
+  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint own =
+    aLongestRest.count() > 0 ? now + aLongestRest : TimePoint::max();
   constexpr std::string_view kTimeout = "timeout=";
   constexpr std::chrono::milliseconds kClosing{ 500 };
   const std::string_view hint = aResponse.Header("Keep-Alive");
   const auto found = hint.find(kTimeout);
   if (found == std::string_view::npos) {
-    return TimePoint::max();
+    return own;
   }
   int seconds = 0;
   const std::string_view number = hint.substr(found + kTimeout.size());
   std::from_chars(number.data(), number.data() + number.size(), seconds);
-  return std::chrono::steady_clock::now() + std::chrono::seconds(seconds) -
-         kClosing;
+  return std::min<TimePoint>(own,
+                             now + std::chrono::seconds(seconds) - kClosing);
 }
 
 // A dead peer shows after this option's time; see Options::unacknowledged.
@@ -248,14 +252,14 @@
       this->PutIdle(aAddress, connection);
       co_return make_error_code(TransportError::kCallerGone);
     }
-    found->second = connection;
-    connection->stream.expires_at(aDeadline);
-    const std::string echo(aRequest.Header(this->options.echoHeader));
-    const auto message = MakeMessage(aAddress, std::move(aRequest));
     if (aRequest.isStillValid && !aRequest.isStillValid()) {
       this->PutIdle(aAddress, connection);
       co_return make_error_code(TransportError::kWithdrawn);
     }
+    found->second = connection;
+    connection->stream.expires_at(aDeadline);
+    const std::string echo(aRequest.Header(this->options.echoHeader));
+    const auto message = MakeMessage(aAddress, std::move(aRequest));
     const auto [error, bytes] =
       co_await http::async_write(connection->stream, message, kAwait);
     if (error) {
@@ -338,6 +342,13 @@
     co_return make_error_code(TransportError::kCrossed);
   }
 
+  void TellProgress() const
+  {
+    if (this->options.onProgress) {
+      this->options.onProgress();
+    }
+  }
+
   bool IsOwn(const HttpResponse& aResponse, const std::string& aEcho) const
   {
     const std::string_view echo = aResponse.Header(this->options.echoHeader);
@@ -357,6 +368,7 @@
       co_return make_error_code(IsTimeout(error) ? TransportError::kTimeout
                                                  : TransportError::kBroken);
     }
+    this->TellProgress();
     HttpResponse response;
     response.status = static_cast<int>(aParser.get().result_int());
     for (const auto& field : aParser.get()) {
@@ -385,11 +397,13 @@
       if (!piece) {
         co_return piece.error();
       }
+      this->TellProgress();
       response.body += *piece;
     }
     if (parser->is_done()) {
       if (parser->get().keep_alive() && !parser->need_eof() && aReusable) {
-        aConnection->usableUntil = UsableUntil(response);
+        aConnection->usableUntil =
+          UsableUntil(response, this->options.longestRest);
         this->PutIdle(aAddress, std::move(aConnection));
       }
       co_return response;
--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -28,12 +28,13 @@
 
 // Runs one call and waits for its end.
 Result<HttpResponse> Call(IoThread& aThread, HttpClient& aClient,
-                          HttpRequest aRequest)
+                          HttpRequest aRequest,
+                          const std::string& aAddress = kAddress)
 {
   std::promise<Result<HttpResponse>> promise;
   auto future = promise.get_future();
   aThread.Post([&] {
-    aClient.Send(kAddress, std::move(aRequest), std::chrono::milliseconds(2000),
+    aClient.Send(aAddress, std::move(aRequest), std::chrono::milliseconds(2000),
                  [&promise](Result<HttpResponse> aResult) {
                    promise.set_value(std::move(aResult));
                  });
@@ -62,6 +63,55 @@
 
 } // namespace
 
+namespace {
+
+// Answers the first request of each connection, and falls silent.
+class OneAnswerServer
+{
+public:
+  explicit OneAnswerServer(const std::string& aAddress)
+    : acceptor(this->context, *ParseAddress(aAddress))
+    , thread([this] { this->Serve(); })
+  {
+  }
+
+  ~OneAnswerServer()
+  {
+    ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+    this->thread.join();
+  }
+
+  OneAnswerServer(const OneAnswerServer&) = delete;
+  OneAnswerServer& operator=(const OneAnswerServer&) = delete;
+
+private:
+  void Serve()
+  {
+    boost::system::error_code error;
+    while (!error) {
+      boost::asio::ip::tcp::socket socket(this->context);
+      this->acceptor.accept(socket, error);
+      if (error) {
+        return;
+      }
+      std::string request(1024, ' ');
+      socket.read_some(boost::asio::buffer(request), error);
+      boost::asio::write(socket,
+                         boost::asio::buffer(std::string(
+                           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")),
+                         error);
+      this->sockets.push_back(std::move(socket));
+    }
+  }
+
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::vector<boost::asio::ip::tcp::socket> sockets;
+  std::thread thread;
+};
+
+} // namespace
+
 class HttpTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(HttpTest);
@@ -75,6 +125,8 @@
   CPPUNIT_TEST(testStopLosesNoRequest);
   CPPUNIT_TEST(testStopAnswersAllThatWasRead);
   CPPUNIT_TEST(testAnswerOfAnotherIsNotTaken);
+  CPPUNIT_TEST(testConnectionThatWentSilentAtRestIsNotUsedAgain);
+  CPPUNIT_TEST(testRequestThatIsNoLongerValidIsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -341,6 +393,34 @@
 
   // The answer to a request that was given up on comes late, in the place of
   // the next one's: the next caller must not get it.
+  // A call on a connection that had gone silent took its whole time-out.
+  void testConnectionThatWentSilentAtRestIsNotUsedAgain()
+  {
+    OneAnswerServer silent(kUpstreamAddress);
+    HttpClient::Options options;
+    options.longestRest = std::chrono::milliseconds(20);
+    HttpClient own(this->thread->Context(), options);
+    CPPUNIT_ASSERT(Call(*this->thread, own, {}, kUpstreamAddress).has_value());
+    std::this_thread::sleep_for(std::chrono::milliseconds(40));
+    CPPUNIT_ASSERT(Call(*this->thread, own, {}, kUpstreamAddress).has_value());
+  }
+
+  void testRequestThatIsNoLongerValidIsNotSent()
+  {
+    std::atomic<int> ran{ 0 };
+    this->answer = [&ran](const HttpRequest&) {
+      ++ran;
+      return HttpResponse{};
+    };
+    HttpRequest request;
+    request.isStillValid = [] { return false; };
+    const auto result = Call(*this->thread, *this->client, request);
+    CPPUNIT_ASSERT(result.error() == TransportError::kWithdrawn);
+    CPPUNIT_ASSERT_EQUAL(0, ran.load());
+    // The connection serves others.
+    CPPUNIT_ASSERT(Call(*this->thread, *this->client, {}).has_value());
+  }
+
   void testAnswerOfAnotherIsNotTaken()
   {
     this->answer = [](const HttpRequest&) {
