A host that lacks a change has it from a peer at once; large rows once

Callers' requests were handled by an older configuration than the one acknowledged 2.5 s before, and reached upstreams that had left, at single hosts while all others had the change.

Cause: the ways on which a change reaches a host were tried one after the other, each until it had surely failed: 0.4 s until it was asked for at all, counted from the first change of many, 1.2 s until the store was taken for silent, 1.2 s or 1.5 s on a silent connection, and then the whole table, large rows included, from every peer whose digest came, over links of 10 Mbit/s. Digests named a large configuration only with the next tick. Together more than a change may take, though a peer had it within 0.3 s.

Change: CatchUp, without I/O, decides whom to ask and when. What is missing is counted change by change; small rows are had from the nearest peer as a difference, after 0.1 to 0.3 s; a large row is read from the store at once where nobody passes it on, one read at a time, with a rest for the link, and from a peer only where no bytes of it arrive. A reader of a cell tells its mates at once of what it does not pass on. The hosts' table is not put back by an older answer.

Ruled out: a change that passes over the thread or the parsing (in force within 0.1 s of the read).

--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -10,6 +10,7 @@
 #include "framework/events.h"
 #include "framework/metrics.h"
 #include "node/gateway.h"
+#include "node/internal/catchup.h"
 #include "node/internal/keysduty.h"
 #include "node/internal/neighbours.h"
 #include "node/internal/peerduty.h"
@@ -74,10 +75,10 @@
   bool IsConfigurationBehind() const;
   void ApplyUpstreamRows(const std::vector<state::StoredRow>& aChanged,
                          std::chrono::milliseconds aGrace);
-  void ApplyHostRows(const std::vector<state::StoredRow>& aRows);
+  void ApplyHostRows(const state::RowsRead& aRead);
   void Dial();
   void OnStranger();
-  void SendTable(const std::string& aTo, const std::string& aTable);
+  void SendTable(const std::string& aTo, const protocol::TableQuery& aQuery);
   void OnTableCopy(const std::string& aFrom, const protocol::TableCopy& aCopy);
   void OnTableChange(const protocol::TableChange& aChange);
   void PassOn(const TableNews& aNews, state::Version aBefore);
@@ -88,14 +89,15 @@
   void SendDigest(std::vector<std::string> aHosts,
                   protocol::HostDigest aDigest);
   void SendKeyMaps();
-  struct Behind;
   // Whether the peer knows a change of the table that this host does not.
   bool IsAhead(const KnownPeer& aPeer, const std::string& aTable) const;
-  void AskBehind(const KnownPeer& aPeer);
-  static bool IsLate(const Behind& aBehind);
+  std::vector<state::HostId> PeersAhead(const std::string& aTable) const;
+  CatchUp& CatchUpOf(const std::string& aTable);
+  void CatchUpWith(const std::string& aTable);
   void AskPeer(const state::HostId& aPeer, const std::string& aTable);
-  void ForgetBehind();
   void OnCaughtUp(const std::string& aTable, Duration aBehind);
+  bool AreUpstreamsSettled() const;
+  void TellMatesNow();
   void ArmDispatcher();
   void RegisterHost();
   // Store's thread.
@@ -145,16 +147,12 @@
   TimePoint dialledAt;
   // A host that claimed keys and was never heard here; see Assigner::Hooks.
   state::HostId claimant;
+  // Of the hosts' table as it was read last.
+  state::Version hostsVersion = 0;
   // No further read of the hosts' table for a stranger before that.
   TimePoint hostsReadDue;
-  // By table: a peer knows more of it than this host.
-  struct Behind
-  {
-    TimePoint since;
-    // When a peer was asked for the whole.
-    TimePoint askedAt;
-  };
-  std::map<std::string, Behind> behind;
+  // By table.
+  std::map<std::string, CatchUp> catchUps;
   // Peers with a connection.
   std::set<std::string> reachable;
   bool isStoreWell = true;
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <numeric>
 #include <utility>
@@ -19,12 +20,6 @@
 namespace {
 
 constexpr milliseconds kTick{ 100 };
-// While a peer knows more of a table the host asks for the whole each so often,
-// as news are mostly on their way already, and a table of some hundred
-// upstreams is 50 KB. After the longer time it asks store and peer, on a new
-// connection.
-constexpr milliseconds kBehindForPeer{ 400 };
-constexpr milliseconds kBehindForStore{ 1200 };
 // Between tries to write or read the hosts' table, and until it is read again:
 // a peer that neither side knows of any more is found then.
 constexpr milliseconds kHostsPause{ 500 };
@@ -56,6 +51,21 @@
   return use;
 }
 
+const std::vector<std::string>& FollowedTables()
+{
+  static const std::vector<std::string> kTables{
+    std::string(platform::kOperatorTable), std::string(platform::kUpstreamTable)
+  };
+  return kTables;
+}
+
+// The last change of a table that the peer has.
+state::Version NamedBy(const KnownPeer& aPeer, const std::string& aTable)
+{
+  return aTable == platform::kOperatorTable ? aPeer.operatorVersion
+                                            : aPeer.upstreamVersion;
+}
+
 } // namespace
 
 // --- the hosts' table
@@ -99,7 +109,7 @@
     [this, done = std::move(aDone)](Result<state::RowsRead> aRead) {
       if (aRead) {
         this->serving.Hand(
-          [this, rows = std::move(aRead->rows)] { this->ApplyHostRows(rows); });
+          [this, read = std::move(*aRead)] { this->ApplyHostRows(read); });
       }
       done(aRead.has_value());
     });
@@ -118,10 +128,15 @@
     });
 }
 
-void Gateway::Impl::ApplyHostRows(const std::vector<state::StoredRow>& aRows)
+void Gateway::Impl::ApplyHostRows(const state::RowsRead& aRead)
 {
+  // Of two reads under way the older may be answered last.
+  if (aRead.version < this->hostsVersion) {
+    return;
+  }
+  this->hostsVersion = aRead.version;
   std::vector<HostAddress> hosts;
-  for (const state::StoredRow& row : aRows) {
+  for (const state::StoredRow& row : aRead.rows) {
     const auto text = nlohmann::json::parse(row.value, nullptr, false);
     if (!text.is_object()) {
       this->log.Write(Event::kPeerRefused,
@@ -179,7 +194,7 @@
   } else if (aFrame.__isset.keyMapUpdate) {
     this->keys->OnUpdate(aFrame.keyMapUpdate);
   } else if (aFrame.__isset.tableQuery) {
-    this->SendTable(aFrom.host, aFrame.tableQuery.table);
+    this->SendTable(aFrom.host, aFrame.tableQuery);
   } else if (aFrame.__isset.tableCopy) {
     this->OnTableCopy(aFrom.host, aFrame.tableCopy);
   } else if (aFrame.__isset.tableChange) {
@@ -187,23 +202,43 @@
   }
 }
 
-void Gateway::Impl::SendTable(const std::string& aTo, const std::string& aTable)
+void Gateway::Impl::SendTable(const std::string& aTo,
+                              const protocol::TableQuery& aQuery)
 {
-  const TableCopy& copy = this->tables.Find(aTable);
-  protocol::TableCopy answer;
-  answer.__set_table(aTable);
-  answer.__set_version(copy.version);
-  std::ranges::transform(
-    copy.rows, std::back_inserter(answer.rows),
-    [](const auto& aItem) { return ToWire(aItem.second); });
+  const TableCopy& copy = this->tables.Find(aQuery.table);
+  const auto changes = aQuery.after > 0
+                         ? this->tables.ChangesSince(aQuery.table, aQuery.after)
+                         : std::nullopt;
+  if (changes && aQuery.table == platform::kUpstreamTable &&
+      !this->AreUpstreamsSettled()) {
+    // What is in grace here would be gone at once there.
+    return;
+  }
   protocol::Frame frame;
-  frame.__set_tableCopy(answer);
+  if (changes) {
+    protocol::TableChange answer;
+    answer.__set_table(aQuery.table);
+    answer.__set_after(aQuery.after);
+    std::ranges::transform(
+      *changes, std::back_inserter(answer.rows),
+      [](const state::StoredRow& aRow) { return ToWire(aRow); });
+    frame.__set_tableChange(answer);
+  } else {
+    protocol::TableCopy answer;
+    answer.__set_table(aQuery.table);
+    answer.__set_version(copy.version);
+    std::ranges::transform(
+      copy.rows, std::back_inserter(answer.rows),
+      [](const auto& aItem) { return ToWire(aItem.second); });
+    frame.__set_tableCopy(answer);
+  }
   static_cast<void>(this->network->Send(aTo, frame));
 }
 
 void Gateway::Impl::OnTableCopy(const std::string& aFrom,
                                 const protocol::TableCopy& aCopy)
 {
+  this->CatchUpOf(aCopy.table).OnPeerAnswer();
   TableNews news;
   news.table = aCopy.table;
   news.whole = true;
@@ -227,14 +262,14 @@
   }
   // Failure: a configuration of some 300 KB, three times a second, to nine
   // mates over a link of 10 Mbit/s held up the requests for seconds. What is
-  // large each host reads from the store when a digest shows it.
-  constexpr std::size_t kLargeChange = 32U << 10U;
+  // large each host reads from the store, as soon as a digest names it.
   const std::size_t bytes =
     std::accumulate(aNews.rows.begin(), aNews.rows.end(), std::size_t{ 0 },
                     [](std::size_t aSum, const state::StoredRow& aRow) {
                       return aSum + aRow.value.size();
                     });
-  if (aNews.whole || bytes > kLargeChange) {
+  if (aNews.whole || bytes > kLargeRowBytes) {
+    this->TellMatesNow();
     return;
   }
   std::vector<std::string> mates;
@@ -257,6 +292,7 @@
 
 void Gateway::Impl::OnTableChange(const protocol::TableChange& aChange)
 {
+  this->CatchUpOf(aChange.table).OnPeerAnswer();
   const state::Version own = this->tables.Find(aChange.table).version;
   if (own < aChange.after) {
     return;
@@ -281,7 +317,12 @@
   this->upstreams.OnPeer(id, reports);
   this->keys->OnUses(aDigest.keyUses);
   const KnownPeer& peer = this->peers.All().at(id);
-  this->AskBehind(peer);
+  for (const std::string& table : FollowedTables()) {
+    if (this->IsAhead(peer, table)) {
+      this->CatchUpOf(table).OnNamed(NamedBy(peer, table));
+      this->CatchUpWith(table);
+    }
+  }
   for (const auto& update : this->keys->WholeFor(peer)) {
     protocol::Frame frame;
     frame.__set_keyMapUpdate(update);
@@ -292,43 +333,50 @@
 bool Gateway::Impl::IsAhead(const KnownPeer& aPeer,
                             const std::string& aTable) const
 {
-  const state::Version told = aTable == platform::kOperatorTable
-                                ? aPeer.operatorVersion
-                                : aPeer.upstreamVersion;
-  return told > this->tables.Find(aTable).version;
+  return NamedBy(aPeer, aTable) > this->tables.Find(aTable).version;
 }
 
-void Gateway::Impl::AskBehind(const KnownPeer& aPeer)
+CatchUp& Gateway::Impl::CatchUpOf(const std::string& aTable)
 {
-  const TimePoint now = BootTime();
-  for (const std::string_view name :
-       { platform::kOperatorTable, platform::kUpstreamTable }) {
-    const std::string table(name);
-    if (!this->IsAhead(aPeer, table)) {
-      continue;
-    }
-    Behind& state =
-      this->behind.emplace(table, Behind{ now, now }).first->second;
-    if (now - state.askedAt < kBehindForPeer) {
-      continue;
-    }
-    state.askedAt = now;
-    // A reader's own answer from the store is mostly on its way; the others
-    // read for themselves. Hosts that the store turns away ask a peer.
-    const bool asksStore =
-      this->isStoreWell && (!this->isReader || IsLate(state));
-    if (asksStore) {
-      this->store->Restart(table);
-    }
-    if (!asksStore || IsLate(state)) {
-      this->AskPeer(aPeer.host.host, table);
+  return this->catchUps.try_emplace(aTable, BootTime).first->second;
+}
+
+std::vector<state::HostId> Gateway::Impl::PeersAhead(
+  const std::string& aTable) const
+{
+  std::vector<std::pair<state::Version, state::HostId>> found;
+  for (const auto& [id, peer] : this->peers.All()) {
+    if (this->reachable.contains(id.value) && this->IsAhead(peer, aTable)) {
+      found.emplace_back(NamedBy(peer, aTable), id);
     }
   }
+  std::ranges::sort(found, std::greater{},
+                    [](const auto& aItem) { return aItem.first; });
+  std::vector<state::HostId> ahead;
+  std::ranges::transform(found, std::back_inserter(ahead),
+                         [](const auto& aItem) { return aItem.second; });
+  return ahead;
 }
 
-bool Gateway::Impl::IsLate(const Behind& aBehind)
+void Gateway::Impl::CatchUpWith(const std::string& aTable)
 {
-  return BootTime() - aBehind.since >= kBehindForStore;
+  CatchUp& catchUp = this->CatchUpOf(aTable);
+  if (!catchUp.IsBehind()) {
+    return;
+  }
+  CatchUp::Situation situation;
+  situation.storeAnswers = this->isStoreWell;
+  situation.follows = this->isReader;
+  situation.isLarge = this->tables.IsLarge(aTable);
+  situation.storeHeardAt = this->store->HeardAt(aTable);
+  situation.ahead = this->PeersAhead(aTable);
+  const CatchUp::Ask ask = catchUp.Next(situation);
+  if (ask.store) {
+    this->store->Restart(aTable);
+  }
+  if (ask.peer) {
+    this->AskPeer(*ask.peer, aTable);
+  }
 }
 
 void Gateway::Impl::AskPeer(const state::HostId& aPeer,
@@ -337,24 +385,11 @@
   protocol::Frame frame;
   protocol::TableQuery query;
   query.__set_table(aTable);
+  query.__set_after(this->tables.Find(aTable).version);
   frame.__set_tableQuery(query);
   static_cast<void>(this->network->Send(aPeer.value, frame));
 }
 
-void Gateway::Impl::ForgetBehind()
-{
-  std::erase_if(this->behind, [this](const auto& aItem) {
-    const bool isOver =
-      std::ranges::none_of(this->peers.All(), [&](const auto& aPeer) {
-        return this->IsAhead(aPeer.second, aItem.first);
-      });
-    if (isOver) {
-      this->OnCaughtUp(aItem.first, BootTime() - aItem.second.since);
-    }
-    return isOver;
-  });
-}
-
 void Gateway::Impl::OnCaughtUp(const std::string& aTable, Duration aBehind)
 {
   this->metrics
@@ -387,6 +422,9 @@
   const bool divided = this->neighbours.Cells().IsDivided();
   this->dispatcher->SetHosts(live, divided ? this->neighbours.All() : live);
   this->ChooseReaders(live);
+  for (const std::string& table : FollowedTables()) {
+    this->CatchUpWith(table);
+  }
   if (this->IsConfigurationBehind() && now >= this->configurationDue) {
     this->ApplyOperatorRows();
   }
@@ -434,16 +472,26 @@
   }
 }
 
+bool Gateway::Impl::AreUpstreamsSettled() const
+{
+  return std::ranges::none_of(this->upstreams.All(), [](const auto& aItem) {
+    return aItem.second.goneAt.has_value();
+  });
+}
+
+// A digest names what this host has just learnt and does not pass on.
+void Gateway::Impl::TellMatesNow()
+{
+  this->neighbours.Hurry();
+  this->SendDigests();
+}
+
 protocol::HostDigest Gateway::Impl::MakeDigest()
 {
   const std::string upstreamTable(platform::kUpstreamTable);
   // What is in grace here may be gone already at a peer that copies; it learns
   // of the table only when that is settled.
-  const bool settled =
-    std::ranges::none_of(this->upstreams.All(), [](const auto& aItem) {
-      return aItem.second.goneAt.has_value();
-    });
-  if (settled) {
+  if (this->AreUpstreamsSettled()) {
     this->toldUpstreamVersion = this->tables.Find(upstreamTable).changed;
   }
   protocol::HostDigest digest;
@@ -467,7 +515,6 @@
   if (due.mates.empty() && due.others.empty()) {
     return;
   }
-  this->ForgetBehind();
   protocol::HostDigest digest = this->MakeDigest();
   this->SendDigest(due.others, digest);
   if (!due.mates.empty()) {
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -23,7 +23,11 @@
   const state::Version before = this->tables.Find(aNews.table).changed;
   const std::vector<state::StoredRow> changed =
     this->tables.Apply(aNews.table, aNews.rows, aNews.whole, aNews.version);
-  this->ForgetBehind();
+  const auto behind =
+    this->CatchUpOf(aNews.table).OnOwn(this->tables.Find(aNews.table).version);
+  if (behind) {
+    this->OnCaughtUp(aNews.table, *behind);
+  }
   if (changed.empty()) {
     return;
   }
@@ -47,6 +51,8 @@
       { "rows", static_cast<std::int64_t>(aEnd.rows) },
       { "took_ms",
         std::chrono::duration_cast<milliseconds>(aEnd.took).count() } });
+  this->serving.Hand(
+    [this, aEnd] { this->CatchUpOf(aEnd.table).OnStoreRead(aEnd.took); });
 }
 
 void Gateway::Impl::ApplyOperatorRows()
--- a/src/node/internal/neighbours.cpp
+++ b/src/node/internal/neighbours.cpp
@@ -188,7 +188,8 @@
 {
   Due due;
   const TimePoint now = this->hooks.now();
-  const bool matesDue = this->IsMatesDue(aChanges);
+  const bool matesDue =
+    std::exchange(this->hurries, false) || this->IsMatesDue(aChanges);
   const bool assigns = this->assigners.contains(this->self.id);
   const bool othersDue =
     this->cells.IsDivided() && now - this->othersToldAt >= kOthersPause;
--- a/src/node/internal/neighbours.h
+++ b/src/node/internal/neighbours.h
@@ -75,6 +75,8 @@
     const std::vector<state::HostId>& aLiveMates,
     const std::function<bool(const state::HostId&)>& aReachesStore) const;
 
+  // The next digest goes to the mates whatever has changed.
+  void Hurry() { this->hurries = true; }
   // Whom a digest goes to now. aChanges are sends and ends at upstreams since
   // the start.
   Due TakeDue(const std::set<std::string>& aReachable, std::int64_t aChanges);
@@ -95,6 +97,7 @@
   TimePoint matesToldAt;
   TimePoint othersToldAt;
   std::int64_t toldChanges = 0;
+  bool hurries = false;
 };
 
 } // namespace kumquat::node
--- a/src/node/internal/tables.cpp
+++ b/src/node/internal/tables.cpp
@@ -4,11 +4,19 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <set>
 #include <string_view>
 
 namespace kumquat::node {
 
+namespace {
+
+// Of one table; more than go within the time that a host may be behind.
+constexpr std::size_t kMostRemoved = 500;
+
+} // namespace
+
 protocol::TableRow ToWire(const state::StoredRow& aRow)
 {
   protocol::TableRow row;
@@ -30,6 +38,9 @@
   bool aWhole, state::Version aVersion)
 {
   TableCopy& copy = this->copies[aTable];
+  if (copy.version == 0) {
+    copy.forgotten = aVersion;
+  }
   std::vector<state::StoredRow> changed;
   if (aWhole && aVersion < copy.version) {
     return changed;
@@ -58,20 +69,31 @@
   for (const state::StoredRow& row : changed) {
     if (row.removed) {
       copy.rows.erase(row.key);
+      copy.removed.push_back(row);
+      if (aWhole) {
+        copy.removed.back().version = aVersion;
+      }
     } else {
       copy.rows[row.key] = row;
     }
-    // The later pages of a read may hold rows of after its first, and what else
-    // changed meanwhile is not known yet.
-    if (!aWhole) {
-      copy.version = std::max(copy.version, row.version);
-    }
     // When a row went that is only found to be missing is not known.
     copy.changed =
       std::max(copy.changed, aWhole && row.removed ? aVersion : row.version);
   }
   if (aWhole) {
+    // The later pages of a read may hold rows of after its first, and what else
+    // changed meanwhile is not known yet.
     copy.version = std::max(copy.version, aVersion);
+    copy.changed = std::min(copy.changed, copy.version);
+  } else if (!aRows.empty()) {
+    const state::Version last =
+      std::ranges::max(aRows, {}, &state::StoredRow::version).version;
+    copy.version = std::max(copy.version, last);
+    copy.changed = std::max(copy.changed, last);
+  }
+  while (copy.removed.size() > kMostRemoved) {
+    copy.forgotten = std::max(copy.forgotten, copy.removed.front().version);
+    copy.removed.pop_front();
   }
   return changed;
 }
@@ -83,4 +105,30 @@
   return found == this->copies.end() ? kNone : found->second;
 }
 
+std::optional<std::vector<state::StoredRow>> TableCopies::ChangesSince(
+  const std::string& aTable, state::Version aAfter) const
+{
+  const TableCopy& copy = this->Find(aTable);
+  if (aAfter < copy.forgotten) {
+    return std::nullopt;
+  }
+  const auto isLater = [&copy, aAfter](const state::StoredRow& aRow) {
+    return aRow.version > aAfter && aRow.version <= copy.version;
+  };
+  std::vector<state::StoredRow> changes;
+  std::ranges::copy_if(copy.removed, std::back_inserter(changes), isLater);
+  std::ranges::copy_if(copy.rows | std::views::values,
+                       std::back_inserter(changes), isLater);
+  // A row that went and came again is here twice.
+  std::ranges::stable_sort(changes, {}, &state::StoredRow::version);
+  return changes;
+}
+
+bool TableCopies::IsLarge(const std::string& aTable) const
+{
+  return std::ranges::any_of(this->Find(aTable).rows, [](const auto& aItem) {
+    return aItem.second.value.size() > kLargeRowBytes;
+  });
+}
+
 } // namespace kumquat::node
--- a/src/node/internal/tables.h
+++ b/src/node/internal/tables.h
@@ -6,7 +6,9 @@
 #include "protocol/gen/peer_types.h"
 #include "state/rowstore.h"
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,8 +27,14 @@
   // other one, all that had not read the table whole took themselves for
   // behind, and asked for it.
   state::Version changed = 0;
+  // Rows that went, the last ones; all that went after `forgotten`.
+  std::deque<state::StoredRow> removed;
+  state::Version forgotten = 0;
 };
 
+// Rows from this size on are read from the store by each host, not passed on.
+inline constexpr std::size_t kLargeRowBytes = 32U << 10U;
+
 // A row on its way between hosts. Its own version goes with it: given that of
 // the whole copy, every row would look changed, and its receiver would tell
 // others that it knows more than they do.
@@ -44,6 +52,12 @@
     bool aWhole, state::Version aVersion);
 
   const TableCopy& Find(const std::string& aTable) const;
+  // Rows that changed or went after a version; nothing where too many went
+  // since to know.
+  std::optional<std::vector<state::StoredRow>> ChangesSince(
+    const std::string& aTable, state::Version aAfter) const;
+  // Whether the table holds a row that takes a small host's link for long.
+  bool IsLarge(const std::string& aTable) const;
 
 private:
   std::map<std::string, TableCopy> copies;
--- a/src/node/tests/tables_test.cpp
+++ b/src/node/tests/tables_test.cpp
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(testCopyOfAPeerIsNoChange);
   CPPUNIT_TEST(testChangesAlreadyCopiedAreNoNews);
   CPPUNIT_TEST(testChangeBetweenTwoPagesOfAReadIsNotLost);
+  CPPUNIT_TEST(testChangesSinceAVersionTellWhatWent);
+  CPPUNIT_TEST(testChangesBeforeTheCopyBeganAreNotKnown);
   CPPUNIT_TEST(testOldDigestsAreNoFreshWord);
   CPPUNIT_TEST(testDigestOfAnEndedRunIsIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -108,17 +110,51 @@
   {
     this->tables.Apply("servers", { Row("a", "here", 1), Row("z", "", 108) },
                        true, 100);
+    // A copy that is not complete is not handed on as if it were.
+    CPPUNIT_ASSERT_EQUAL(state::Version{ 100 },
+                         this->tables.Find("servers").changed);
+    CPPUNIT_ASSERT(this->tables.ChangesSince("servers", 100)->empty());
     const auto changed = this->tables.Apply(
       "servers", { Row("a", "leaves", 105), Row("z", "", 108) }, false, 108);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changed.size());
     CPPUNIT_ASSERT_EQUAL(std::string("leaves"),
                          this->tables.Find("servers").rows.at("a").value);
+    CPPUNIT_ASSERT_EQUAL(state::Version{ 108 },
+                         this->tables.Find("servers").version);
     // What a read of then says is missing, or older, changes nothing newer.
     CPPUNIT_ASSERT(
       this->tables.Apply("servers", { Row("a", "here", 1) }, true, 105)
         .empty());
   }
 
+  // A host that copied changes from a peer would use on what had left.
+  void testChangesSinceAVersionTellWhatWent()
+  {
+    this->tables.Apply("servers", { Row("a", "", 1), Row("b", "", 2) }, true,
+                       5);
+    TableCopies other = this->tables;
+    state::StoredRow gone = Row("a", "", 7);
+    gone.removed = true;
+    this->tables.Apply("servers", { gone, Row("c", "", 8) }, false, 8);
+    // What a later read finds to be missing went at some time before it.
+    this->tables.Apply("servers", { Row("c", "", 8) }, true, 20);
+    const auto changes = this->tables.ChangesSince("servers", 5);
+    CPPUNIT_ASSERT(changes.has_value());
+    other.Apply("servers", *changes, false, 5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, other.Find("servers").rows.size());
+    CPPUNIT_ASSERT(other.Find("servers").rows.contains("c"));
+    CPPUNIT_ASSERT(this->tables.ChangesSince("servers", 20)->empty());
+  }
+
+  void testChangesBeforeTheCopyBeganAreNotKnown()
+  {
+    this->tables.Apply("servers", { Row("a", "", 1) }, true, 5);
+    CPPUNIT_ASSERT(!this->tables.ChangesSince("servers", 4));
+    CPPUNIT_ASSERT(this->tables.ChangesSince("servers", 5).has_value());
+    CPPUNIT_ASSERT(!this->tables.ChangesSince("none", 0) ||
+                   this->tables.ChangesSince("none", 0)->empty());
+  }
+
   // A host stood still for four seconds. The digests that waited in its
   // connections were sent in answer to its digests of before; they must not
   // count as if they had been said now.
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -272,9 +272,11 @@
   3: optional KeyMapMark base
 }
 
-// Asks for a table of the store as the receiver knows it.
+// Asks for a table of the store as the receiver knows it: what changed after a
+// version, or the whole where that is 0 or too long ago.
 struct TableQuery {
   1: string table
+  2: i64 after
 }
 
 // A row as the store has it, or had it when it was removed.
@@ -286,7 +288,7 @@
 }
 
 // What changed in a table, from a host that follows it at the store to those
-// of its cell that do not.
+// of its cell that do not, or to one that has asked.
 struct TableChange {
   1: string table
   // Of the copy that it changes; of no use where that is not known.
