--- a/src/node/internal/catchup.h
+++ b/src/node/internal/catchup.h
@@ -32,7 +32,7 @@
     bool isLarge = false;
     // When bytes of an answer about the table last came from the store.
     TimePoint storeHeardAt;
-    // Peers that have more and can be reached, those that have most first.
+    // Peers that have more and can be reached, in the order to ask them in.
     std::vector<state::HostId> ahead;
   };
 
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -344,17 +344,17 @@
 std::vector<state::HostId> Gateway::Impl::PeersAhead(
   const std::string& aTable) const
 {
-  std::vector<std::pair<state::Version, state::HostId>> found;
+  std::vector<state::HostId> ahead;
   for (const auto& [id, peer] : this->peers.All()) {
     if (this->reachable.contains(id.value) && this->IsAhead(peer, aTable)) {
-      found.emplace_back(NamedBy(peer, aTable), id);
+      ahead.push_back(id);
     }
   }
-  std::ranges::sort(found, std::greater{},
-                    [](const auto& aItem) { return aItem.first; });
-  std::vector<state::HostId> ahead;
-  std::ranges::transform(found, std::back_inserter(ahead),
-                         [](const auto& aItem) { return aItem.second; });
+  // Mates first, as the others are mostly in other data centres.
+  std::ranges::sort(ahead, std::greater{}, [&](const state::HostId& aHost) {
+    return std::make_pair(this->neighbours.IsMate(aHost),
+                          NamedBy(this->peers.All().at(aHost), aTable));
+  });
   return ahead;
 }
 
