--- a/src/node/tests/storeduty_test.cpp
+++ b/src/node/tests/storeduty_test.cpp
@@ -45,7 +45,7 @@
     this->thread.emplace(64);
     this->duty.emplace(
       *this->thread, kStore, "", std::vector<std::string>{ "op", "servers" },
-      StoreDuty::Hooks{ [this](TableNews aNews) { this->OnNews(aNews); },
+      StoreDuty::Hooks{ [this](const TableNews& aNews) { this->OnNews(aNews); },
                         [this](bool aWell) { this->OnWell(aWell); },
                         [](const TableReadEnd&) {} });
     this->thread->Start("store-duty");
--- a/src/node/tests/storestandin.h
+++ b/src/node/tests/storestandin.h
@@ -35,8 +35,9 @@
                              const Respond& aRespond) {
       this->OnCall(aRequest, aRespond);
     };
-    this->server = std::move(*transport::HttpServer::Listen(
-      this->thread.Context(), std::move(options)));
+    auto listening =
+      transport::HttpServer::Listen(this->thread.Context(), std::move(options));
+    this->server = std::move(listening.value());
     this->thread.Start("store");
   }
 
