--- a/src/node/tests/storestandin.h
+++ b/src/node/tests/storestandin.h
@@ -1,6 +1,6 @@
 // A store of rows for tests, spoken to over loopback as the published protocol
 // says: whole reads, and feeds that wait for news. It may break calls off, or
-// send its answers slowly. On one thread with its callers' duty.
+// send its answers slowly. On a thread of its own.
 
 #pragma once
 
