--- a/src/node/tests/storeduty_test.cpp
+++ b/src/node/tests/storeduty_test.cpp
@@ -1,7 +1,7 @@
 // Following the store's tables, against a store over loopback.
 
 #include "node/internal/storeduty.h"
-#include "node/tests/storestandin.h"
+#include "platform/tests/storestandin.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
