No "not run" of a booking whose key's owner cannot be asked

Cause: its first attempt came in by the host that owned its key, was forwarded to a steward and waited there, or was still on the wire, when that host was killed. The repeat came in by another host, which could not reach the key's owner and spoke for the key all the same. The first attempt then ran. It also holds for a host that is asked and is no owner of the key any more.

A test in virtual time of the entry whose owner is gone failed too.

Change: a refusal of a request with an idempotency key carries whether the key's owner said it. Where it did not, the last answer is outcome-unknown.

Ruled out: a second send by the owner after a steward's refusal (each try that may have run is remembered, Entry::Finish); a witness answered twice (PeerCalls ends a call once). The gateway has no such key: each attempt has its own id and no host speaks for another's.

--- a/src/coordination/internal/atmostonce.cpp
+++ b/src/coordination/internal/atmostonce.cpp
@@ -98,7 +98,7 @@
   const SliceRecord* slice = this->map.Map().FindSlice(
     OwnersOf(request.service), state::HashKey(request.idempotencyKey));
   if (slice == nullptr) {
-    this->OnOwnerResult(aAttempt, MakeError(ErrorKind::kNoSteward));
+    this->OnOwnerResult(aAttempt, MakeErrorOfStranger(ErrorKind::kNoSteward));
     return;
   }
   if (slice->host == this->hooks.self) {
@@ -118,7 +118,7 @@
   const ErrorKind noted =
     this->log.Note(owner, request.service, request.idempotencyKey);
   if (noted != ErrorKind::kNone) {
-    this->OnOwnerResult(aAttempt, MakeError(noted));
+    this->OnOwnerResult(aAttempt, MakeErrorOfStranger(noted));
     return;
   }
   const TimePoint now = this->hooks.now();
@@ -128,8 +128,9 @@
     aSlice.host.host, std::move(frame), request.deadline - now + kReplyGrace,
     [this, aAttempt](Result<protocol::Frame> aReply) {
       RequestResult result =
-        aReply ? FromReply(std::move(aReply->forwardReply))
-               : MakeError(static_cast<ErrorKind>(aReply.error().value()));
+        aReply
+          ? FromReply(std::move(aReply->forwardReply))
+          : MakeErrorOfStranger(static_cast<ErrorKind>(aReply.error().value()));
       this->OnOwnerResult(aAttempt, std::move(result));
     });
 }
@@ -143,7 +144,12 @@
     WaitsForMap(aResult.error) && answer.outcome == Outcome::kNotRun &&
     aAttempt->tries < kMostTries && aAttempt->request.deadline > now;
   if (!again) {
-    aAttempt->done(std::move(aResult));
+    // An earlier attempt with the key may wait at a steward, or run there: its
+    // owner was not asked, or is lost.
+    const bool isSure =
+      answer.outcome != Outcome::kNotRun || !aResult.keyUnknown;
+    aAttempt->done(isSure ? std::move(aResult)
+                          : MakeError(ErrorKind::kOutcomeUnknown));
     return;
   }
   this->map.Refresh();
@@ -180,6 +186,8 @@
   };
   this->entry.Run(aService, std::move(aRequest), std::move(ownership),
                   [this, aTicket](RequestResult aResult) {
+                    // A steward's word; this host is the key's owner.
+                    aResult.keyUnknown = false;
                     auto reply = std::make_shared<protocol::ForwardReply>(
                       MakeReply(std::move(aResult)));
                     this->filter->Finish(aTicket, reply);
--- a/src/coordination/internal/duplicatefilter.cpp
+++ b/src/coordination/internal/duplicatefilter.cpp
@@ -35,6 +35,14 @@
   return answer;
 }
 
+// Of a host that does not own the key, or not surely.
+Answer AnswerOfStranger(ErrorKind aKind)
+{
+  auto answer = std::make_shared<protocol::ForwardReply>(*AnswerOf(aKind));
+  answer->keyUnknown = true;
+  return answer;
+}
+
 protocol::HostRef ToWire(const state::HostRef& aRef)
 {
   protocol::HostRef ref;
@@ -269,6 +277,10 @@
     return;
   }
   const ErrorKind error = this->CheckNew(aArrival, tenure);
+  if (error == ErrorKind::kNotSteward || error == ErrorKind::kNoLease) {
+    aDone(AnswerOfStranger(error));
+    return;
+  }
   if (error != ErrorKind::kNone) {
     aDone(AnswerOf(error));
     return;
--- a/src/coordination/internal/entry.cpp
+++ b/src/coordination/internal/entry.cpp
@@ -103,6 +103,7 @@
   reply.__set_headers(ToWire(aResult.response.headers));
   reply.body = std::move(aResult.response.body);
   reply.__set_more(static_cast<bool>(aResult.response.rest));
+  reply.__set_keyUnknown(aResult.keyUnknown);
   if (aResult.response.length) {
     reply.__set_length(static_cast<std::int64_t>(*aResult.response.length));
   }
@@ -120,6 +121,7 @@
     result.retryAfter =
       std::chrono::ceil<milliseconds>(microseconds(aReply.retryAfterMicros));
   }
+  result.keyUnknown = aReply.keyUnknown;
   result.response.status = aReply.status;
   result.response.headers = FromWire(std::move(aReply.headers));
   result.response.body = std::move(aReply.body);
--- a/src/coordination/internal/requests.cpp
+++ b/src/coordination/internal/requests.cpp
@@ -41,6 +41,13 @@
   return result;
 }
 
+RequestResult MakeErrorOfStranger(ErrorKind aKind)
+{
+  RequestResult result = MakeError(aKind);
+  result.keyUnknown = true;
+  return result;
+}
+
 RequestResult JudgeUpstreamAnswer(Result<transport::HttpResponse> aAnswer)
 {
   if (!aAnswer) {
--- a/src/coordination/internal/router.cpp
+++ b/src/coordination/internal/router.cpp
@@ -334,7 +334,7 @@
   if (aFrame.__isset.forward) {
     this->ReplyResult(aFrom.host,
                       static_cast<std::uint64_t>(aFrame.correlation), {},
-                      MakeError(ErrorKind::kNotSteward));
+                      MakeErrorOfStranger(ErrorKind::kNotSteward));
   }
 }
 
@@ -376,7 +376,8 @@
 {
   const ErrorKind admitted = this->once.Admit(aForward);
   if (admitted != ErrorKind::kNone) {
-    this->ReplyResult(aFrom.host, aCorrelation, {}, MakeError(admitted));
+    this->ReplyResult(aFrom.host, aCorrelation, {},
+                      MakeErrorOfStranger(admitted));
     return;
   }
   if (!aForward.upstream.serviceName.empty()) {
@@ -388,7 +389,7 @@
     this->Configuration().Find({ aForward.serviceName });
   if (service == nullptr) {
     this->ReplyResult(aFrom.host, aCorrelation, {},
-                      MakeError(ErrorKind::kNotSteward));
+                      MakeErrorOfStranger(ErrorKind::kNotSteward));
     return;
   }
   this->once.RunAsOwner(
--- a/src/coordination/requests.h
+++ b/src/coordination/requests.h
@@ -39,6 +39,9 @@
   transport::HttpResponse response;
   // Overrides the table's Retry-After.
   std::optional<std::chrono::milliseconds> retryAfter;
+  // Of a request with an idempotency key: its owner did not say this, so
+  // whether an earlier request with the key has run is not known.
+  bool keyUnknown = false;
 };
 
 // One request to be sent to one upstream, now.
@@ -51,6 +54,8 @@
 };
 
 RequestResult MakeError(protocol::ErrorKind aKind);
+// Of a host that does not answer for the request's idempotency key.
+RequestResult MakeErrorOfStranger(protocol::ErrorKind aKind);
 
 // What an upstream's answer, or the lack of one, means for the request.
 RequestResult JudgeUpstreamAnswer(Result<transport::HttpResponse> aAnswer);
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -93,6 +93,9 @@
   8: bool more
   // Of the whole body, where it is known.
   9: optional i64 length
+  // Not the word of the idempotency key's owner: whether an earlier request
+  // with the key has run is not known to the sender.
+  10: bool keyUnknown
 }
 
 struct BodyPart {
