Bytes of a table's whole read count as arriving

Cause: StoreDuty::ReadWhole called the shared client where the followed table's own was meant, so HeardAt told of watches only. A large row that was arriving over a slow link was asked of a peer as well.

A test failed before: 1.2 s into a read whose pieces come each 0.3 s, nothing had been heard of the table.

--- a/src/node/internal/storeduty.cpp
+++ b/src/node/internal/storeduty.cpp
@@ -250,31 +250,31 @@
 {
   const std::uint64_t generation = ++aFollower->generation;
   aFollower->isReading = true;
-  this->store->Read(aFollower->table, "",
-                    [this, aFollower, generation,
-                     begin = BootTime()](Result<state::RowsRead> aRead) {
-                      this->hooks.readEnded(
-                        { aFollower->table, BootTime() - begin,
-                          aRead ? aRead->rows.size() : 0,
-                          aRead ? std::error_code{} : aRead.error() });
-                      if (generation != aFollower->generation) {
-                        return;
-                      }
-                      aFollower->isReading = false;
-                      if (!aRead) {
-                        this->OnFailure(aFollower, true);
-                        return;
-                      }
-                      this->OnAnswer(aFollower);
-                      // An answer that was long on its way must not undo what
-                      // came since.
-                      if (aRead->version >= aFollower->version) {
-                        aFollower->version = aRead->version;
-                        this->Tell(aFollower, true, std::move(aRead->rows));
-                        return;
-                      }
-                      this->Watch(aFollower);
-                    });
+  aFollower->store->Read(
+    aFollower->table, "",
+    [this, aFollower, generation,
+     begin = BootTime()](Result<state::RowsRead> aRead) {
+      this->hooks.readEnded({ aFollower->table, BootTime() - begin,
+                              aRead ? aRead->rows.size() : 0,
+                              aRead ? std::error_code{} : aRead.error() });
+      if (generation != aFollower->generation) {
+        return;
+      }
+      aFollower->isReading = false;
+      if (!aRead) {
+        this->OnFailure(aFollower, true);
+        return;
+      }
+      this->OnAnswer(aFollower);
+      // An answer that was long on its way must not undo what
+      // came since.
+      if (aRead->version >= aFollower->version) {
+        aFollower->version = aRead->version;
+        this->Tell(aFollower, true, std::move(aRead->rows));
+        return;
+      }
+      this->Watch(aFollower);
+    });
 }
 
 void StoreDuty::Watch(const std::shared_ptr<Follower>& aFollower)
--- a/src/node/tests/storeduty_test.cpp
+++ b/src/node/tests/storeduty_test.cpp
@@ -1,5 +1,6 @@
 // Following the store's tables, against a store over loopback.
 
+#include "node/internal/clocks.h"
 #include "node/internal/storeduty.h"
 #include "platform/tests/storestandin.h"
 
@@ -33,6 +34,7 @@
   CPPUNIT_TEST(testLapsedUpstreamIsUsedOnAfterAnOutage);
   CPPUNIT_TEST(testLargeTableOverASlowLinkIsReadOnce);
   CPPUNIT_TEST(testReadUnderWayCountsWhenAHostStopsFollowing);
+  CPPUNIT_TEST(testBytesOfAWholeReadCountAsHeard);
   CPPUNIT_TEST(testHostThatFollowsNoMoreLearnsThatTheStoreIsBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -127,6 +129,18 @@
     CPPUNIT_ASSERT_EQUAL(2, this->store->Reads());
   }
 
+  // A large row that was arriving was asked of a peer as well, over the same
+  // slow link.
+  void testBytesOfAWholeReadCountAsHeard()
+  {
+    this->store->Put("config", std::string(400'000, 'x'));
+    this->store->SetSlow(6, milliseconds(300));
+    this->duty->Start();
+    std::this_thread::sleep_for(milliseconds(1200));
+    const Duration since = BootTime() - this->duty->HeardAt("op");
+    CPPUNIT_ASSERT(since < milliseconds(600));
+  }
+
   // Taken for turned away for good, it asked its peers only, and for the whole.
   void testHostThatFollowsNoMoreLearnsThatTheStoreIsBack()
   {
