--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -77,6 +77,7 @@
   kTableFromPeer = 6008,
   kTableRead = 6009,
   kTableCaughtUp = 6010,
+  kStoreCall = 6011,
 
   kAnswerCrossed = 7001,
   kAnswerTruncated = 7002,
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -134,7 +134,10 @@
           this->keys->SetStoreWell(aWell);
         });
       },
-      [this](const TableReadEnd& aEnd) { this->OnTableReadEnded(aEnd); } });
+      [this](const TableReadEnd& aEnd) { this->OnTableReadEnded(aEnd); },
+      [this](state::StoreCall aCall, const std::string& aTable) {
+        this->OnStoreCall(aCall, aTable);
+      } });
   for (const std::error_code error :
        { this->ListenForPeers(), this->ListenForChecks(),
          this->ListenForMetrics(), this->ListenForCallers() }) {
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -70,6 +70,7 @@
   void OnDigest(const protocol::HostDigest& aDigest);
   void OnTableNews(const TableNews& aNews);
   void OnTableReadEnded(const TableReadEnd& aEnd);
+  void OnStoreCall(state::StoreCall aCall, const std::string& aTable);
   void ApplyOperatorRows();
   void ApplyConfiguration(const state::StoredRow& aRow);
   bool IsConfigurationBehind() const;
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -55,6 +55,17 @@
     [this, aEnd] { this->CatchUpOf(aEnd.table).OnStoreRead(aEnd.took); });
 }
 
+void Gateway::Impl::OnStoreCall(state::StoreCall aCall,
+                                const std::string& aTable)
+{
+  const std::string call(state::StoreCallName(aCall));
+  this->metrics
+    .FindCounter("kumquat_store_calls_total", "Calls to the store.",
+                 { { "call", call }, { "table", aTable } })
+    .Add();
+  this->log.Write(Event::kStoreCall, { { "call", call }, { "table", aTable } });
+}
+
 void Gateway::Impl::ApplyOperatorRows()
 {
   const TableCopy& copy =
--- a/src/node/internal/storeduty.cpp
+++ b/src/node/internal/storeduty.cpp
@@ -63,15 +63,17 @@
   return options;
 }
 
-std::unique_ptr<state::RowStore> StoreOver(transport::HttpClient& aClient,
-                                           const std::string& aAddress)
+std::unique_ptr<state::RowStore> StoreOver(
+  transport::HttpClient& aClient, const std::string& aAddress,
+  const platform::Store::OnCall& aOnCall)
 {
   return std::make_unique<platform::Store>(
     aAddress,
     [&aClient](const std::string& aTo, transport::HttpRequest aRequest,
                milliseconds aTimeout, transport::HttpClient::Done aDone) {
       aClient.Send(aTo, std::move(aRequest), aTimeout, std::move(aDone));
-    });
+    },
+    aOnCall);
 }
 
 } // namespace
@@ -79,10 +81,11 @@
 struct StoreDuty::Follower
 {
   Follower(std::string aTable, boost::asio::io_context& aContext,
-           const std::string& aAddress, const std::string& aLocalAddress)
+           const std::string& aAddress, const std::string& aLocalAddress,
+           const platform::Store::OnCall& aOnCall)
     : table(std::move(aTable))
     , client(aContext, this->OwnOptions(aLocalAddress))
-    , store(StoreOver(this->client, aAddress))
+    , store(StoreOver(this->client, aAddress, aOnCall))
     , timer(aContext)
   {
   }
@@ -140,12 +143,12 @@
   , client(aThread.Context(), ClientOptions(aLocalAddress))
   , random(std::random_device{}())
 {
-  this->store = StoreOver(this->client, aAddress);
+  this->store = StoreOver(this->client, aAddress, this->hooks.called);
   std::ranges::transform(aTables, std::back_inserter(this->followers),
                          [&](const std::string& aTable) {
                            return std::make_shared<Follower>(
-                             aTable, aThread.Context(), aAddress,
-                             aLocalAddress);
+                             aTable, aThread.Context(), aAddress, aLocalAddress,
+                             this->hooks.called);
                          });
   this->followers.front()->wait = kCanaryWait;
 }
--- a/src/node/internal/storeduty.h
+++ b/src/node/internal/storeduty.h
@@ -55,6 +55,8 @@
     std::function<void(bool)> well;
     // A whole read of a table ended.
     std::function<void(const TableReadEnd&)> readEnded;
+    // A call leaves, about the table.
+    std::function<void(state::StoreCall, const std::string&)> called;
   };
 
   StoreDuty(transport::DutyThread& aThread, const std::string& aAddress,
--- a/src/node/tests/storeduty_test.cpp
+++ b/src/node/tests/storeduty_test.cpp
@@ -49,7 +49,8 @@
       *this->thread, kStore, "", std::vector<std::string>{ "op", "servers" },
       StoreDuty::Hooks{ [this](const TableNews& aNews) { this->OnNews(aNews); },
                         [this](bool aWell) { this->OnWell(aWell); },
-                        [](const TableReadEnd&) {} });
+                        [](const TableReadEnd&) {},
+                        {} });
     this->thread->Start("store-duty");
   }
 
--- a/src/state/rowstore.h
+++ b/src/state/rowstore.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace kumquat::state {
@@ -51,6 +52,16 @@
   std::vector<StoredRow> puts;
 };
 
+// One call on the wire; a read of many rows takes several.
+enum class StoreCall
+{
+  kRead,
+  kWatch,
+  kWrite,
+};
+
+std::string_view StoreCallName(StoreCall aCall);
+
 class RowStore
 {
 public:
