Slow times that nothing refreshes give way; unknown upstreams are tried

Cause: an old word that still decides. The answers of its cold time, two to four times slower, were all that was learnt of it, and with that it was never the best. So it is with any slow spell that ends, and with an upstream that joins while faster ones have room.

Change: times of a cold time do not count once it is warm. A time that is slower than the usual gives way to it the longer nothing was heard (4 s: a third is left); the mean counts what was heard lately; an upstream of which nothing is known is taken for somewhat faster than the usual, and so gets a request.

--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -314,7 +314,7 @@
   const state::HostId id{ aDigest.sender.host };
   std::vector<routing::UpstreamReport> reports;
   std::ranges::transform(aDigest.uses, std::back_inserter(reports), ReportOf);
-  this->upstreams.OnPeer(id, reports);
+  this->upstreams.OnPeer(id, reports, BootTime());
   this->keys->OnUses(aDigest.keyUses);
   const KnownPeer& peer = this->peers.All().at(id);
   for (const std::string& table : FollowedTables()) {
--- a/src/node/internal/keysduty.cpp
+++ b/src/node/internal/keysduty.cpp
@@ -99,7 +99,7 @@
   const TimePoint now = this->hooks.now();
   const std::vector<routing::UpstreamState*>& all =
     this->upstreams.Of(aService).all;
-  const double usualMs = this->upstreams.UsualMs(aService);
+  const double usualMs = this->upstreams.UsualMs(aService, now);
   std::vector<ownership::OwnerView> owners;
   for (const routing::UpstreamState* one : all) {
     ownership::OwnerView owner;
@@ -110,7 +110,8 @@
     owner.capacity = one->entry.slots;
     if (one->serviceMs > 0) {
       // Bounded, as the time is learnt from few answers of this host alone.
-      owner.capacity *= std::clamp(usualMs / one->serviceMs, 0.4, 2.0);
+      owner.capacity *= std::clamp(
+        usualMs / routing::ServiceMsNow(*one, usualMs, now), 0.4, 2.0);
     }
     owners.push_back(std::move(owner));
   }
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -40,7 +40,7 @@
 
 double Dispatcher::UsualMs(const state::ServiceName& aName)
 {
-  const double known = this->upstreams.UsualMs(aName);
+  const double known = this->upstreams.UsualMs(aName, this->hooks.now());
   return known > 0 ? known : kUnknownServiceMs;
 }
 
@@ -63,8 +63,8 @@
   const ServiceUpstreams& upstreamsOf = this->upstreams.Of(aRequest.service);
   for (const UpstreamState* one : upstreamsOf.ofCell) {
     if (one->ejectedUntil <= now) {
-      const double ms = one->serviceMs > 0 ? one->serviceMs : outlook.usualMs;
-      outlook.perSecond += 1000.0 * one->entry.slots / ms;
+      outlook.perSecond +=
+        1000.0 * one->entry.slots / ServiceMsNow(*one, outlook.usualMs, now);
     }
   }
   outlook.perSecond /= static_cast<double>(this->cellCount);
@@ -89,10 +89,9 @@
     outlook.perSecond = owner.since < kMoveTakes ? 1000.0 / outlook.usualMs : 0;
     return outlook;
   }
-  if (one->serviceMs > 0) {
-    outlook.usualMs = one->serviceMs;
-  }
-  if (one->ejectedUntil > this->hooks.now()) {
+  const TimePoint now = this->hooks.now();
+  outlook.usualMs = ServiceMsNow(*one, outlook.usualMs, now);
+  if (one->ejectedUntil > now) {
     outlook.queued = 1;
     return outlook;
   }
--- a/src/routing/internal/placing.cpp
+++ b/src/routing/internal/placing.cpp
@@ -27,6 +27,10 @@
 // unless the near ones are much slower; a small request hardly minds.
 constexpr double kFarMs = 3;
 constexpr double kFarMsPerKilobyte = 16;
+// An upstream of which nothing is known, or nothing new, is taken to be faster
+// than the usual: so it gets a request, and is known. Taken for usual it would
+// get none while faster ones have room.
+constexpr double kShareWhereUnknown = 0.7;
 // A failure costs the request about another whole try.
 constexpr double kFailureCost = 2.0;
 
@@ -51,8 +55,8 @@
 double ExpectedMs(const UpstreamState& aUpstream,
                   const PlacingQuestion& aQuestion)
 {
-  double own =
-    aUpstream.serviceMs > 0 ? aUpstream.serviceMs : aQuestion.usualMs;
+  double own = ServiceMsNow(aUpstream, kShareWhereUnknown * aQuestion.usualMs,
+                            aQuestion.now);
   own = std::max(own, OverdueMs(aUpstream, aQuestion.now, own));
   if (aUpstream.slowdown > 1 &&
       aQuestion.now - aUpstream.slowdownAt < kSlowdownHolds) {
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cmath>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace kumquat::routing {
@@ -21,6 +22,9 @@
 // 400 ms, is that many requests.
 constexpr double kServiceWeight = 0.1;
 constexpr double kFailureWeight = 0.2;
+// After so long without an answer a third is left of what an upstream was
+// slower than the usual.
+constexpr milliseconds kSlowSpellKept{ 4000 };
 // So many in a row and the upstream rests, first for the shorter time, twice as
 // long after each further failure. A single reset is common on links that lose
 // packets and must not take an upstream away.
@@ -81,10 +85,15 @@
 }
 
 // aMs is the mean of aAnswers answers.
-void LearnServiceTime(UpstreamState& aUpstream, double aMs, int aAnswers)
+void LearnServiceTime(UpstreamState& aUpstream, double aMs, int aAnswers,
+                      TimePoint aNow)
 {
-  if (aUpstream.serviceMs <= 0) {
+  const bool isCold = aUpstream.coldUntil > aNow;
+  const bool isFirstWarm = aUpstream.learntCold && !isCold;
+  aUpstream.learntAt = aNow;
+  if (aUpstream.serviceMs <= 0 || isFirstWarm) {
     aUpstream.serviceMs = aMs;
+    aUpstream.learntCold = isCold;
     return;
   }
   Average(aUpstream.serviceMs, aMs,
@@ -93,6 +102,20 @@
 
 } // namespace
 
+double ServiceMsNow(const UpstreamState& aUpstream, double aUsualMs,
+                    TimePoint aNow)
+{
+  const bool isOfColdTime = aUpstream.learntCold && aUpstream.coldUntil <= aNow;
+  if (aUpstream.serviceMs <= 0 || isOfColdTime) {
+    return aUsualMs;
+  }
+  if (aUpstream.serviceMs <= aUsualMs) {
+    return aUpstream.serviceMs;
+  }
+  const double age = ToMs(aNow - aUpstream.learntAt) / ToMs(kSlowSpellKept);
+  return aUsualMs + (aUpstream.serviceMs - aUsualMs) * std::exp(-age);
+}
+
 std::string_view EntryChangeName(EntryChange aChange)
 {
   return std::ranges::find(kEntryChanges, aChange,
@@ -248,17 +271,26 @@
   }
 }
 
-double Upstreams::UsualMs(const state::ServiceName& aService)
+double Upstreams::UsualMs(const state::ServiceName& aService, TimePoint aNow)
 {
-  double sum = 0;
-  int known = 0;
-  for (const UpstreamState* one : this->Of(aService).all) {
-    if (one->serviceMs > 0) {
-      sum += one->serviceMs;
-      ++known;
-    }
-  }
-  return known == 0 ? 0 : sum / known;
+  const auto meanOf = [](const std::vector<UpstreamState*>& aSome) {
+    const double sum =
+      std::accumulate(aSome.begin(), aSome.end(), 0.0,
+                      [](double aSum, const UpstreamState* aOne) {
+                        return aSum + aOne->serviceMs;
+                      });
+    return aSome.empty() ? 0 : sum / static_cast<double>(aSome.size());
+  };
+  std::vector<UpstreamState*> known;
+  std::ranges::copy_if(
+    this->Of(aService).all, std::back_inserter(known),
+    [](const UpstreamState* aOne) { return aOne->serviceMs > 0; });
+  std::vector<UpstreamState*> fresh;
+  std::ranges::copy_if(
+    known, std::back_inserter(fresh), [aNow](const UpstreamState* aOne) {
+      return !aOne->learntCold && aNow - aOne->learntAt < 2 * kSlowSpellKept;
+    });
+  return meanOf(fresh.empty() ? known : fresh);
 }
 
 void Upstreams::OnSent(const state::UpstreamId& aId, TimePoint aNow)
@@ -288,7 +320,7 @@
   const double tookMs = ToMs(aNow - aSent);
   switch (aClass) {
     case AnswerClass::kServed:
-      LearnServiceTime(*upstream, OwnMs(*upstream, tookMs, aBefore), 1);
+      LearnServiceTime(*upstream, OwnMs(*upstream, tookMs, aBefore), 1, aNow);
       ++upstream->freshAnswers;
       upstream->freshSumMs += OwnMs(*upstream, tookMs, aBefore);
       Average(upstream->failureShare, 0, kFailureWeight);
@@ -298,7 +330,7 @@
     case AnswerClass::kAbandoned:
       // It took at least so long; a shorter time says nothing.
       if (OwnMs(*upstream, tookMs, aBefore) > upstream->serviceMs) {
-        LearnServiceTime(*upstream, OwnMs(*upstream, tookMs, aBefore), 1);
+        LearnServiceTime(*upstream, OwnMs(*upstream, tookMs, aBefore), 1, aNow);
       }
       return;
     case AnswerClass::kNotSent:
@@ -331,7 +363,8 @@
 }
 
 void Upstreams::OnPeer(const state::HostId& aPeer,
-                       const std::vector<UpstreamReport>& aReports)
+                       const std::vector<UpstreamReport>& aReports,
+                       TimePoint aNow)
 {
   this->ForgetPeer(aPeer);
   std::unordered_map<std::string, PeerUse>& uses = this->peers[aPeer];
@@ -344,7 +377,7 @@
     upstream->runningOfPeers += report.running;
     upstream->waitingOfPeers += report.waiting;
     if (report.answers > 0) {
-      LearnServiceTime(*upstream, report.serviceMs, report.answers);
+      LearnServiceTime(*upstream, report.serviceMs, report.answers, aNow);
     }
   }
 }
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -331,12 +331,12 @@
   {
     this->FillOwner();
     UpstreamReport report{ { "s0" }, 4, 0, 0, 12 };
-    this->upstreams.OnPeer({ "h1" }, { report });
+    this->upstreams.OnPeer({ "h1" }, { report }, this->now);
     const auto number = this->Ask("/stock/1", milliseconds(1200), 7);
     CPPUNIT_ASSERT(this->OutcomeOf(number) == Outcome::kNotRun);
     // Once they are served it may wait again.
     report.waiting = 0;
-    this->upstreams.OnPeer({ "h1" }, { report });
+    this->upstreams.OnPeer({ "h1" }, { report }, this->now);
     const auto next = this->Ask("/stock/1", milliseconds(1200), 7);
     CPPUNIT_ASSERT(!this->answers.contains(next));
   }
@@ -475,6 +475,7 @@
       states[i].entry.slots = 3;
       states[i].entry.dataCentre = { i == 0 ? "near" : "far" };
       states[i].serviceMs = i == 0 ? 150 : 100;
+      states[i].learntAt = this->now;
       candidates.push_back(&states[i]);
     }
     PlacingQuestion question;
@@ -529,17 +530,17 @@
     large.message.length = 90'000;
     large.isSigned = true;
     this->dispatcher->OnAnswer(this->Ask("/look/1"), large);
-    this->upstreams.OnPeer({ "h1" }, { { { "a0" }, 4, 0, 0 } });
+    this->upstreams.OnPeer({ "h1" }, { { { "a0" }, 4, 0, 0 } }, this->now);
     this->sends.clear();
     const auto served = this->Ask("/look/1");
     CPPUNIT_ASSERT(this->sends.empty());
     this->now += milliseconds(60);
-    this->upstreams.OnPeer({ "h1" }, {});
+    this->upstreams.OnPeer({ "h1" }, {}, this->now);
     this->dispatcher->OnTimer();
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->sends.size());
     CPPUNIT_ASSERT_EQUAL(std::string("a0"), this->sends.back().upstream.value);
     this->Answer(served, 200);
-    this->upstreams.OnPeer({ "h1" }, { { { "a0" }, 4, 0, 0 } });
+    this->upstreams.OnPeer({ "h1" }, { { { "a0" }, 4, 0, 0 } }, this->now);
     this->Ask("/look/1");
     for (int ms = 0; ms < 400 && this->sends.size() < 2; ms += 20) {
       this->now += milliseconds(20);
@@ -728,7 +729,7 @@
   {
     this->dispatcher->SetHosts(Hosts(12), Hosts(12));
     this->Teach("stoc", 100);
-    this->upstreams.OnPeer({ "h1" }, { { { "s0" }, 4, 0, 0 } });
+    this->upstreams.OnPeer({ "h1" }, { { { "s0" }, 4, 0, 0 } }, this->now);
   }
 
   static std::vector<state::HostId> Hosts(int aCount)
--- a/src/routing/tests/loadworld.h
+++ b/src/routing/tests/loadworld.h
@@ -332,7 +332,7 @@
     const auto reports = aHost.upstreams.TakeReports();
     for (const auto& other : this->hosts) {
       if (other->id != aHost.id) {
-        other->upstreams.OnPeer(aHost.id, reports);
+        other->upstreams.OnPeer(aHost.id, reports, this->now);
       }
     }
     this->After(kDigest, [this, &aHost] { this->Tell(aHost); });
--- a/src/routing/tests/upstreams_test.cpp
+++ b/src/routing/tests/upstreams_test.cpp
@@ -23,6 +23,9 @@
   CPPUNIT_TEST(testUnreachableUpstreamRests);
   CPPUNIT_TEST(testPeersRequestsCount);
   CPPUNIT_TEST(testPeersTeachServiceTimes);
+  CPPUNIT_TEST(testUpstreamThatWasColdIsUsedOnceWarm);
+  CPPUNIT_TEST(testUpstreamWhoseSlowSpellEndedIsUsedAgain);
+  CPPUNIT_TEST(testUpstreamThatJoinsIsUsedWhileFastOnesHaveRoom);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -132,11 +135,11 @@
   void testPeersRequestsCount()
   {
     this->Put(1, false);
-    this->upstreams.OnPeer({ "h1" }, { { { "u" }, 3, 0, 0 } });
-    this->upstreams.OnPeer({ "h2" }, { { { "u" }, 1, 0, 0 } });
+    this->upstreams.OnPeer({ "h1" }, { { { "u" }, 3, 0, 0 } }, this->now);
+    this->upstreams.OnPeer({ "h2" }, { { { "u" }, 1, 0, 0 } }, this->now);
     CPPUNIT_ASSERT_EQUAL(4, this->upstreams.Find({ "u" })->Outstanding());
     CPPUNIT_ASSERT(!HasRoom(*this->upstreams.Find({ "u" }), this->now));
-    this->upstreams.OnPeer({ "h1" }, {});
+    this->upstreams.OnPeer({ "h1" }, {}, this->now);
     CPPUNIT_ASSERT_EQUAL(1, this->upstreams.Find({ "u" })->Outstanding());
     this->upstreams.ForgetPeer({ "h2" });
     CPPUNIT_ASSERT_EQUAL(0, this->upstreams.Find({ "u" })->Outstanding());
@@ -147,15 +150,89 @@
   void testPeersTeachServiceTimes()
   {
     this->Put(1, false);
-    this->upstreams.OnPeer({ "h1" }, { { { "u" }, 0, 5, 100.0 } });
+    this->upstreams.OnPeer({ "h1" }, { { { "u" }, 0, 5, 100.0 } }, this->now);
     for (int i = 0; i < 4; ++i) {
-      this->upstreams.OnPeer({ "h1" }, { { { "u" }, 0, 5, 500.0 } });
+      this->upstreams.OnPeer({ "h1" }, { { { "u" }, 0, 5, 500.0 } }, this->now);
     }
     CPPUNIT_ASSERT(this->upstreams.Find({ "u" })->serviceMs > 400);
     CPPUNIT_ASSERT(this->upstreams.TakeReports().empty());
   }
 
+  // All that was ever learnt of it were the slow answers of its cold time, and
+  // the others, faster by then, had room: it got nothing once warm.
+  void testUpstreamThatWasColdIsUsedOnceWarm()
+  {
+    this->PutNamed("fast", milliseconds(0));
+    this->PutNamed("cold", milliseconds(3000));
+    this->Serve("fast", milliseconds(60));
+    this->Serve("cold", milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(std::string("fast"), this->PlaceOne());
+    this->now += milliseconds(3100);
+    this->Serve("fast", milliseconds(60));
+    CPPUNIT_ASSERT_EQUAL(std::string("cold"), this->PlaceOne());
+  }
+
+  // A shared machine was slow for some seconds; no request showed its end.
+  void testUpstreamWhoseSlowSpellEndedIsUsedAgain()
+  {
+    this->PutNamed("slow", milliseconds(0));
+    this->Serve("slow", milliseconds(500));
+    this->ServeOthers();
+    CPPUNIT_ASSERT(this->PlaceOne() != "slow");
+    this->now += std::chrono::seconds(12);
+    this->ServeOthers();
+    CPPUNIT_ASSERT_EQUAL(std::string("slow"), this->PlaceOne());
+    this->Serve("slow", milliseconds(500));
+    CPPUNIT_ASSERT(this->PlaceOne() != "slow");
+  }
+
+  void testUpstreamThatJoinsIsUsedWhileFastOnesHaveRoom()
+  {
+    this->PutNamed("fast", milliseconds(0));
+    this->PutNamed("usual", milliseconds(0));
+    this->Serve("fast", milliseconds(60));
+    this->Serve("usual", milliseconds(100));
+    this->PutNamed("new", milliseconds(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), this->PlaceOne());
+  }
+
 private:
+  void PutNamed(const std::string& aId, milliseconds aCold)
+  {
+    UpstreamEntry entry;
+    entry.id = { aId };
+    entry.service = { "stoc" };
+    entry.slots = 3;
+    entry.coldLeft = aCold;
+    this->upstreams.Put(entry, this->now);
+  }
+
+  void Serve(const std::string& aId, milliseconds aTook)
+  {
+    this->upstreams.OnSent({ aId }, this->now);
+    this->upstreams.OnAnswer({ aId }, this->now, 0, AnswerClass::kServed, {},
+                             this->now + aTook);
+  }
+
+  void ServeOthers()
+  {
+    for (const std::string id : { "u1", "u2", "u3", "u4", "u5" }) {
+      this->PutNamed(id, milliseconds(0));
+      this->Serve(id, milliseconds(100));
+    }
+  }
+
+  std::string PlaceOne()
+  {
+    PlacingQuestion question;
+    question.now = this->now;
+    question.usualMs = this->upstreams.UsualMs({ "stoc" }, this->now);
+    const UpstreamState* one =
+      Place(this->upstreams.Of({ "stoc" }).ofCell, question,
+            [](std::size_t) { return std::size_t{ 0 }; });
+    return one == nullptr ? std::string() : one->entry.id.value;
+  }
+
   void Put(std::int64_t aBorn, bool aLeaving, std::int64_t aSequence = 0)
   {
     UpstreamEntry entry;
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -105,6 +105,9 @@
   // What a request takes there when it need not wait, in milliseconds; a
   // moving average, 0 until something was learnt.
   double serviceMs = 0;
+  // When it was learnt last, and whether from answers of its cold time alone.
+  TimePoint learntAt;
+  bool learntCold = false;
   // Of answers to this host that its peers have not been told of.
   int freshAnswers = 0;
   double freshSumMs = 0;
@@ -128,6 +131,12 @@
   }
 };
 
+// What a request takes there now, as far as is known, in milliseconds. Times of
+// a slow spell give way to the usual ones the longer nothing was heard since:
+// an upstream that gets no request could not show that the spell is over.
+double ServiceMsNow(const UpstreamState& aUpstream, double aUsualMs,
+                    TimePoint aNow);
+
 // The upstreams of one service, by data centre and then in an order of no
 // meaning, so that every host lays them out alike.
 struct ServiceUpstreams
@@ -173,9 +182,9 @@
   const UpstreamState* Find(const state::UpstreamId& aId) const;
   // Valid until the next change of entries, places or span.
   const ServiceUpstreams& Of(const state::ServiceName& aService);
-  // What a request of the service takes at the mean of its upstreams, in
-  // milliseconds; 0 while nothing is known.
-  double UsualMs(const state::ServiceName& aService);
+  // What a request of the service takes at the mean of its upstreams, as heard
+  // lately, in milliseconds; 0 while nothing is known.
+  double UsualMs(const state::ServiceName& aService, TimePoint aNow);
   const std::map<state::UpstreamId, UpstreamState>& All() const
   {
     return this->upstreams;
@@ -201,7 +210,7 @@
   // A peer's digest; what it has running takes the place of what it told
   // before.
   void OnPeer(const state::HostId& aPeer,
-              const std::vector<UpstreamReport>& aReports);
+              const std::vector<UpstreamReport>& aReports, TimePoint aNow);
   void ForgetPeer(const state::HostId& aPeer);
   // How many requests of this host wait for each owner of keys now.
   void SetWaiting(const std::map<state::UpstreamId, int>& aWaiting);
