--- a/src/node/internal/catchup.cpp
+++ b/src/node/internal/catchup.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds kFollowerHasNews{ 300 };
 // By then the host's own way has failed, whatever the reason.
 constexpr milliseconds kOwnWayIsSilent{ 600 };
+// Of hosts that start together; their first copies of all tables come from few.
+constexpr milliseconds kFirstCopies{ 1500 };
 // Until the first bytes of an answer, and between them on a small link.
 constexpr milliseconds kBetweenBytes{ 400 };
 // Until another peer is asked.
@@ -85,7 +87,9 @@
   // Large rows are not passed on, so that nothing is under way to a host that
   // does not follow. Small ones are had from a peer with fewer bytes.
   const bool isNotPassedOn = aSituation.isLarge && !aSituation.follows;
-  const Duration patience = isNotPassedOn ? milliseconds(0) : kOwnWayIsSilent;
+  const Duration ofSmall =
+    aSituation.hasNone && !aSituation.follows ? kFirstCopies : kOwnWayIsSilent;
+  const Duration patience = isNotPassedOn ? milliseconds(0) : ofSmall;
   const bool isArriving = aSituation.follows && this->IsArriving(aSituation);
   if (!aSituation.storeAnswers || this->storeOwes || isArriving ||
       aBehind < patience || this->clock() < this->storeDue) {
@@ -102,7 +106,8 @@
   const bool hasOwnWay = aSituation.storeAnswers && aSituation.follows;
   const Duration ofOwnWay =
     aSituation.isLarge ? kOwnWayIsSilent : kFollowerHasNews;
-  const Duration patience = hasOwnWay ? ofOwnWay : kNewsUnderWay;
+  const Duration ofNews = aSituation.hasNone ? milliseconds(0) : kNewsUnderWay;
+  const Duration patience = hasOwnWay ? ofOwnWay : ofNews;
   const Duration sinceAsked = this->clock() - this->peerAskedAt;
   const Duration pause = !this->peerOwes      ? kPeerAgain
                          : aSituation.isLarge ? kPeerTakesLarge
--- a/src/node/internal/catchup.h
+++ b/src/node/internal/catchup.h
@@ -30,6 +30,8 @@
     bool follows = true;
     // The table holds a large row, which takes a small host's link for long.
     bool isLarge = false;
+    // Nothing of the table is here yet: no news can be passed on to this host.
+    bool hasNone = false;
     // When bytes of an answer about the table last came from the store.
     TimePoint storeHeardAt;
     // Peers that have more and can be reached, in the order to ask them in.
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -117,19 +117,27 @@
                                 this->settings.resendShare,
                                 this->settings.resendExtra },
     this->upstreams, this->DispatcherHooks());
+  this->tables = std::make_unique<TableSpread>(
+    this->neighbours, this->peers, this->reachable, this->SpreadHooks());
+  this->registration = std::make_unique<Registration>(
+    HostRow{ this->settings.host, this->settings.peerAddress,
+             this->settings.dataCentre, this->settings.processors },
+    this->settings.isFirstStart, this->RegistrationHooks());
   this->store = std::make_unique<StoreDuty>(
     this->storeThread, this->settings.storeAddress,
     IpOf(this->settings.peerAddress),
     std::vector<std::string>{ std::string(platform::kOperatorTable),
-                              std::string(platform::kUpstreamTable) },
+                              std::string(platform::kUpstreamTable),
+                              kHostTable },
     StoreDuty::Hooks{
       [this](TableNews aNews) {
         this->serving.Hand(
-          [this, news = std::move(aNews)] { this->OnTableNews(news); });
+          [this, news = std::move(aNews)] { this->tables->OnNews(news); });
       },
       [this](bool aWell) {
         this->serving.Hand([this, aWell] {
           this->isStoreWell = aWell;
+          this->tables->SetStoreWell(aWell);
           this->log.Write(aWell ? Event::kStoreBack : Event::kStoreDown);
           this->keys->SetStoreWell(aWell);
         });
@@ -148,8 +156,6 @@
   this->serving.Hand([this] { this->Tick(); });
   this->serving.Start("serving");
   this->storeThread.Start("store");
-  this->store->Start();
-  this->RegisterHost();
   this->log.Write(Event::kStarted,
                   { { "incarnation", this->self.incarnation } });
   return {};
@@ -215,9 +221,6 @@
   options.onUp = [this](const protocol::HostRef& aPeer, bool aUp) {
     if (aUp) {
       this->reachable.insert(aPeer.host);
-      if (!this->neighbours.IsKnown({ aPeer.host })) {
-        this->OnStranger();
-      }
     } else {
       this->reachable.erase(aPeer.host);
     }
@@ -285,14 +288,7 @@
   };
   hooks.write = [this](const state::RowsWrite& aWrite,
                        state::RowStore::WriteDone aDone) {
-    this->storeThread.Hand([this, aWrite, done = std::move(aDone)] {
-      this->store->Rows().Write(
-        aWrite,
-        [this, done](state::WriteOutcome aOutcome, state::Version aVersion) {
-          this->serving.Hand(
-            [done, aOutcome, aVersion] { done(aOutcome, aVersion); });
-        });
-    });
+    this->WriteRows(aWrite, std::move(aDone));
   };
   hooks.order = [this](const ownership::Order& aOrder,
                        ownership::Assigner::OrderDone aDone) {
@@ -305,6 +301,7 @@
     this->claimant = aClaimant.host;
     this->Dial();
   };
+  hooks.asksStore = [this] { return this->tables->IsFollowing(); };
   hooks.publish = [this] {
     if (!this->neighbours.Cells().IsDivided()) {
       this->SendKeyMaps();
@@ -444,7 +441,7 @@
       { "queued", static_cast<std::int64_t>(aTrace.queued) },
       { "configuration", aTrace.configuration },
       { "upstreams_version",
-        this->tables.Find(std::string(platform::kUpstreamTable)).version } });
+        this->tables->Find(std::string(platform::kUpstreamTable)).version } });
 }
 
 void Gateway::Impl::ArmDispatcher()
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -10,12 +10,12 @@
 #include "framework/events.h"
 #include "framework/metrics.h"
 #include "node/gateway.h"
-#include "node/internal/catchup.h"
 #include "node/internal/keysduty.h"
 #include "node/internal/neighbours.h"
 #include "node/internal/peerduty.h"
+#include "node/internal/registration.h"
 #include "node/internal/storeduty.h"
-#include "node/internal/tables.h"
+#include "node/internal/tablespread.h"
 #include "protocol/errorcounters.h"
 #include "routing/dispatcher.h"
 #include "routing/upstreams.h"
@@ -68,7 +68,9 @@
   void OnEnded(const routing::RequestTrace& aTrace);
   void OnFrame(const protocol::HostRef& aFrom, const protocol::Frame& aFrame);
   void OnDigest(const protocol::HostDigest& aDigest);
-  void OnTableNews(const TableNews& aNews);
+  void OnTableChanged(const std::string& aTable,
+                      const std::vector<state::StoredRow>& aChanged,
+                      std::chrono::milliseconds aGrace);
   void OnTableReadEnded(const TableReadEnd& aEnd);
   void OnStoreCall(state::StoreCall aCall, const std::string& aTable);
   void ApplyOperatorRows();
@@ -76,35 +78,23 @@
   bool IsConfigurationBehind() const;
   void ApplyUpstreamRows(const std::vector<state::StoredRow>& aChanged,
                          std::chrono::milliseconds aGrace);
-  void ApplyHostRows(const state::RowsRead& aRead);
+  TableSpread::Hooks SpreadHooks();
+  Registration::Hooks RegistrationHooks();
+  Standing StandingNow() const;
+  void OnFirstHosts(const state::RowsRead& aRead);
+  void WriteRows(const state::RowsWrite& aWrite,
+                 state::RowStore::WriteDone aDone);
+  void SetHosts(const std::vector<state::StoredRow>& aRows);
   void Dial();
-  void OnStranger();
-  void SendTable(const std::string& aTo, const protocol::TableQuery& aQuery);
-  void OnTableCopy(const std::string& aFrom, const protocol::TableCopy& aCopy);
-  void OnTableChange(const protocol::TableChange& aChange);
-  void PassOn(const TableNews& aNews, state::Version aBefore);
   void Tick();
-  void ChooseReaders(const std::vector<state::HostId>& aLiveMates);
   protocol::HostDigest MakeDigest();
   void SendDigests();
   void SendDigest(std::vector<std::string> aHosts,
                   protocol::HostDigest aDigest);
   void SendKeyMaps();
-  // Whether the peer knows a change of the table that this host does not.
-  bool IsAhead(const KnownPeer& aPeer, const std::string& aTable) const;
-  std::vector<state::HostId> PeersAhead(const std::string& aTable) const;
-  CatchUp& CatchUpOf(const std::string& aTable);
-  void CatchUpWith(const std::string& aTable);
-  void AskPeer(const state::HostId& aPeer, const std::string& aTable);
   void OnCaughtUp(const std::string& aTable, Duration aBehind);
   bool AreUpstreamsSettled() const;
-  void TellMatesNow();
   void ArmDispatcher();
-  void RegisterHost();
-  // Store's thread.
-  void ReadHosts();
-  void ReadHostsOnce(std::function<void(bool)> aDone);
-  void Later(std::chrono::milliseconds aPause, std::function<void()> aWork);
   void PublishGauges();
   bool IsReady() const;
 
@@ -128,7 +118,10 @@
   std::unique_ptr<Keys> keys;
   std::unique_ptr<routing::Dispatcher> dispatcher;
   std::shared_ptr<const routing::RouteTable> routes;
-  TableCopies tables;
+  // Peers with a connection.
+  std::set<std::string> reachable;
+  std::unique_ptr<TableSpread> tables;
+  std::unique_ptr<Registration> registration;
   ServerPtr callerServer;
   ServerPtr checkServer;
   ServerPtr metricsServer;
@@ -148,19 +141,8 @@
   TimePoint dialledAt;
   // A host that claimed keys and was never heard here; see Assigner::Hooks.
   state::HostId claimant;
-  // Of the hosts' table as it was read last.
-  state::Version hostsVersion = 0;
-  // No further read of the hosts' table for a stranger before that.
-  TimePoint hostsReadDue;
-  // By table.
-  std::map<std::string, CatchUp> catchUps;
-  // Peers with a connection.
-  std::set<std::string> reachable;
   bool isStoreWell = true;
-  // This host follows the store's tables itself.
-  bool isReader = true;
   bool isLeaving = false;
-  state::Version toldUpstreamVersion = 0;
 
   std::atomic<bool> ready{ false };
   std::atomic<bool> stopping{ false };
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -18,26 +18,59 @@
 
 using std::chrono::milliseconds;
 
-void Gateway::Impl::OnTableNews(const TableNews& aNews)
+TableSpread::Hooks Gateway::Impl::SpreadHooks()
 {
-  const state::Version before = this->tables.Find(aNews.table).changed;
-  const std::vector<state::StoredRow> changed =
-    this->tables.Apply(aNews.table, aNews.rows, aNews.whole, aNews.version);
-  const auto behind =
-    this->CatchUpOf(aNews.table).OnOwn(this->tables.Find(aNews.table).version);
-  if (behind) {
-    this->OnCaughtUp(aNews.table, *behind);
-  }
-  if (changed.empty()) {
-    return;
-  }
-  if (aNews.isOfStore && before > 0) {
-    this->PassOn(aNews, before);
-  }
-  if (aNews.table == platform::kOperatorTable) {
+  TableSpread::Hooks hooks;
+  hooks.now = BootTime;
+  hooks.send = [this](const std::string& aTo, const protocol::Frame& aFrame) {
+    static_cast<void>(this->network->Send(aTo, aFrame));
+  };
+  hooks.sendToAll = [this](const std::vector<std::string>& aHosts,
+                           const protocol::Frame& aFrame) {
+    this->network->SendToAll(aHosts, aFrame);
+  };
+  hooks.follow = [this](const FollowedTables& aTables) {
+    this->store->Follow(aTables);
+  };
+  hooks.readWhole = [this](const std::string& aTable) {
+    this->store->ReadAnew(aTable);
+  };
+  hooks.heardAt = [this](const std::string& aTable) {
+    return this->store->HeardAt(aTable);
+  };
+  hooks.changed = [this](const std::string& aTable,
+                         const std::vector<state::StoredRow>& aChanged,
+                         milliseconds aGrace) {
+    this->OnTableChanged(aTable, aChanged, aGrace);
+  };
+  hooks.isSettled = [this](const std::string& aTable) {
+    return aTable != platform::kUpstreamTable || this->AreUpstreamsSettled();
+  };
+  hooks.caughtUp = [this](const std::string& aTable, Duration aBehind) {
+    this->OnCaughtUp(aTable, aBehind);
+  };
+  hooks.tellVersions = [this] {
+    this->neighbours.Hurry();
+    this->SendDigests();
+  };
+  return hooks;
+}
+
+void Gateway::Impl::OnTableChanged(
+  const std::string& aTable, const std::vector<state::StoredRow>& aChanged,
+  milliseconds aGrace)
+{
+  if (aTable == platform::kOperatorTable) {
     this->ApplyOperatorRows();
+  } else if (aTable == platform::kUpstreamTable) {
+    this->ApplyUpstreamRows(aChanged, aGrace);
   } else {
-    this->ApplyUpstreamRows(changed, aNews.grace);
+    const TableCopy& copy = this->tables->Find(kHostTable);
+    std::vector<state::StoredRow> rows;
+    std::ranges::transform(copy.rows, std::back_inserter(rows),
+                           [](const auto& aItem) { return aItem.second; });
+    this->SetHosts(rows);
+    this->registration->OnTable(copy);
   }
 }
 
@@ -52,7 +85,7 @@
       { "took_ms",
         std::chrono::duration_cast<milliseconds>(aEnd.took).count() } });
   this->serving.Hand(
-    [this, aEnd] { this->CatchUpOf(aEnd.table).OnStoreRead(aEnd.took); });
+    [this, aEnd] { this->tables->OnReadEnded(aEnd.table, aEnd.took); });
 }
 
 void Gateway::Impl::OnStoreCall(state::StoreCall aCall,
@@ -69,7 +102,7 @@
 void Gateway::Impl::ApplyOperatorRows()
 {
   const TableCopy& copy =
-    this->tables.Find(std::string(platform::kOperatorTable));
+    this->tables->Find(std::string(platform::kOperatorTable));
   std::set<state::DataCentre> out;
   for (const auto& [key, row] : copy.rows) {
     if (const auto centre = platform::ReadOutRow(key)) {
@@ -136,7 +169,7 @@
 bool Gateway::Impl::IsConfigurationBehind() const
 {
   const auto& rows =
-    this->tables.Find(std::string(platform::kOperatorTable)).rows;
+    this->tables->Find(std::string(platform::kOperatorTable)).rows;
   const auto row = rows.find(std::string(platform::kConfigurationKey));
   return row != rows.end() && row->second.version > this->configurationRow;
 }
--- a/src/node/internal/keysduty.cpp
+++ b/src/node/internal/keysduty.cpp
@@ -28,6 +28,10 @@
 constexpr std::chrono::milliseconds kMissedAfter{ 800 };
 // Between two reads of the stored assignment by a host without a map.
 constexpr std::chrono::milliseconds kHoldersAgain{ 1000 };
+// The few that ask the store do so as soon as they know of the service.
+constexpr std::chrono::milliseconds kOthersTell{ 5000 };
+// A host that leaves the store to hubs lets these claim first.
+constexpr std::chrono::milliseconds kHubsClaim{ 3000 };
 
 std::string PrintHost(const state::HostRef& aHost)
 {
@@ -64,6 +68,7 @@
     Part& part = this->parts[service];
     if (!part.assigner) {
       part.assigner = this->MakeAssigner(service);
+      part.othersTellUntil = this->hooks.now() + kOthersTell;
     }
   }
 }
@@ -86,6 +91,9 @@
   own.publish = [this, aService] { this->Publish(aService); };
   own.preference = this->hooks.preference;
   own.meet = this->hooks.meet;
+  own.claimDelay = [this] {
+    return this->hooks.asksStore() ? Duration(0) : Duration(kHubsClaim);
+  };
   own.log = [this, aService](std::string_view aWhat, std::string_view aDetail) {
     this->hooks.log(aService.value, aWhat, aDetail);
   };
@@ -180,6 +188,9 @@
   const TimePoint now = this->hooks.now();
   std::vector<protocol::KeyMapUpdate> updates;
   for (auto& [service, part] : this->parts) {
+    if (std::exchange(part.isStoredUntold, false)) {
+      updates.push_back(ToWire(service, part.map.Mark(), part.map.Ranges()));
+    }
     // Nothing new, or the map is another host's by now.
     if (part.ownMark == part.toldMark || part.map.Mark() != part.ownMark) {
       continue;
@@ -231,6 +242,7 @@
       ownership::MapOfHolders(*assignment, aStored->assignmentVersion);
     if (this->parts.at(aService).map.Update(
           stored.mark, std::move(stored.ranges), this->hooks.now())) {
+      this->parts.at(aService).isStoredUntold = this->hooks.asksStore();
       this->hooks.log(aService.value, "stored-holders",
                       "no assigner was heard yet");
       this->hooks.changed();
@@ -242,7 +254,9 @@
 {
   const TimePoint now = this->hooks.now();
   for (auto& [service, part] : this->parts) {
-    if (part.map.Mark().version == 0 && now >= part.holdersDue) {
+    const bool isDue = now >= part.holdersDue &&
+                       (now >= part.othersTellUntil || this->hooks.asksStore());
+    if (part.map.Mark().version == 0 && isDue) {
       this->ReadHolders(service);
     }
     part.assigner->OnTimer();
@@ -346,15 +360,28 @@
   return uses;
 }
 
+bool Keys::WasToldWhole(const Part& aPart, const KnownPeer& aPeer) const
+{
+  const auto whole = aPart.wholeAt.find(aPeer.host.host);
+  return whole != aPart.wholeAt.end() &&
+         this->hooks.now() - whole->second < kMissedAfter;
+}
+
+bool Keys::HasNoMap(const Part& aPart, const ServiceName& aService,
+                    const KnownPeer& aPeer) const
+{
+  const ownership::MapMark& mark = aPart.map.Mark();
+  return mark.version > 0 && mark.assigner.host.value.empty() &&
+         this->hooks.asksStore() && !aPeer.maps.contains(aService) &&
+         !this->WasToldWhole(aPart, aPeer);
+}
+
 bool Keys::HasMissed(const Part& aPart, const ServiceName& aService,
                      const KnownPeer& aPeer) const
 {
   const TimePoint now = this->hooks.now();
-  const auto whole = aPart.wholeAt.find(aPeer.host.host);
-  const bool wasToldAll =
-    whole != aPart.wholeAt.end() && now - whole->second < kMissedAfter;
   if (aPart.history.empty() || aPart.map.Mark() != aPart.ownMark ||
-      wasToldAll) {
+      this->WasToldWhole(aPart, aPeer)) {
     return false;
   }
   const auto& [toldAt, mark] = aPart.history.front();
@@ -371,8 +398,12 @@
   for (auto& [service, part] : this->parts) {
     if (this->HasMissed(part, service, aPeer)) {
       updates.push_back(ToWire(service, part.toldMark, part.told));
-      part.wholeAt[aPeer.host.host] = this->hooks.now();
+    } else if (this->HasNoMap(part, service, aPeer)) {
+      updates.push_back(ToWire(service, part.map.Mark(), part.map.Ranges()));
+    } else {
+      continue;
     }
+    part.wholeAt[aPeer.host.host] = this->hooks.now();
   }
   return updates;
 }
--- a/src/node/internal/keysduty.h
+++ b/src/node/internal/keysduty.h
@@ -36,6 +36,8 @@
     // Of Assigner::Hooks.
     std::function<double(const state::HostId&)> preference;
     std::function<void(const state::HostRef&)> meet;
+    // Whether this host is one of those that ask the store and tell the others.
+    std::function<bool()> asksStore;
     // A map has changed here and peers should hear of it; see TakeUpdates.
     std::function<void()> publish;
     // Waiting requests may find an owner now.
@@ -69,7 +71,8 @@
   // What changed in this host's maps since the last call, for everyone.
   std::vector<protocol::KeyMapUpdate> TakeUpdates();
   // The whole map where this host assigns it and the peer has missed a change
-  // of a while ago: the changes since were of no use to it.
+  // of a while ago: the changes since were of no use to it. The stored one
+  // where it has none.
   std::vector<protocol::KeyMapUpdate> WholeFor(const KnownPeer& aPeer);
   bool IsAssigner() const;
   // Of the maps that this host goes by.
@@ -81,8 +84,13 @@
     ownership::KeyMap map;
     std::unique_ptr<ownership::Assigner> assigner;
     std::vector<ownership::Key> used;
-    // Without a map, when the stored assignment is read next.
+    // Without a map, when the stored assignment is read next. One that leaves
+    // the store to others waits for a while for these to tell.
     TimePoint holdersDue;
+    TimePoint othersTellUntil;
+    // The map is that of the stored assignment, read here, and peers were not
+    // told yet.
+    bool isStoredUntold = false;
     // Of this host's own map.
     ownership::MapMark ownMark;
     // What peers were told last; nothing where they need the whole.
@@ -94,6 +102,11 @@
     std::map<state::HostId, TimePoint> wholeAt;
   };
 
+  // Whether the peer goes by no map, and this host by that of the stored
+  // assignment.
+  bool HasNoMap(const Part& aPart, const state::ServiceName& aService,
+                const KnownPeer& aPeer) const;
+  bool WasToldWhole(const Part& aPart, const KnownPeer& aPeer) const;
   bool HasMissed(const Part& aPart, const state::ServiceName& aService,
                  const KnownPeer& aPeer) const;
 
--- a/src/node/internal/neighbours.cpp
+++ b/src/node/internal/neighbours.cpp
@@ -35,9 +35,11 @@
 // A hub that was not heard for so long has a stand-in: it is down or cut off,
 // and a connection is up within half a second.
 constexpr milliseconds kHubGone{ 2000 };
-// Of a cell, those that follow the store. Each change costs a call a reader,
-// and one reader may be cut off or stand still; 82 hosts made 5,600 calls in 45
-// s.
+// A hub that was not heard for so long is not relied on for the store's news;
+// it tells something each 300 ms.
+constexpr milliseconds kHubSilent{ 1000 };
+// Of a cell, those that follow the store while no hub does: one may be cut off
+// or stand still.
 constexpr std::ptrdiff_t kReaders = 2;
 // A hub goes before any other, whatever its processors.
 constexpr double kHubPreference = 1000;
@@ -100,17 +102,23 @@
   return processors + (this->hubs.contains(aHost) ? kHubPreference : 0);
 }
 
-bool Neighbours::IsGone(const state::HostId& aHost) const
+// Of a host that is dialled; one that was never heard is given its time to
+// answer.
+Duration Neighbours::SilenceOf(const state::HostId& aHost) const
 {
-  if (aHost == this->self.id) {
-    return false;
-  }
   const auto found = this->dialled.find(aHost);
+  const TimePoint since =
+    found == this->dialled.end()
+      ? this->hooks.heardAt(aHost)
+      : std::max(found->second, this->hooks.heardAt(aHost));
+  return this->hooks.now() - since;
+}
+
+bool Neighbours::IsGone(const state::HostId& aHost) const
+{
   // One that was never dialled may well be there.
-  return found != this->dialled.end() &&
-         this->hooks.now() -
-             std::max(found->second, this->hooks.heardAt(aHost)) >
-           kHubGone;
+  return aHost != this->self.id && this->dialled.contains(aHost) &&
+         this->SilenceOf(aHost) > kHubGone;
 }
 
 std::set<state::HostId> Neighbours::Wanted() const
@@ -158,10 +166,12 @@
   const std::vector<state::HostId>& aLiveMates,
   const std::function<bool(const state::HostId&)>& aReachesStore) const
 {
-  if (!this->cells.IsDivided() || this->hubs.contains(this->self.id) ||
-      this->assigners.contains(this->self.id)) {
+  if (!this->cells.IsDivided() || this->hubs.contains(this->self.id)) {
     return true;
   }
+  if (this->IsAnyHubReading(aReachesStore)) {
+    return false;
+  }
   const auto rank = [](const state::HostId& aHost) {
     return RendezvousScore(aHost.value, "reader");
   };
@@ -174,6 +184,47 @@
   return before < kReaders;
 }
 
+bool Neighbours::IsAnyHubReading(
+  const std::function<bool(const state::HostId&)>& aReachesStore) const
+{
+  return std::ranges::any_of(this->hubs, [&](const state::HostId& aHub) {
+    const bool isUnheard = this->hooks.heardAt(aHub) == TimePoint{};
+    return this->SilenceOf(aHub) < kHubSilent &&
+           (isUnheard || aReachesStore(aHub));
+  });
+}
+
+// The hub of its data centre, as bytes between those are paid for; where it has
+// none, one of all.
+state::HostId Neighbours::HomeOf(const state::HostId& aHost) const
+{
+  const auto centreOf = [this](const state::HostId& aOne) {
+    const auto found = this->hosts.find(aOne);
+    return aOne == this->self.id        ? this->self.dataCentre
+           : found == this->hosts.end() ? state::DataCentre{}
+                                        : found->second.host.dataCentre;
+  };
+  const state::DataCentre centre = centreOf(aHost);
+  const auto near = std::ranges::find(this->hubs, centre, centreOf);
+  if (near != this->hubs.end()) {
+    return *near;
+  }
+  return *std::ranges::max_element(this->hubs, {}, [&](const auto& aHub) {
+    return RendezvousScore(aHost.value, aHub.value);
+  });
+}
+
+bool Neighbours::PassesNewsTo(const state::HostId& aHost) const
+{
+  if (!this->cells.IsDivided()) {
+    return false;
+  }
+  if (this->hubs.contains(this->self.id)) {
+    return this->hubs.contains(aHost) || this->HomeOf(aHost) == this->self.id;
+  }
+  return this->IsMate(aHost);
+}
+
 bool Neighbours::IsMatesDue(std::int64_t aChanges) const
 {
   const bool divided = this->cells.IsDivided();
@@ -188,11 +239,12 @@
 {
   Due due;
   const TimePoint now = this->hooks.now();
-  const bool matesDue =
-    std::exchange(this->hurries, false) || this->IsMatesDue(aChanges);
+  const bool isHurried = std::exchange(this->hurries, false);
+  const bool matesDue = isHurried || this->IsMatesDue(aChanges);
   const bool assigns = this->assigners.contains(this->self.id);
   const bool othersDue =
-    this->cells.IsDivided() && now - this->othersToldAt >= kOthersPause;
+    this->cells.IsDivided() &&
+    (isHurried || now - this->othersToldAt >= kOthersPause);
   if (matesDue) {
     this->matesToldAt = now;
     this->toldChanges = aChanges;
--- a/src/node/internal/neighbours.h
+++ b/src/node/internal/neighbours.h
@@ -69,13 +69,18 @@
     std::vector<std::string> others;
   };
 
-  // Whether this host should follow the store's tables itself and pass them on
-  // to its cell. aReachesStore says it of a mate that is live.
+  // Whether this host should follow the store's tables itself. aReachesStore
+  // says it of a hub, or of a mate that is live.
   bool IsReader(
     const std::vector<state::HostId>& aLiveMates,
     const std::function<bool(const state::HostId&)>& aReachesStore) const;
 
-  // The next digest goes to the mates whatever has changed.
+  // Whether this host, which follows the store, tells the other one of its
+  // news. The hubs share the hosts among them and tell each other; one that
+  // follows as no hub does tells its mates.
+  bool PassesNewsTo(const state::HostId& aHost) const;
+
+  // The next digest goes to everyone whatever has changed.
   void Hurry() { this->hurries = true; }
   // Whom a digest goes to now. aChanges are sends and ends at upstreams since
   // the start.
@@ -83,6 +88,10 @@
 
 private:
   bool IsGone(const state::HostId& aHost) const;
+  Duration SilenceOf(const state::HostId& aHost) const;
+  bool IsAnyHubReading(
+    const std::function<bool(const state::HostId&)>& aReachesStore) const;
+  state::HostId HomeOf(const state::HostId& aHost) const;
   std::set<state::HostId> Wanted() const;
   bool IsMatesDue(std::int64_t aChanges) const;
 
--- a/src/node/internal/peerduty.cpp
+++ b/src/node/internal/peerduty.cpp
@@ -47,6 +47,7 @@
   peer.reachesStore = aDigest.reachesStore;
   peer.operatorVersion = aDigest.operatorVersion;
   peer.upstreamVersion = aDigest.upstreamVersion;
+  peer.hostsVersion = aDigest.hostsVersion;
   peer.digest = aDigest.number;
   peer.maps.clear();
   for (const protocol::KeyMapMark& mark : aDigest.keyMaps) {
--- a/src/node/internal/peerduty.h
+++ b/src/node/internal/peerduty.h
@@ -27,6 +27,7 @@
   bool reachesStore = true;
   state::Version operatorVersion = 0;
   state::Version upstreamVersion = 0;
+  state::Version hostsVersion = 0;
   // Of its run; the last that was heard.
   std::int64_t digest = 0;
   std::map<state::ServiceName, ownership::MapMark> maps;
--- /dev/null
+++ b/src/node/internal/registration.cpp
@@ -0,0 +1,187 @@
+// Steps of a host's registration.
+
+#include "node/internal/registration.h"
+
+#include "framework/rendezvous.h"
+#include "node/internal/tables.h"
+#include "protocol/errorkind.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kumquat::node {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// After a call that failed.
+constexpr milliseconds kPause{ 500 };
+// Of hosts that all start for the first time, some hundred: rows of one part of
+// the store are written one after the other, and what waits there for over a
+// second is refused.
+constexpr milliseconds kSpread{ 700 };
+// From the start; most rows are there by then.
+constexpr milliseconds kGather{ 1200 };
+// The whole table comes from a peer within this time, or the row is written
+// without it.
+constexpr milliseconds kTableComes{ 1500 };
+// A peer that neither side knows of any more is found then.
+constexpr milliseconds kLookAgain{ 30'000 };
+
+constexpr long kMostMilliprocessors = 9'999'999;
+constexpr std::uint64_t kOrders = 0x10000;
+
+} // namespace
+
+state::StoredRow ToRow(const HostRow& aHost)
+{
+  const long size =
+    std::clamp(std::lround(aHost.processors * 1000), 0L, kMostMilliprocessors);
+  const nlohmann::json text = { { "host", aHost.host.value },
+                                { "address", aHost.address },
+                                { "data_centre", aHost.dataCentre.value },
+                                { "processors", aHost.processors } };
+  state::StoredRow row;
+  row.table = kHostTable;
+  row.key = fmt::format("{:07}-{:04x}-{}", kMostMilliprocessors - size,
+                        RendezvousScore(aHost.host.value, "row") % kOrders,
+                        aHost.host.value);
+  row.value = text.dump();
+  return row;
+}
+
+Result<HostRow> HostFromRow(const state::StoredRow& aRow)
+{
+  const auto text = nlohmann::json::parse(aRow.value, nullptr, false);
+  if (!text.is_object()) {
+    return make_error_code(protocol::ErrorKind::kInternal);
+  }
+  HostRow host;
+  host.host.value = text.value("host", "");
+  host.address = text.value("address", "");
+  host.dataCentre.value = text.value("data_centre", "");
+  host.processors = text.value("processors", host.processors);
+  return host;
+}
+
+Registration::Registration(const HostRow& aSelf, bool aIsFirstStart,
+                           Hooks aHooks)
+  : own(ToRow(aSelf))
+  , isFirstStart(aIsFirstStart)
+  , hooks(std::move(aHooks))
+  , startedAt(this->hooks.now())
+  , step(aIsFirstStart ? Step::kWrite : Step::kLook)
+  , due(this->startedAt)
+{
+  if (aIsFirstStart) {
+    this->due += milliseconds(RendezvousScore(aSelf.host.value, "start") %
+                              static_cast<std::uint64_t>(kSpread.count()));
+  }
+}
+
+void Registration::OnTimer()
+{
+  if (this->isAsking || this->hooks.now() < this->due) {
+    return;
+  }
+  switch (this->step) {
+    case Step::kWrite:
+      this->Write();
+      return;
+    case Step::kLook:
+      if (this->isEntered && this->hasLooked && this->hooks.othersTell()) {
+        this->Next(Step::kLook, kLookAgain);
+      } else {
+        this->Look();
+      }
+      return;
+    case Step::kRest:
+      return;
+  }
+}
+
+void Registration::Next(Step aStep, milliseconds aPause)
+{
+  this->step = aStep;
+  this->due = this->hooks.now() + aPause;
+}
+
+void Registration::Write()
+{
+  this->isAsking = true;
+  this->hooks.write(
+    this->own, [this](state::WriteOutcome aOutcome, state::Version) {
+      this->isAsking = false;
+      this->isEntered = aOutcome == state::WriteOutcome::kWritten;
+      if (this->isEntered && this->hasSeenFirst) {
+        this->Next(Step::kRest, milliseconds(0));
+        return;
+      }
+      // A host that looks after its own row is there finds all that were there
+      // before it, and those that come later find it.
+      this->Next(Step::kLook, this->isEntered ? milliseconds(0) : kPause);
+      if (this->isFirstStart) {
+        this->due = std::max(this->due, this->startedAt + kGather);
+      }
+      this->OnTimer();
+    });
+}
+
+void Registration::Look()
+{
+  this->isAsking = true;
+  this->hooks.readFirst([this](const Result<state::RowsRead>& aRead) {
+    this->isAsking = false;
+    this->hasFailed = !aRead;
+    this->hasLooked |= aRead.has_value();
+    if (!aRead) {
+      this->Next(this->step, kPause);
+      return;
+    }
+    this->OnLooked(*aRead);
+    this->OnTimer();
+  });
+}
+
+void Registration::OnLooked(const state::RowsRead& aRead)
+{
+  this->hasSeenFirst = aRead.isPartial;
+  this->isEntered =
+    this->isEntered ||
+    std::ranges::any_of(aRead.rows, [this](const state::StoredRow& aRow) {
+      return this->IsOwnRow(aRow);
+    });
+  if (this->isEntered) {
+    // Where there are more rows those who follow the table tell of new ones.
+    this->Next(aRead.isPartial ? Step::kRest : Step::kLook, kLookAgain);
+  } else {
+    this->Next(Step::kWrite, aRead.isPartial ? kTableComes : milliseconds(0));
+  }
+  this->hooks.found(aRead);
+}
+
+void Registration::OnTable(const TableCopy& aCopy)
+{
+  if (this->isEntered || this->isAsking || this->step != Step::kWrite) {
+    return;
+  }
+  const auto row = aCopy.rows.find(this->own.key);
+  if (row != aCopy.rows.end() && this->IsOwnRow(row->second)) {
+    this->isEntered = true;
+    this->Next(Step::kRest, milliseconds(0));
+  } else {
+    this->Next(Step::kWrite, milliseconds(0));
+  }
+}
+
+bool Registration::IsOwnRow(const state::StoredRow& aRow) const
+{
+  return aRow.key == this->own.key && aRow.value == this->own.value;
+}
+
+} // namespace kumquat::node
--- a/src/node/internal/storeduty.cpp
+++ b/src/node/internal/storeduty.cpp
@@ -114,6 +114,7 @@
   TimePoint returnedAt;
   // Answers of calls before the last restart are not listened to.
   std::uint64_t generation = 0;
+  bool isFollowed = false;
   // A whole read is under way. It ends by itself, in bounded time without
   // progress.
   bool isReading = false;
@@ -155,16 +156,43 @@
 
 StoreDuty::~StoreDuty() = default;
 
-void StoreDuty::Start()
+void StoreDuty::Follow(const std::map<std::string, state::Version>& aTables)
 {
-  this->thread.Hand([this] {
+  this->thread.Hand([this, aTables] {
     for (const auto& follower : this->followers) {
-      this->ReadWhole(follower);
+      const auto wanted = aTables.find(follower->table);
+      const bool isWanted = wanted != aTables.end();
+      this->SetFollowed(follower, isWanted, isWanted ? wanted->second : 0);
     }
   });
 }
 
-void StoreDuty::Restart(const std::string& aTable)
+void StoreDuty::SetFollowed(const std::shared_ptr<Follower>& aFollower,
+                            bool aFollowed, state::Version aKnown)
+{
+  if (std::exchange(aFollower->isFollowed, aFollowed) == aFollowed) {
+    return;
+  }
+  // A read under way is taken either way, and goes on to watch or not.
+  if (aFollower->isReading ||
+      (!aFollowed && this->IsAwaitingReturn(aFollower))) {
+    return;
+  }
+  aFollower->timer.cancel();
+  if (!aFollowed) {
+    // What is still asked is not listened to.
+    ++aFollower->generation;
+    return;
+  }
+  aFollower->version = std::max(aFollower->version, aKnown);
+  if (aFollower->version == 0) {
+    this->ReadWhole(aFollower);
+  } else {
+    this->Watch(aFollower);
+  }
+}
+
+void StoreDuty::ReadAnew(const std::string& aTable)
 {
   this->thread.Hand([this, aTable] {
     const auto follower = this->FollowerOf(aTable);
@@ -191,29 +219,6 @@
   return follower ? follower->heardAt.load() : TimePoint{};
 }
 
-void StoreDuty::SetFollowing(bool aFollowing)
-{
-  this->thread.Hand([this, aFollowing] {
-    if (std::exchange(this->following, aFollowing) == aFollowing) {
-      return;
-    }
-    for (const auto& follower : this->followers) {
-      // A read under way is taken either way, and goes on to watch or not.
-      if (follower->isReading ||
-          (!aFollowing && this->IsAwaitingReturn(follower))) {
-        continue;
-      }
-      follower->timer.cancel();
-      if (aFollowing) {
-        this->ReadWhole(follower);
-      } else {
-        // What is still asked is not listened to.
-        ++follower->generation;
-      }
-    }
-  });
-}
-
 void StoreDuty::SetWell(bool aWell)
 {
   if (std::exchange(this->well, aWell) != aWell) {
@@ -234,11 +239,11 @@
   }
   const bool returned = !this->well;
   this->SetWell(true);
-  if (!returned || !this->following) {
+  if (!returned || !aFollower->isFollowed) {
     return;
   }
   for (const auto& other : this->followers) {
-    if (other != aFollower) {
+    if (other != aFollower && other->isFollowed) {
       other->failing = true;
       other->failingSince = aFollower->failingSince;
       if (!other->isReading) {
@@ -282,7 +287,7 @@
 
 void StoreDuty::Watch(const std::shared_ptr<Follower>& aFollower)
 {
-  if (!this->following && !this->IsAwaitingReturn(aFollower)) {
+  if (!aFollower->isFollowed && !this->IsAwaitingReturn(aFollower)) {
     return;
   }
   const std::uint64_t generation = ++aFollower->generation;
@@ -329,8 +334,7 @@
                      std::vector<state::StoredRow> aRows)
 {
   this->hooks.news({ aFollower->table, aWhole, std::move(aRows),
-                     aFollower->version, GraceOf(aFollower->returnedAt),
-                     true });
+                     aFollower->version, GraceOf(aFollower->returnedAt) });
   this->WatchLater(aFollower);
 }
 
--- a/src/node/internal/storeduty.h
+++ b/src/node/internal/storeduty.h
@@ -5,6 +5,7 @@
 
 #include "framework/clock.h"
 #include "framework/result.h"
+#include "node/internal/tables.h"
 #include "state/rowstore.h"
 #include "transport/dutythread.h"
 #include "transport/httpclient.h"
@@ -13,6 +14,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -20,21 +22,6 @@
 
 namespace kumquat::node {
 
-// News of a table that is followed.
-struct TableNews
-{
-  std::string table;
-  // All rows of the table; else what changed.
-  bool whole = false;
-  std::vector<state::StoredRow> rows;
-  state::Version version = 0;
-  // How long a row that is gone may still be taken as there: the store had
-  // failed this host before, and its rows may have lapsed with it.
-  std::chrono::milliseconds grace{ 0 };
-  // Heard from the store, not from a peer.
-  bool isOfStore = false;
-};
-
 struct TableReadEnd
 {
   std::string table;
@@ -66,17 +53,17 @@
   StoreDuty(const StoreDuty&) = delete;
   StoreDuty& operator=(const StoreDuty&) = delete;
 
-  // The first table is the one by which the store is known to be well.
-  // From any thread.
-  void Start();
-  // Follows the table on a new connection: peers know more of it, so the one
-  // that is open may have gone silent. Where nothing is followed it is read
-  // once.
-  void Restart(const std::string& aTable);
+  // From any thread. The first table is the one by which the store is known to
+  // be well.
+
+  // Begins to follow the tables from the versions on, 0 where nothing is known,
+  // and leaves the others to peers to tell of.
+  void Follow(const std::map<std::string, state::Version>& aTables);
+  // Reads the table whole, and follows it on that connection where it is
+  // followed: peers know more of it, so the open one may have gone silent.
+  void ReadAnew(const std::string& aTable);
   // When the last bytes of an answer about the table came; from any thread.
   TimePoint HeardAt(const std::string& aTable) const;
-  // Begins to follow the tables again, or leaves it to others to tell of them.
-  void SetFollowing(bool aFollowing);
 
   // On the store's thread.
   state::RowStore& Rows() { return *this->store; }
@@ -85,6 +72,8 @@
   struct Follower;
 
   std::shared_ptr<Follower> FollowerOf(const std::string& aTable) const;
+  void SetFollowed(const std::shared_ptr<Follower>& aFollower, bool aFollowed,
+                   state::Version aKnown);
   void ReadWhole(const std::shared_ptr<Follower>& aFollower);
   void Watch(const std::shared_ptr<Follower>& aFollower);
   void OnAnswer(const std::shared_ptr<Follower>& aFollower);
@@ -104,7 +93,6 @@
   std::vector<std::shared_ptr<Follower>> followers;
   std::mt19937_64 random;
   bool well = true;
-  bool following = true;
 };
 
 } // namespace kumquat::node
--- a/src/node/internal/tables.h
+++ b/src/node/internal/tables.h
@@ -6,6 +6,7 @@
 #include "protocol/gen/peer_types.h"
 #include "state/rowstore.h"
 
+#include <chrono>
 #include <deque>
 #include <map>
 #include <optional>
@@ -17,6 +18,19 @@
 // Hosts write themselves down here, so that peers find each other.
 inline constexpr const char* kHostTable = "hosts";
 
+// News of a table, from the store or from a peer.
+struct TableNews
+{
+  std::string table;
+  // All rows of the table; else what changed.
+  bool whole = false;
+  std::vector<state::StoredRow> rows;
+  state::Version version = 0;
+  // How long a row that is gone may still be taken as there: the store had
+  // failed this host before, and its rows may have lapsed with it.
+  std::chrono::milliseconds grace{ 0 };
+};
+
 struct TableCopy
 {
   std::map<std::string, state::StoredRow> rows;
--- a/src/node/tests/keysduty_test.cpp
+++ b/src/node/tests/keysduty_test.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(testRestartedHostGoesByTheStoredHolders);
   CPPUNIT_TEST(testStoredHoldersGiveWayToTheAssigner);
   CPPUNIT_TEST(testStoreIsAskedAgainOnlyWhereItFailed);
+  CPPUNIT_TEST(testOneOfManyHasTheStoredHoldersFromOthers);
+  CPPUNIT_TEST(testOneOfManyAsksTheStoreWhereNobodyTells);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -28,6 +30,7 @@
     this->reads = 0;
     this->changes = 0;
     this->storeFails = false;
+    this->asksStore = true;
     this->rows.clear();
     this->upstreams.emplace();
     this->peers.emplace(
@@ -92,6 +95,40 @@
     CPPUNIT_ASSERT_EQUAL(2, this->reads);
   }
 
+  // After a loss of all power each of some hundred hosts read the same row.
+  void testOneOfManyHasTheStoredHoldersFromOthers()
+  {
+    this->Store(7, "u1");
+    this->keys->SetServices({ kStoc });
+    this->keys->OnTimer();
+    const auto told = this->keys->TakeUpdates();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, told.size());
+    CPPUNIT_ASSERT(this->keys->TakeUpdates().empty());
+    this->setUp();
+    this->asksStore = false;
+    this->keys->SetServices({ kStoc });
+    this->keys->OnTimer();
+    this->keys->OnUpdate(told.front());
+    this->now += milliseconds(2000);
+    this->keys->OnTimer();
+    CPPUNIT_ASSERT_EQUAL(0, this->reads);
+    const auto owner = this->keys->MapOf(kStoc)->OwnerOf(5, this->now);
+    CPPUNIT_ASSERT_EQUAL(std::string("u1"), owner.upstream.value);
+  }
+
+  // Those who ask for all are lost, or have not learnt of the service.
+  void testOneOfManyAsksTheStoreWhereNobodyTells()
+  {
+    this->Store(7, "u1");
+    this->asksStore = false;
+    this->keys->SetServices({ kStoc });
+    this->keys->OnTimer();
+    CPPUNIT_ASSERT_EQUAL(0, this->reads);
+    this->now += milliseconds(5100);
+    this->keys->OnTimer();
+    CPPUNIT_ASSERT_EQUAL(1, this->reads);
+  }
+
 private:
   inline static const state::ServiceName kStoc{ "stoc" };
 
@@ -110,6 +147,7 @@
       read.rows = this->rows;
       aDone(std::move(read));
     };
+    hooks.asksStore = [this] { return this->asksStore; };
     hooks.changed = [this] { ++this->changes; };
     hooks.log = [](std::string_view, std::string_view, std::string_view) {};
     return hooks;
@@ -127,6 +165,7 @@
   int reads = 0;
   int changes = 0;
   bool storeFails = false;
+  bool asksStore = true;
   std::vector<state::StoredRow> rows;
   std::optional<routing::Upstreams> upstreams;
   std::optional<Peers> peers;
--- a/src/node/tests/neighbours_test.cpp
+++ b/src/node/tests/neighbours_test.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(testHubTellsEveryone);
   CPPUNIT_TEST(testLostHubHasAStandIn);
   CPPUNIT_TEST(testCellHasTwoReadersThatReachTheStore);
+  CPPUNIT_TEST(testHubsAloneFollowTheStoreWhileOneReachesIt);
+  CPPUNIT_TEST(testHubsShareTheHostsThatTheyTell);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,8 +98,8 @@
     CPPUNIT_ASSERT(this->HubsOf(neighbours) == before);
   }
 
-  // Two of a cell follow the store. The store turns both away, and two others
-  // do, while the first go on trying.
+  // No hub is heard: two of a cell follow the store. The store turns both away,
+  // and two others do, while the first go on trying.
   void testCellHasTwoReadersThatReachTheStore()
   {
     std::set<state::HostId> turnedAway;
@@ -108,6 +110,7 @@
         const int number = std::stoi(mate.value.substr(5));
         Neighbours neighbours = this->Make(number, 60);
         neighbours.TakeDials();
+        this->now += milliseconds(1500);
         const std::set<state::HostId>& mates = first.Cells().Mates();
         const bool isHub = neighbours.Preference(mate) > 1;
         if (!isHub && neighbours.IsReader({ mates.begin(), mates.end() },
@@ -127,7 +130,66 @@
     CPPUNIT_ASSERT(std::ranges::includes(more, usual));
   }
 
+  // Two readers a cell made the calls for one change grow with the hosts.
+  void testHubsAloneFollowTheStoreWhileOneReachesIt()
+  {
+    std::set<state::HostId> turnedAway;
+    const auto readers = [&] {
+      int count = 0;
+      for (int i = 0; i < 60; ++i) {
+        Neighbours neighbours = this->Make(i, 60);
+        neighbours.TakeDials();
+        this->HearAll();
+        const std::set<state::HostId>& mates = neighbours.Cells().Mates();
+        count += neighbours.IsReader({ mates.begin(), mates.end() },
+                                     [&](const state::HostId& aHost) {
+                                       return !turnedAway.contains(aHost);
+                                     })
+                   ? 1
+                   : 0;
+      }
+      return count;
+    };
+    CPPUNIT_ASSERT_EQUAL(3, readers());
+    Neighbours any = this->Make(0, 60);
+    any.TakeDials();
+    for (const std::string& hub : HubsOf(any)) {
+      CPPUNIT_ASSERT_EQUAL(3, readers());
+      turnedAway.insert({ hub });
+    }
+    // None of them reaches the store.
+    CPPUNIT_ASSERT(readers() > 12);
+  }
+
+  // Each host has the news from one hub, of its own data centre where it has
+  // one; the hubs tell each other.
+  void testHubsShareTheHostsThatTheyTell()
+  {
+    Neighbours any = this->Make(0, 60);
+    any.TakeDials();
+    const std::set<std::string> hubs = HubsOf(any);
+    std::map<std::string, int> told;
+    for (const std::string& hub : hubs) {
+      const int number = std::stoi(hub.substr(5));
+      Neighbours neighbours = this->Make(number, 60);
+      neighbours.TakeDials();
+      for (const std::string& name : Names(60)) {
+        told[name] += name != hub && neighbours.PassesNewsTo({ name }) ? 1 : 0;
+      }
+    }
+    for (const auto& [name, times] : told) {
+      CPPUNIT_ASSERT_EQUAL(hubs.contains(name) ? 2 : 1, times);
+    }
+  }
+
 private:
+  void HearAll()
+  {
+    for (const std::string& name : Names(60)) {
+      this->heard[{ name }] = this->now;
+    }
+  }
+
   static std::set<std::string> Names(int aCount)
   {
     std::set<std::string> names;
--- a/src/node/tests/storeduty_test.cpp
+++ b/src/node/tests/storeduty_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(testLargeTableOverASlowLinkIsReadOnce);
   CPPUNIT_TEST(testReadUnderWayCountsWhenAHostStopsFollowing);
   CPPUNIT_TEST(testBytesOfAWholeReadCountAsHeard);
+  CPPUNIT_TEST(testHostThatFollowsOnFromAVersionReadsNothingWhole);
   CPPUNIT_TEST(testHostThatFollowsNoMoreLearnsThatTheStoreIsBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -67,7 +68,7 @@
   void testLeftUpstreamIsNotTakenAsLapsedLongAfterAFailure()
   {
     this->store->Put("i-1", "here");
-    this->duty->Start();
+    this->FollowBoth();
     this->AwaitRow("i-1", false);
     std::this_thread::sleep_for(milliseconds(400));
     this->store->BreakWaiting();
@@ -81,7 +82,7 @@
   void testLeftUpstreamIsNotTakenAsLapsedAfterAShortFailure()
   {
     this->store->Put("i-1", "here");
-    this->duty->Start();
+    this->FollowBoth();
     this->AwaitRow("i-1", false);
     std::this_thread::sleep_for(milliseconds(400));
     this->store->BreakWaiting();
@@ -93,7 +94,7 @@
   void testLapsedUpstreamIsUsedOnAfterAnOutage()
   {
     this->store->Put("i-1", "here");
-    this->duty->Start();
+    this->FollowBoth();
     this->AwaitRow("i-1", false);
     std::this_thread::sleep_for(milliseconds(400));
     this->store->SetDown(true);
@@ -109,10 +110,10 @@
   {
     this->store->Put("config", std::string(400'000, 'x'));
     this->store->SetSlow(6, milliseconds(400));
-    this->duty->Start();
+    this->FollowBoth();
     for (int i = 0; i < 6; ++i) {
       std::this_thread::sleep_for(milliseconds(400));
-      this->duty->Restart("op");
+      this->duty->ReadAnew("op");
     }
     this->AwaitRow("config", false);
     CPPUNIT_ASSERT_EQUAL(2, this->store->Reads());
@@ -123,9 +124,9 @@
   {
     this->store->Put("config", std::string(400'000, 'x'));
     this->store->SetSlow(6, milliseconds(100));
-    this->duty->Start();
+    this->FollowBoth();
     std::this_thread::sleep_for(milliseconds(200));
-    this->duty->SetFollowing(false);
+    this->duty->Follow({});
     this->AwaitRow("config", false);
     CPPUNIT_ASSERT_EQUAL(2, this->store->Reads());
   }
@@ -136,27 +137,41 @@
   {
     this->store->Put("config", std::string(400'000, 'x'));
     this->store->SetSlow(6, milliseconds(300));
-    this->duty->Start();
+    this->FollowBoth();
     std::this_thread::sleep_for(milliseconds(1200));
     const Duration since = BootTime() - this->duty->HeardAt("op");
     CPPUNIT_ASSERT(since < milliseconds(600));
   }
 
+  // Each host that took over from a lost reader read every table whole.
+  void testHostThatFollowsOnFromAVersionReadsNothingWhole()
+  {
+    this->store->Put("i-1", "here");
+    this->store->Put("i-2", "here");
+    this->duty->Follow({ { "servers", 1 } });
+    const TableNews first = this->AwaitRow("i-2", false);
+    CPPUNIT_ASSERT(!first.whole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, first.rows.size());
+    CPPUNIT_ASSERT_EQUAL(0, this->store->Reads());
+  }
+
   // Taken for turned away for good, it asked its peers only, and for the whole.
   void testHostThatFollowsNoMoreLearnsThatTheStoreIsBack()
   {
     this->store->Put("i-1", "here");
-    this->duty->Start();
+    this->FollowBoth();
     this->AwaitRow("i-1", false);
     this->store->SetDown(true);
     this->AwaitWell(false);
-    this->duty->SetFollowing(false);
+    this->duty->Follow({});
     std::this_thread::sleep_for(milliseconds(100));
     this->store->SetDown(false);
     this->AwaitWell(true);
   }
 
 private:
+  void FollowBoth() { this->duty->Follow({ { "op", 0 }, { "servers", 0 } }); }
+
   void AwaitWell(bool aWell)
   {
     std::unique_lock lock(this->mutex);
--- /dev/null
+++ b/src/node/tests/tablespread_test.cpp
@@ -0,0 +1,203 @@
+// How changes of the store's tables get round, and what that costs in calls to
+// the store, at the sizes that the deployments have.
+
+#include "node/tests/spreadworld.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace kumquat::node {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const std::string kOperators(platform::kOperatorTable);
+const std::string kUpstreams(platform::kUpstreamTable);
+// The shortest time that operators of any deployment grant for a change to be
+// in force, or for new work to a leaving upstream to end.
+constexpr milliseconds kGranted{ 2000 };
+// As many cells of five data centres as failures need.
+constexpr int kHosts = 120;
+
+} // namespace
+
+class TableSpreadTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TableSpreadTest);
+  CPPUNIT_TEST(testFirstStartOfManyCostsTwoCallsAHost);
+  CPPUNIT_TEST(testStartAfterALossOfAllPowerCostsOneCallAHost);
+  CPPUNIT_TEST(testCallsOfACalmMinuteDoNotGrowWithTheHosts);
+  CPPUNIT_TEST(testChangeReachesAllAtOnce);
+  CPPUNIT_TEST(testAllReadersDieAsAChangeComes);
+  CPPUNIT_TEST(testAllHostsOfTwoDataCentresDieAsAChangeComes);
+  CPPUNIT_TEST(testReaderHearsOfAChangeAndStopsBeforeItTells);
+  CPPUNIT_TEST(testStoreTurnsTheReadersAway);
+  CPPUNIT_TEST(testHostThatTheStoreTurnsAwayStarts);
+  CPPUNIT_TEST(testHostOfFewFollowsTheStoreItself);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Some 4,300 calls of 295 hosts before there was anything to serve.
+  void testFirstStartOfManyCostsTwoCallsAHost()
+  {
+    SpreadWorld world(300);
+    StartFirst(world);
+    CPPUNIT_ASSERT(world.Calls() < 2 * 300 + 150);
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kUpstreams));
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kHostTable));
+  }
+
+  void testStartAfterALossOfAllPowerCostsOneCallAHost()
+  {
+    SpreadWorld world(300);
+    StartFirst(world);
+    world.LoseAllPower();
+    world.Pass(milliseconds(500));
+    const int before = world.Calls();
+    world.StartAll(false);
+    world.Pass(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kOperators));
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kUpstreams));
+    world.Pass(seconds(4));
+    CPPUNIT_ASSERT(world.Calls() - before < 300 + 100);
+  }
+
+  // Two readers a cell made 30 calls a second of 295 hosts.
+  void testCallsOfACalmMinuteDoNotGrowWithTheHosts()
+  {
+    std::vector<int> calls;
+    for (const int hosts : { 30, 100, 300 }) {
+      SpreadWorld world(hosts);
+      StartFirst(world);
+      world.Pass(seconds(5));
+      const int before = world.Calls();
+      for (int i = 0; i < 20; ++i) {
+        world.Put(kUpstreams, "changed-" + std::to_string(i));
+        world.Pass(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(0, world.Behind(kUpstreams));
+      }
+      calls.push_back(world.Calls() - before);
+    }
+    CPPUNIT_ASSERT(calls[0] < 200);
+    CPPUNIT_ASSERT(std::abs(calls[2] - calls[0]) <= 12);
+    CPPUNIT_ASSERT(std::abs(calls[1] - calls[0]) <= 12);
+  }
+
+  void testChangeReachesAllAtOnce()
+  {
+    SpreadWorld world(kHosts);
+    StartFirst(world);
+    world.Put(kUpstreams, "leaves");
+    world.Pass(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kUpstreams));
+  }
+
+  void testAllReadersDieAsAChangeComes()
+  {
+    SpreadWorld world(kHosts);
+    StartFirst(world);
+    for (const std::size_t follower : world.Followers()) {
+      world.LosePower(follower);
+    }
+    world.Put(kUpstreams, "leaves");
+    world.Pass(kGranted);
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kUpstreams));
+  }
+
+  // With them two of the three hubs, and all that would stand in for them.
+  void testAllHostsOfTwoDataCentresDieAsAChangeComes()
+  {
+    SpreadWorld world(kHosts);
+    StartFirst(world);
+    for (std::size_t i = 0; i < world.Size(); ++i) {
+      if (i % 5 < 2) {
+        world.LosePower(i);
+      }
+    }
+    world.Put(kOperators, "config");
+    world.Pass(kGranted);
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kOperators));
+  }
+
+  void testReaderHearsOfAChangeAndStopsBeforeItTells()
+  {
+    SpreadWorld world(kHosts);
+    StartFirst(world);
+    int heard = 0;
+    world.onNews = [&](std::size_t aHost) {
+      // The last reader alone tells.
+      if (++heard < 3) {
+        world.LosePower(aHost);
+      }
+    };
+    world.Put(kUpstreams, "leaves");
+    world.Pass(kGranted);
+    CPPUNIT_ASSERT(heard >= 3);
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kUpstreams));
+  }
+
+  // It serves all others.
+  void testStoreTurnsTheReadersAway()
+  {
+    SpreadWorld world(kHosts);
+    StartFirst(world);
+    for (const std::size_t follower : world.Followers()) {
+      world.TurnAway(follower, true);
+    }
+    world.Pass(seconds(5));
+    world.Put(kUpstreams, "leaves");
+    world.Pass(kGranted);
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kUpstreams));
+  }
+
+  // It has all tables from peers that dial it.
+  void testHostThatTheStoreTurnsAwayStarts()
+  {
+    SpreadWorld world(kHosts);
+    StartFirst(world);
+    constexpr std::size_t kHost = 77;
+    world.LosePower(kHost);
+    world.Pass(seconds(2));
+    world.TurnAway(kHost, true);
+    world.StartOne(kHost);
+    world.Pass(milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kOperators));
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kUpstreams));
+  }
+
+  void testHostOfFewFollowsTheStoreItself()
+  {
+    SpreadWorld world(12, 3);
+    StartFirst(world);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 12 }, world.Followers().size());
+    world.Put(kUpstreams, "leaves");
+    world.Pass(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(0, world.Behind(kUpstreams));
+  }
+
+private:
+  // Upstreams enter themselves meanwhile.
+  static void StartFirst(SpreadWorld& aWorld)
+  {
+    constexpr int kSteps = 30;
+    constexpr int kEachStep = 24;
+    aWorld.StartAll(true);
+    for (int i = 0; i < kSteps * kEachStep; ++i) {
+      aWorld.Put(kUpstreams, "upstream-" + std::to_string(i));
+      if (i % kEachStep == 0) {
+        aWorld.Pass(milliseconds(100));
+      }
+    }
+    aWorld.Put(kOperators, "config", 4000);
+    aWorld.Pass(seconds(4));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TableSpreadTest);
+
+} // namespace kumquat::node
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -153,6 +153,9 @@
     // not every host hears every other, asks for a connection to it; may be
     // empty.
     std::function<void(const state::HostRef&)> meet;
+    // How much longer than others this host waits before it claims; may be
+    // empty.
+    std::function<Duration()> claimDelay;
     // The map has changed.
     std::function<void()> publish;
     // What happened, to which keys or upstream, with what figures.
@@ -231,8 +234,10 @@
 
   void ConsiderClaim();
   bool IsAssignerHeard() const;
-  bool IsAssignerHeardWithin(std::chrono::milliseconds aSilence) const;
+  bool IsAssignerHeardWithin(Duration aSilence) const;
   int RankAmongHosts() const;
+  // How long this host lets others go before it claims.
+  Duration OthersTurn() const;
   // Whether more upstreams may be about to show before any keys are dealt.
   bool IsTooEarlyToDeal(const StoredKeys& aStored);
   // When this host deals keys for the first time, whatever it knows.
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -170,7 +170,7 @@
 
 // An assigner is heard through its digests, whatever map they name; one that
 // says that it leaves is gone.
-bool Assigner::IsAssignerHeardWithin(milliseconds aSilence) const
+bool Assigner::IsAssignerHeardWithin(Duration aSilence) const
 {
   const TimePoint now = this->hooks.now();
   return std::ranges::any_of(this->hooks.peers(), [&](const PeerView& aPeer) {
@@ -183,8 +183,14 @@
 {
   // The rank costs a look at all hosts, and mostly need not be known.
   return this->IsAssignerHeardWithin(kSilence) ||
-         this->IsAssignerHeardWithin(kSilence +
-                                     kRankStep * this->RankAmongHosts());
+         this->IsAssignerHeardWithin(kSilence + this->OthersTurn());
+}
+
+Duration Assigner::OthersTurn() const
+{
+  const Duration delay =
+    this->hooks.claimDelay ? this->hooks.claimDelay() : Duration(0);
+  return kRankStep * this->RankAmongHosts() + delay;
 }
 
 int Assigner::RankAmongHosts() const
@@ -247,8 +253,7 @@
 {
   const TimePoint now = this->hooks.now();
   if (now < this->claimNotBefore || this->IsAssignerHeardWithin(kSilence) ||
-      now - this->startedAt <
-        kStartPause + kRankStep * this->RankAmongHosts() ||
+      now - this->startedAt < kStartPause + this->OthersTurn() ||
       this->IsAssignerHeard()) {
     return;
   }
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -258,6 +258,7 @@
   8: i64 number
   // The store answers this host, or was not asked.
   9: bool reachesStore
+  10: i64 hostsVersion
 }
 
 struct KeyRange {
--- a/src/state/internal/settings.cpp
+++ b/src/state/internal/settings.cpp
@@ -183,6 +183,8 @@
   settings.processors =
     fields.Number("processors", kLeastProcessors, kMostProcessors)
       .value_or(settings.processors);
+  settings.isFirstStart =
+    fields.Boolean("first_start").value_or(settings.isFirstStart);
   settings.logLevel = ReadLogLevel(fields, settings.logLevel);
   fields.Finish();
   if (reader.HasFaults()) {
@@ -207,6 +209,7 @@
     { "resend_extra", aSettings.resendExtra },
     { "max_connections", aSettings.maxConnections },
     { "processors", aSettings.processors },
+    { "first_start", aSettings.isFirstStart },
     { "log_level", aSettings.logLevel },
   };
   return text.dump(2);
--- a/src/state/rowstore.h
+++ b/src/state/rowstore.h
@@ -8,6 +8,7 @@
 #include "state/types.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -34,6 +35,8 @@
   Version version = 0;
   // Of changes: what happened since is no longer known; read the whole table.
   bool historyLost = false;
+  // Of the first rows: there are more.
+  bool isPartial = false;
 };
 
 struct RowCondition
@@ -73,6 +76,9 @@
   // All rows of one part of a table, as of one moment.
   virtual void Read(const std::string& aTable, const std::string& aPart,
                     ReadDone aDone) = 0;
+  // The first rows by their keys, at most so many.
+  virtual void ReadFirst(const std::string& aTable, const std::string& aPart,
+                         std::size_t aMost, ReadDone aDone) = 0;
   // What changed in a table after a version; waits for a first change.
   virtual void Watch(const std::string& aTable, Version aAfter,
                      std::chrono::milliseconds aWait, ReadDone aDone) = 0;
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -62,6 +62,8 @@
   // That this host may use. In large deployments those with more are asked
   // first to assign keys and to pass on news.
   double processors = 1;
+  // All hosts of the deployment start for the first time, within moments.
+  bool isFirstStart = false;
   std::string logLevel = "info";
 };
 
