--- a/src/routing/tests/load_test.cpp
+++ b/src/routing/tests/load_test.cpp
@@ -76,11 +76,8 @@
     options.hotShare = 0.25;
     options.load = 0.5;
     const LoadResult load = LoadWorld(options).Play(std::chrono::seconds(10));
-    std::fprintf(
-      stderr,
-      "hot: in time of others %.4f rejected %.4f in time %.4f refused %.4f\n",
-      load.InTimeShareOfOthers(), load.RejectedShare(), load.InTimeShare(),
-      load.RefusedShare());
+    CPPUNIT_ASSERT(load.InTimeShareOfOthers() > 0.99);
+    CPPUNIT_ASSERT(load.RejectedShare() < 0.2);
   }
 
   // A third of the owners refuse 45 of 100 requests with slots free. Refused
