--- a/src/coordination/tests/atmostonce_test.cpp
+++ b/src/coordination/tests/atmostonce_test.cpp
@@ -154,7 +154,7 @@
                    .broadcast = [](const protocol::Frame&) {} } };
   RoomView rooms;
   Steward steward{ { .now = this->clock,
-                     .send = [](UpstreamCall) {},
+                     .send = [](const UpstreamCall&) {},
                      .cancel = [](RequestId) {},
                      .holdsLease = [] { return true; },
                      .mayRun = [](const state::UpstreamRef&,
