--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -127,8 +127,7 @@
               "a whole read of a table at the store ended" },
   EventEntry{ Event::kTableCaughtUp, "table-caught-up", kInfo,
               "a change of a table is known that peers had named" },
-  EventEntry{ Event::kStoreCall, "store-call", kDebug,
-              "the store is called" },
+  EventEntry{ Event::kStoreCall, "store-call", kDebug, "the store is called" },
 
   EventEntry{ Event::kAnswerCrossed, "answer-crossed", kError,
               "an upstream sent another request's answer; it was dropped" },
