Teams: API keys are checked at the entry, upstreams get the team

Cause: the system knew no teams. Callers' API keys were passed on to upstreams, requests with unknown keys ran, and changes of keys had no effect.

A request whose key is missing, repeated or unknown gets 401 at once; 503 if a peer has announced a newer configuration, which may have the key. A request that waits while its key is taken away is refused at its turn, and one whose key was moved goes on as the new team's. A team's priority goes before its route's. gatewayrequests.cpp has the way of a request, which gatewayimpl.cpp had.

--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -1,5 +1,5 @@
-// The part of a gateway that connects its components: listeners, hooks,
-// requests, and the planned stop.
+// The part of a gateway that connects its components: listeners, hooks, and the
+// planned stop.
 
 #include "node/internal/gatewayimpl.h"
 
@@ -9,8 +9,6 @@
 #include "platform/messages.h"
 #include "platform/names.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <thread>
 #include <utility>
@@ -38,9 +36,6 @@
 // Idle connections kept to each upstream. An upstream accepts some hundred
 // connections in total, from a dozen hosts.
 constexpr std::size_t kMaxIdleConnections = 8;
-constexpr milliseconds kGrantTimeout{ 700 };
-// An upstream responds to a release when the work on its keys has ended.
-constexpr milliseconds kReleaseTimeout{ 2500 };
 // Times after the start of a planned stop. Connections of callers are served as
 // usual until the load balancer has certainly stopped using this host, which
 // takes it two checks, one second apart. From kDrainAfter on, each connection
@@ -56,12 +51,6 @@
 // Part of that reserve in which the last responses are sent.
 constexpr milliseconds kLastResponsesTime{ 400 };
 constexpr milliseconds kStopCheckInterval{ 20 };
-// Logged as the key of a request without a key.
-constexpr std::int64_t kNoKey = -1;
-// One of so many served requests is logged. The choice depends on the request's
-// id alone, so that all hosts log the same ones.
-constexpr std::uint64_t kServedSample = 16;
-
 } // namespace
 
 Gateway::Impl::Impl(const state::GatewaySettings& aSettings)
@@ -245,46 +234,6 @@
     this->peerNetwork);
 }
 
-routing::Dispatcher::Hooks Gateway::Impl::DispatcherHooks()
-{
-  routing::Dispatcher::Hooks hooks;
-  hooks.now = BootTime;
-  hooks.random = [this](std::size_t aBelow) {
-    return std::uniform_int_distribution<std::size_t>(0,
-                                                      aBelow - 1)(this->random);
-  };
-  hooks.send = [this](const routing::UpstreamRequest& aRequest) {
-    this->SendToUpstream(aRequest);
-  };
-  hooks.cancel = [this](routing::RequestNumber aNumber) {
-    const auto call = this->upstreamCalls.find(aNumber);
-    if (call != this->upstreamCalls.end()) {
-      this->upstreamClient->Cancel(call->second);
-    }
-  };
-  hooks.findOwner = [this](const state::ServiceName& aService,
-                           routing::Key aKey) {
-    const ownership::KeyMap* map = this->keyedServices->FindMap(aService);
-    if (map == nullptr) {
-      return routing::KeyOwner{};
-    }
-    const TimePoint now = BootTime();
-    const ownership::KeyMap::Owner owner = map->OwnerOf(aKey, now);
-    return routing::KeyOwner{ owner.upstream, now - owner.since };
-  };
-  hooks.reportNotOwner = [this](const state::ServiceName& aService,
-                                routing::Key aKey, const state::UpstreamId&) {
-    if (ownership::KeyMap* map = this->keyedServices->FindMap(aService)) {
-      map->OnNotOwner(aKey, BootTime());
-    }
-  };
-  hooks.onRequestEnded = [this](const routing::RequestTrace& aTrace) {
-    this->OnRequestEnded(aTrace);
-  };
-  hooks.onRetry = [this](ErrorKind aReason) { this->retries.Add(aReason); };
-  return hooks;
-}
-
 KeyedServices::Hooks Gateway::Impl::KeyedServicesHooks()
 {
   KeyedServices::Hooks hooks;
@@ -334,150 +283,6 @@
   return hooks;
 }
 
-// --- requests
-
-void Gateway::Impl::OnCallerRequest(
-  HttpRequest&& aRequest, const transport::HttpServer::Respond& aRespond)
-{
-  const auto connection = aRequest.link;
-  auto request = platform::ParseCallerRequest(std::move(aRequest), BootTime());
-  if (!request) {
-    const auto kind = static_cast<ErrorKind>(request.error().value());
-    this->refusals.Add(kind);
-    aRespond(platform::MakeErrorResponse(kind));
-    return;
-  }
-  const std::string id = request->id;
-  if (request->key) {
-    const routing::Route* route =
-      this->routes->FindRoute(request->hostName, request->message.target);
-    if (route != nullptr && route->destinations.size() == 1) {
-      this->keyedServices->OnRequest(route->destinations.front().service,
-                                     *request->key);
-    }
-  }
-  const routing::RequestNumber number = this->dispatcher->OnRequest(
-    std::move(*request), [id, aRespond](routing::CallerResponse aResponse) {
-      aRespond(platform::MakeCallerResponse(std::move(aResponse), id));
-    });
-  connection->onGone = [this, number] {
-    this->dispatcher->OnCallerGone(number);
-    this->ScheduleDispatcher();
-  };
-  this->ScheduleDispatcher();
-}
-
-void Gateway::Impl::SendToUpstream(const routing::UpstreamRequest& aRequest)
-{
-  const routing::RequestNumber number = aRequest.number;
-  HttpRequest request = platform::MakeUpstreamRequest(aRequest);
-  request.isStillValid = [this, number] {
-    return this->dispatcher->IsTargetStillValid(number);
-  };
-  const auto call = this->upstreamClient->Send(
-    aRequest.address, std::move(request), aRequest.timeout,
-    [this, number](Result<HttpResponse> aResponse) {
-      if (!aResponse &&
-          aResponse.error() == transport::TransportError::kCancelled) {
-        return;
-      }
-      this->upstreamCalls.erase(number);
-      if (aResponse) {
-        this->dispatcher->OnUpstreamResponse(
-          number, platform::ParseUpstreamResponse(std::move(*aResponse)));
-      } else {
-        this->dispatcher->OnSendFailed(
-          number,
-          static_cast<transport::TransportError>(aResponse.error().value()));
-      }
-      this->ScheduleDispatcher();
-    });
-  this->upstreamCalls[number] = call;
-}
-
-void Gateway::Impl::SendLeaseCommand(const ownership::LeaseCommand& aCommand,
-                                     ownership::Assigner::CommandDone aDone)
-{
-  const bool isGrant = aCommand.kind == ownership::LeaseCommandKind::kGrant;
-  this->leaseClient->Send(
-    aCommand.address, platform::MakeLeaseCommandRequest(aCommand),
-    isGrant ? kGrantTimeout : kReleaseTimeout,
-    [done = std::move(aDone)](const Result<HttpResponse>& aResponse) {
-      if (aResponse) {
-        done(platform::ParseLeaseCommandReply(*aResponse));
-        return;
-      }
-      const bool mayHaveArrived =
-        aResponse.error() != transport::TransportError::kUnreachable;
-      done({ mayHaveArrived ? ownership::LeaseCommandResult::kNoAnswer
-                            : ownership::LeaseCommandResult::kUnreachable,
-             {} });
-    });
-}
-
-void Gateway::Impl::OnRequestEnded(const routing::RequestTrace& aTrace)
-{
-  this->upstreamCalls.erase(aTrace.number);
-  if (aTrace.error == ErrorKind::kNone) {
-    this->answeredRequests.Add();
-    Summary*& summary = this->latencies[aTrace.service];
-    if (summary == nullptr) {
-      summary = &this->metrics.GetOrCreateSummary(
-        "kumquat_request_seconds",
-        "From a request's arrival at this host to its answer.",
-        { { "service", aTrace.service } });
-    }
-    summary->Observe(aTrace.took);
-    const bool hasFailed = aTrace.status >= 500;
-    const bool isSampled =
-      XXH3_64bits(aTrace.id.data(), aTrace.id.size()) % kServedSample == 0;
-    if (!hasFailed && !isSampled) {
-      return;
-    }
-  } else {
-    this->refusals.Add(aTrace.error);
-  }
-  const protocol::ErrorInfo& info = protocol::ErrorInfoFor(aTrace.error);
-  const Event event = aTrace.error == ErrorKind::kNone ? Event::kRequestAnswered
-                      : info.outcome == protocol::Outcome::kNotRun
-                        ? Event::kRequestRefused
-                        : Event::kRequestGivenUp;
-  this->log.Write(
-    event, { { "request", aTrace.id },
-             { "route", aTrace.route },
-             { "service", aTrace.service },
-             { "key", aTrace.key ? std::int64_t{ *aTrace.key } : kNoKey },
-             { "reason", info.name },
-             { "status", static_cast<std::int64_t>(aTrace.status) },
-             { "sends", aTrace.attempts },
-             { "waited_ms", static_cast<std::int64_t>(aTrace.waited.count()) },
-             { "took_ms", static_cast<std::int64_t>(aTrace.took.count()) },
-             { "queued", static_cast<std::int64_t>(aTrace.queued) },
-             { "configuration", aTrace.configuration },
-             { "upstreams_version",
-               this->replication->Find(std::string(platform::kUpstreamTable))
-                 .version } });
-}
-
-void Gateway::Impl::ScheduleDispatcher()
-{
-  const auto due = this->dispatcher->NextDue();
-  if (!due || *due >= this->dispatchDueAt) {
-    return;
-  }
-  this->dispatchDueAt = *due;
-  this->dispatchTimer.expires_after(std::max(Duration(0), *due - BootTime()));
-  this->dispatchTimer.async_wait(
-    [this](const boost::system::error_code& aError) {
-      if (aError) {
-        return;
-      }
-      this->dispatchDueAt = TimePoint::max();
-      this->dispatcher->OnTimer();
-      this->ScheduleDispatcher();
-    });
-}
-
 // --- readiness, reload and stop
 
 bool Gateway::Impl::IsReady() const
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -30,6 +30,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -63,6 +64,16 @@
   // On the serving thread.
   void OnCallerRequest(transport::HttpRequest&& aRequest,
                        const transport::HttpServer::Respond& aRespond);
+  routing::CallerResponse AccessRefusal(protocol::ErrorKind aError) const;
+  // Whether a peer has announced operators' rows that this host lacks.
+  bool IsBehindPeers() const;
+  void RefuseAtEntry(const routing::CallerRequest& aRequest,
+                     const routing::Route& aRoute,
+                     routing::CallerResponse aResponse,
+                     const transport::HttpServer::Respond& aRespond);
+  void Dispatch(routing::CallerRequest aRequest,
+                const std::shared_ptr<transport::CallerLink>& aLink,
+                const transport::HttpServer::Respond& aRespond);
   void SendToUpstream(const routing::UpstreamRequest& aRequest);
   void SendLeaseCommand(const ownership::LeaseCommand& aCommand,
                         ownership::Assigner::CommandDone aDone);
--- /dev/null
+++ b/src/node/internal/gatewayrequests.cpp
@@ -0,0 +1,289 @@
+// The part of a gateway that takes requests from callers to upstreams: access,
+// quotas, dispatching and the log.
+
+#include "node/internal/gatewayimpl.h"
+
+#include "node/internal/clocks.h"
+#include "platform/messages.h"
+#include "platform/names.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquat::node {
+
+using protocol::ErrorKind;
+using std::chrono::milliseconds;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+namespace {
+
+constexpr milliseconds kGrantTimeout{ 700 };
+// An upstream responds to a release when the work on its keys has ended.
+constexpr milliseconds kReleaseTimeout{ 2500 };
+// Logged as the key of a request without a key.
+constexpr std::int64_t kNoKey = -1;
+// One of so many served requests is logged. The choice depends on the request's
+// id alone, so that all hosts log the same ones.
+constexpr std::uint64_t kServedSample = 16;
+
+} // namespace
+
+routing::Dispatcher::Hooks Gateway::Impl::DispatcherHooks()
+{
+  routing::Dispatcher::Hooks hooks;
+  hooks.now = BootTime;
+  hooks.random = [this](std::size_t aBelow) {
+    return std::uniform_int_distribution<std::size_t>(0,
+                                                      aBelow - 1)(this->random);
+  };
+  hooks.send = [this](const routing::UpstreamRequest& aRequest) {
+    this->SendToUpstream(aRequest);
+  };
+  hooks.cancel = [this](routing::RequestNumber aNumber) {
+    const auto call = this->upstreamCalls.find(aNumber);
+    if (call != this->upstreamCalls.end()) {
+      this->upstreamClient->Cancel(call->second);
+    }
+  };
+  hooks.findOwner = [this](const state::ServiceName& aService,
+                           routing::Key aKey) {
+    const ownership::KeyMap* map = this->keyedServices->FindMap(aService);
+    if (map == nullptr) {
+      return routing::KeyOwner{};
+    }
+    const TimePoint now = BootTime();
+    const ownership::KeyMap::Owner owner = map->OwnerOf(aKey, now);
+    return routing::KeyOwner{ owner.upstream, now - owner.since };
+  };
+  hooks.reportNotOwner = [this](const state::ServiceName& aService,
+                                routing::Key aKey, const state::UpstreamId&) {
+    if (ownership::KeyMap* map = this->keyedServices->FindMap(aService)) {
+      map->OnNotOwner(aKey, BootTime());
+    }
+  };
+  hooks.onRequestEnded = [this](const routing::RequestTrace& aTrace) {
+    this->OnRequestEnded(aTrace);
+  };
+  hooks.allowsAnotherRun = [](const admission::TeamName&) { return true; };
+  hooks.onRetry = [this](ErrorKind aReason) { this->retries.Add(aReason); };
+  return hooks;
+}
+
+void Gateway::Impl::OnCallerRequest(
+  HttpRequest&& aRequest, const transport::HttpServer::Respond& aRespond)
+{
+  const auto connection = aRequest.link;
+  auto request = platform::ParseCallerRequest(std::move(aRequest), BootTime());
+  if (!request) {
+    const auto kind = static_cast<ErrorKind>(request.error().value());
+    this->refusals.Add(kind);
+    aRespond(platform::MakeErrorResponse(kind));
+    return;
+  }
+  const routing::Route* route =
+    this->routes->FindRoute(request->hostName, request->message.target);
+  if (route != nullptr) {
+    const admission::AccessDecision access = admission::CheckAccess(
+      this->routes->Teams(), route->isPublic, request->credentials);
+    if (access.error != ErrorKind::kNone) {
+      this->RefuseAtEntry(*request, *route, this->AccessRefusal(access.error),
+                          aRespond);
+      return;
+    }
+    if (access.team != nullptr) {
+      request->team = access.team->name;
+      request->teamPriority = access.team->priority;
+    }
+  }
+  this->Dispatch(std::move(*request), connection, aRespond);
+}
+
+// A key that this host does not know may have come with a configuration that is
+// on its way here. Refusing it for good would turn away a caller that operators
+// have just let in.
+routing::CallerResponse Gateway::Impl::AccessRefusal(ErrorKind aError) const
+{
+  constexpr milliseconds kOutdatedRetryAfter{ 200 };
+  if (aError == ErrorKind::kApiKeyUnknown && this->IsBehindPeers()) {
+    return { {}, ErrorKind::kConfigurationOutdated, kOutdatedRetryAfter };
+  }
+  return { {}, aError, {} };
+}
+
+bool Gateway::Impl::IsBehindPeers() const
+{
+  const state::Version version =
+    this->replication->Find(std::string(platform::kOperatorTable)).version;
+  return this->IsConfigurationOutdated() ||
+         std::ranges::any_of(this->peers.All(), [version](const auto& aItem) {
+           return aItem.second.operatorVersion > version;
+         });
+}
+
+// Refuses a request that was not handed to the dispatcher.
+void Gateway::Impl::RefuseAtEntry(
+  const routing::CallerRequest& aRequest, const routing::Route& aRoute,
+  routing::CallerResponse aResponse,
+  const transport::HttpServer::Respond& aRespond)
+{
+  routing::RequestTrace trace;
+  trace.id = aRequest.id;
+  trace.route = aRoute.name;
+  trace.team = aRequest.team;
+  trace.key = aRequest.key;
+  trace.error = aResponse.error;
+  trace.status = protocol::ErrorInfoFor(aResponse.error).httpStatus;
+  trace.took =
+    std::chrono::duration_cast<milliseconds>(BootTime() - aRequest.arrived);
+  trace.waited = trace.took;
+  trace.configuration = this->routes->CurrentConfiguration().version;
+  if (aRequest.credentials.count > 0) {
+    trace.apiKey = admission::LogText(aRequest.credentials.fingerprint);
+  }
+  this->OnRequestEnded(trace);
+  aRespond(platform::MakeCallerResponse(std::move(aResponse), aRequest.id));
+}
+
+void Gateway::Impl::Dispatch(
+  routing::CallerRequest aRequest,
+  const std::shared_ptr<transport::CallerLink>& aLink,
+  const transport::HttpServer::Respond& aRespond)
+{
+  const std::string id = aRequest.id;
+  if (aRequest.key) {
+    const routing::Route* route =
+      this->routes->FindRoute(aRequest.hostName, aRequest.message.target);
+    if (route != nullptr && route->destinations.size() == 1) {
+      this->keyedServices->OnRequest(route->destinations.front().service,
+                                     *aRequest.key);
+    }
+  }
+  const routing::RequestNumber number = this->dispatcher->OnRequest(
+    std::move(aRequest), [id, aRespond](routing::CallerResponse aResponse) {
+      aRespond(platform::MakeCallerResponse(std::move(aResponse), id));
+    });
+  aLink->onGone = [this, number] {
+    this->dispatcher->OnCallerGone(number);
+    this->ScheduleDispatcher();
+  };
+  this->ScheduleDispatcher();
+}
+
+void Gateway::Impl::SendToUpstream(const routing::UpstreamRequest& aRequest)
+{
+  const routing::RequestNumber number = aRequest.number;
+  HttpRequest request = platform::MakeUpstreamRequest(aRequest);
+  request.isStillValid = [this, number] {
+    return this->dispatcher->IsTargetStillValid(number);
+  };
+  const auto call = this->upstreamClient->Send(
+    aRequest.address, std::move(request), aRequest.timeout,
+    [this, number](Result<HttpResponse> aResponse) {
+      if (!aResponse &&
+          aResponse.error() == transport::TransportError::kCancelled) {
+        return;
+      }
+      this->upstreamCalls.erase(number);
+      if (aResponse) {
+        this->dispatcher->OnUpstreamResponse(
+          number, platform::ParseUpstreamResponse(std::move(*aResponse)));
+      } else {
+        this->dispatcher->OnSendFailed(
+          number,
+          static_cast<transport::TransportError>(aResponse.error().value()));
+      }
+      this->ScheduleDispatcher();
+    });
+  this->upstreamCalls[number] = call;
+}
+
+void Gateway::Impl::SendLeaseCommand(const ownership::LeaseCommand& aCommand,
+                                     ownership::Assigner::CommandDone aDone)
+{
+  const bool isGrant = aCommand.kind == ownership::LeaseCommandKind::kGrant;
+  this->leaseClient->Send(
+    aCommand.address, platform::MakeLeaseCommandRequest(aCommand),
+    isGrant ? kGrantTimeout : kReleaseTimeout,
+    [done = std::move(aDone)](const Result<HttpResponse>& aResponse) {
+      if (aResponse) {
+        done(platform::ParseLeaseCommandReply(*aResponse));
+        return;
+      }
+      const bool mayHaveArrived =
+        aResponse.error() != transport::TransportError::kUnreachable;
+      done({ mayHaveArrived ? ownership::LeaseCommandResult::kNoAnswer
+                            : ownership::LeaseCommandResult::kUnreachable,
+             {} });
+    });
+}
+
+void Gateway::Impl::OnRequestEnded(const routing::RequestTrace& aTrace)
+{
+  this->upstreamCalls.erase(aTrace.number);
+  if (aTrace.error == ErrorKind::kNone) {
+    this->answeredRequests.Add();
+    Summary*& summary = this->latencies[aTrace.service];
+    if (summary == nullptr) {
+      summary = &this->metrics.GetOrCreateSummary(
+        "kumquat_request_seconds",
+        "From a request's arrival at this host to its answer.",
+        { { "service", aTrace.service } });
+    }
+    summary->Observe(aTrace.took);
+    const bool hasFailed = aTrace.status >= 500;
+    const bool isSampled =
+      XXH3_64bits(aTrace.id.data(), aTrace.id.size()) % kServedSample == 0;
+    if (!hasFailed && !isSampled) {
+      return;
+    }
+  } else {
+    this->refusals.Add(aTrace.error);
+  }
+  const protocol::ErrorInfo& info = protocol::ErrorInfoFor(aTrace.error);
+  const Event event = aTrace.error == ErrorKind::kNone ? Event::kRequestAnswered
+                      : info.outcome == protocol::Outcome::kNotRun
+                        ? Event::kRequestRefused
+                        : Event::kRequestGivenUp;
+  this->log.Write(
+    event, { { "request", aTrace.id },
+             { "route", aTrace.route },
+             { "service", aTrace.service },
+             { "team", aTrace.team.value },
+             { "api_key", aTrace.apiKey },
+             { "key", aTrace.key ? std::int64_t{ *aTrace.key } : kNoKey },
+             { "reason", info.name },
+             { "status", static_cast<std::int64_t>(aTrace.status) },
+             { "sends", aTrace.attempts },
+             { "waited_ms", static_cast<std::int64_t>(aTrace.waited.count()) },
+             { "took_ms", static_cast<std::int64_t>(aTrace.took.count()) },
+             { "queued", static_cast<std::int64_t>(aTrace.queued) },
+             { "configuration", aTrace.configuration },
+             { "upstreams_version",
+               this->replication->Find(std::string(platform::kUpstreamTable))
+                 .version } });
+}
+
+void Gateway::Impl::ScheduleDispatcher()
+{
+  const auto due = this->dispatcher->NextDue();
+  if (!due || *due >= this->dispatchDueAt) {
+    return;
+  }
+  this->dispatchDueAt = *due;
+  this->dispatchTimer.expires_after(std::max(Duration(0), *due - BootTime()));
+  this->dispatchTimer.async_wait(
+    [this](const boost::system::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      this->dispatchDueAt = TimePoint::max();
+      this->dispatcher->OnTimer();
+      this->ScheduleDispatcher();
+    });
+}
+
+} // namespace kumquat::node
--- a/src/protocol/errorkind.h
+++ b/src/protocol/errorkind.h
@@ -51,6 +51,12 @@
   kInvalidConfiguration,
   kUnauthorized,
   kInternal,
+  kApiKeyMissing,
+  kApiKeyRepeated,
+  kApiKeyUnknown,
+  kConfigurationOutdated,
+  kTeamOverLimit,
+  kTeamLimitUnknown,
 };
 
 // Whether the caller's request was run by an upstream.
--- a/src/protocol/internal/errorkind.cpp
+++ b/src/protocol/internal/errorkind.cpp
@@ -109,8 +109,34 @@
              false,
              {} },
   ErrorInfo{ ErrorKind::kInternal, "internal", 500, kUnknown, false, {} },
+  ErrorInfo{ ErrorKind::kApiKeyMissing,
+             "api-key-missing",
+             401,
+             kNotRun,
+             false,
+             {} },
+  ErrorInfo{ ErrorKind::kApiKeyRepeated,
+             "api-key-repeated",
+             401,
+             kNotRun,
+             false,
+             {} },
+  ErrorInfo{ ErrorKind::kApiKeyUnknown,
+             "api-key-unknown",
+             401,
+             kNotRun,
+             false,
+             {} },
+  ErrorInfo{ ErrorKind::kConfigurationOutdated, "configuration-outdated", 503,
+             kNotRun, false, seconds(1) },
+  ErrorInfo{ ErrorKind::kTeamOverLimit, "team-over-limit", 429, kNotRun, false,
+             seconds(1) },
+  ErrorInfo{ ErrorKind::kTeamLimitUnknown, "team-limit-unknown", 503, kNotRun,
+             false, seconds(1) },
 };
 
+constexpr ErrorKind kLastKind = ErrorKind::kTeamLimitUnknown;
+
 constexpr bool IsInOrder()
 {
   for (std::size_t i = 0; i < kErrors.size(); ++i) {
@@ -123,8 +149,7 @@
 
 static_assert(IsInOrder(),
               "kErrors must have one row per ErrorKind, in the same order");
-static_assert(kErrors.size() ==
-              static_cast<std::size_t>(ErrorKind::kInternal) + 1);
+static_assert(kErrors.size() == static_cast<std::size_t>(kLastKind) + 1);
 
 class ErrorCategory : public std::error_category
 {
@@ -151,7 +176,7 @@
 
 ErrorKind ErrorKindFromNumber(int aNumber)
 {
-  if (aNumber < 0 || aNumber > static_cast<int>(ErrorKind::kInternal)) {
+  if (aNumber < 0 || aNumber > static_cast<int>(kLastKind)) {
     return ErrorKind::kInternal;
   }
   return static_cast<ErrorKind>(aNumber);
--- a/src/routing/configuration.h
+++ b/src/routing/configuration.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "admission/teamdirectory.h"
 #include "state/types.h"
 
 #include <chrono>
@@ -57,6 +58,8 @@
   int maxAttempts = 1;
   // 0 is the highest priority.
   int priority = 0;
+  // Whether its requests need no API key.
+  bool isPublic = false;
 };
 
 struct Service
@@ -88,6 +91,7 @@
   std::int64_t version = 0;
   std::vector<Route> routes;
   std::vector<Service> services;
+  std::vector<admission::Team> teams;
   CallerLimits limits;
 };
 
@@ -111,12 +115,14 @@
                          std::string_view aTarget) const;
   // Returns null if the configuration has no such service.
   const Service* FindService(const state::ServiceName& aName) const;
+  const admission::TeamDirectory& Teams() const { return this->teams; }
 
 private:
   Configuration configuration;
   // The key is the host name, a space and the prefix; the value is an index
   // into the routes.
   std::unordered_map<std::string, std::size_t> byPrefix;
+  admission::TeamDirectory teams;
 };
 
 } // namespace kumquat::routing
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "admission/team.h"
 #include "coordination/retrybudget.h"
 #include "framework/clock.h"
 #include "protocol/errorkind.h"
@@ -43,6 +44,10 @@
   TimePoint arrived;
   // How long the caller waits for a response.
   std::chrono::milliseconds timeout{ 0 };
+  admission::Credentials credentials;
+  // The team that the credentials belong to, if any, and its priority.
+  admission::TeamName team;
+  std::optional<int> teamPriority;
 };
 
 // An upstream's response, with what the dispatcher needs to know of it.
@@ -83,6 +88,8 @@
   std::optional<Key> key;
   // What is left of the caller's and the route's timeout.
   std::chrono::milliseconds timeout{ 0 };
+  // Empty if the caller belongs to none.
+  admission::TeamName team;
 };
 
 // What the log says about a request that has ended.
@@ -93,6 +100,11 @@
   std::string route;
   std::string service;
   std::optional<Key> key;
+  admission::TeamName team;
+  // Short form of the API key's fingerprint; only if access was refused.
+  std::string apiKey;
+  // Whether an upstream has run it or may have done so.
+  bool mayHaveRun = false;
   // All attempts with upstream, result, duration and requests ahead, as "i-1
   // refused 3ms behind 4; i-2 served 120ms behind 0".
   std::string attempts;
@@ -145,6 +157,9 @@
     std::function<void(const RequestTrace&)> onRequestEnded;
     // Called before each retry with the error of the attempt before it.
     std::function<void(protocol::ErrorKind)> onRetry;
+    // Asks whether the limit of a team allows one more run of a request that
+    // may have run already. If it does, the run is counted.
+    std::function<bool(const admission::TeamName&)> allowsAnotherRun;
   };
 
   using Respond = std::function<void(CallerResponse)>;
@@ -213,6 +228,7 @@
   QueueForecast Forecast(const Request& aRequest);
   QueueForecast ForecastForOwner(const Request& aRequest);
   bool TrySend(const RequestPtr& aRequest);
+  bool HasLostAccess(Request& aRequest) const;
   const UpstreamState* Choose(const Request& aRequest);
   const UpstreamState* ChooseOwner(const Request& aRequest);
   bool ShouldStayLocal(const Request& aRequest,
@@ -229,6 +245,7 @@
   void SendWaiting(const state::ServiceName& aName);
   void WithdrawAttempt(const RequestPtr& aRequest);
   bool MayRetry(const Request& aRequest, protocol::ErrorKind aWhy);
+  bool IsAnotherRunAllowed(Request& aRequest);
   void Retry(const RequestPtr& aRequest, protocol::ErrorKind aWhy);
   void EndAttempt(Request& aRequest, AttemptResult aResult,
                   const std::optional<UpstreamLoad>& aLoad,
--- a/src/routing/internal/configuration.cpp
+++ b/src/routing/internal/configuration.cpp
@@ -21,6 +21,7 @@
 
 RouteTable::RouteTable(Configuration aConfiguration)
   : configuration(std::move(aConfiguration))
+  , teams(this->configuration.teams)
 {
   for (std::size_t i = 0; i < this->configuration.routes.size(); ++i) {
     const Route& route = this->configuration.routes[i];
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -197,7 +197,8 @@
   const Route& route = *request->route;
   const milliseconds timeout = std::min(request->caller.timeout, route.timeout);
   request->service = this->ChooseService(route);
-  request->waiting = { route.priority, arrived, arrived + route.targetLatency,
+  request->waiting = { request->caller.teamPriority.value_or(route.priority),
+                       arrived, arrived + route.targetLatency,
                        arrived + timeout };
   this->requests.emplace(request->number, request);
   request->deadline =
@@ -218,6 +219,24 @@
   return request->number;
 }
 
+// Whether the request's API key was removed while the request was here. If the
+// key was moved to another team, the request goes on as that team's.
+bool Dispatcher::HasLostAccess(Request& aRequest) const
+{
+  if (aRequest.routes == this->routes) {
+    return false;
+  }
+  const admission::AccessDecision decision =
+    admission::CheckAccess(this->routes->Teams(), aRequest.route->isPublic,
+                           aRequest.caller.credentials);
+  if (decision.error != ErrorKind::kNone) {
+    return true;
+  }
+  aRequest.caller.team =
+    decision.team == nullptr ? admission::TeamName{} : decision.team->name;
+  return false;
+}
+
 bool Dispatcher::TrySend(const RequestPtr& aRequest)
 {
   if (aRequest->notBefore > this->hooks.now()) {
@@ -263,6 +282,7 @@
   upstreamRequest.id = aRequest->caller.id;
   upstreamRequest.message = &aRequest->caller.message;
   upstreamRequest.key = aRequest->caller.key;
+  upstreamRequest.team = aRequest->caller.team;
   upstreamRequest.timeout =
     std::max(milliseconds(1), ToMs(aRequest->waiting.deadline - now));
   this->upstreams.OnSent(aUpstream.entry.id, now);
@@ -294,6 +314,11 @@
     if (!this->requests.contains(request->number) || request->isRunning) {
       continue;
     }
+    if (this->HasLostAccess(*request)) {
+      service.waiting.remove(request);
+      this->Fail(request, ErrorKind::kApiKeyUnknown);
+      continue;
+    }
     if (!IsWorthWaiting(request->waiting, now, typicalMs)) {
       service.waiting.remove(request);
       this->Refuse(request, ErrorKind::kNoUpstream);
@@ -324,6 +349,7 @@
     if (!IsIdempotent(request->route->kind)) {
       return;
     }
+    ++request->mayHaveRunAt;
     this->hooks.cancel(aNumber);
     this->EndAttempt(*request, AttemptResult::kAbandoned, {}, "caller-gone");
   } else {
@@ -405,7 +431,8 @@
                      "failed");
     ++request->mayHaveRunAt;
     if (IsIdempotent(request->route->kind) &&
-        this->MayRetry(*request, ErrorKind::kUpstreamFailed)) {
+        this->MayRetry(*request, ErrorKind::kUpstreamFailed) &&
+        this->IsAnotherRunAllowed(*request)) {
       this->Retry(request, ErrorKind::kUpstreamFailed);
     } else {
       this->Finish(request, { std::move(aResponse.message), {}, {} });
@@ -498,7 +525,9 @@
   this->EndAttempt(*aRequest, AttemptResult::kNotSent, {}, "withdrawn");
   std::erase(aRequest->tried, aRequest->upstream);
   --aRequest->attemptCount;
-  if (!this->TrySend(aRequest)) {
+  if (this->HasLostAccess(*aRequest)) {
+    this->Fail(aRequest, ErrorKind::kApiKeyUnknown);
+  } else if (!this->TrySend(aRequest)) {
     this->Enqueue(aRequest);
   }
 }
@@ -522,9 +551,28 @@
          this->StateOf(aRequest.service).budget.HasTokens();
 }
 
+// A first run was counted against the team's limit on admission.
+bool Dispatcher::IsAnotherRunAllowed(Request& aRequest)
+{
+  if (aRequest.mayHaveRunAt < aRequest.countedRuns ||
+      aRequest.caller.team.value.empty()) {
+    return true;
+  }
+  if (!this->hooks.allowsAnotherRun(aRequest.caller.team)) {
+    return false;
+  }
+  ++aRequest.countedRuns;
+  return true;
+}
+
 void Dispatcher::Retry(const RequestPtr& aRequest, ErrorKind aWhy)
 {
-  if (!this->MayRetry(*aRequest, aWhy)) {
+  if (this->HasLostAccess(*aRequest)) {
+    this->Fail(aRequest, ErrorKind::kApiKeyUnknown);
+    return;
+  }
+  if (!this->MayRetry(*aRequest, aWhy) ||
+      !this->IsAnotherRunAllowed(*aRequest)) {
     this->Fail(aRequest, aWhy);
     return;
   }
@@ -580,6 +628,8 @@
   }
   trace.service = aRequest->service.value;
   trace.key = aRequest->caller.key;
+  trace.team = aRequest->caller.team;
+  trace.mayHaveRun = aRequest->mayHaveRunAt > 0 || aResponse.message;
   trace.attempts = aRequest->attemptLog;
   trace.error = aResponse.error;
   trace.status = aResponse.message
--- a/src/routing/internal/dispatcherparts.h
+++ b/src/routing/internal/dispatcherparts.h
@@ -20,6 +20,8 @@
   std::multimap<TimePoint, RequestNumber>::iterator deadline;
   // Number of upstreams that may have run it.
   int mayHaveRunAt = 0;
+  // Runs that are counted against the limit of the caller's team.
+  int countedRuns = 1;
   std::vector<state::UpstreamId> tried;
   // The upstream that has just refused it: full now, but perhaps not for long.
   state::UpstreamId refusedBy;
