Quotas: one host lends tokens to all

Cause: a team's limit binds over all hosts together, and nothing kept it: 2039 runs in 5 s where 1888 are allowed.

Change: one host, chosen as assigners are, has a bucket for each team and lends tokens, one a run, for a second at most. A host keeps a small stock, asks before it is used up, and lets a request wait for a reply where it has none. It lends only while more than half of the known hosts are attached to it. A host without a lender uses its share of the rate, which the lender keeps in reserve. Beyond the limit a request gets 429 at once, with the time until the next token. A request that did not run gives its token back; a retry that may run again takes another.

--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -120,6 +120,14 @@
     HostRow{ this->settings.host, this->settings.peerAddress,
              this->settings.dataCentre, this->settings.processors },
     this->settings.isFirstStart, this->RegistrationHooks());
+  this->quotas = std::make_unique<TeamQuotas>(
+    this->self,
+    TeamQuotas::Hooks{
+      BootTime,
+      [this](const std::string& aTo, const protocol::Frame& aFrame) {
+        static_cast<void>(this->peerNetwork->Send(aTo, aFrame));
+      },
+      [this] { return this->FindQuotaLender(); } });
   this->storeClient = std::make_unique<StoreClient>(
     this->storeThread, this->settings.storeAddress,
     IpOf(this->settings.peerAddress),
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -17,6 +17,7 @@
 #include "node/internal/registration.h"
 #include "node/internal/storeclient.h"
 #include "node/internal/tablereplication.h"
+#include "node/internal/teamquotas.h"
 #include "protocol/errorcounters.h"
 #include "routing/dispatcher.h"
 #include "routing/upstreams.h"
@@ -64,16 +65,20 @@
   // On the serving thread.
   void OnCallerRequest(transport::HttpRequest&& aRequest,
                        const transport::HttpServer::Respond& aRespond);
-  routing::CallerResponse AccessRefusal(protocol::ErrorKind aError) const;
+  admission::QuotaDecision AccessRefusal(protocol::ErrorKind aError) const;
   // Whether a peer has announced operators' rows that this host lacks.
   bool IsBehindPeers() const;
   void RefuseAtEntry(const routing::CallerRequest& aRequest,
                      const routing::Route& aRoute,
-                     routing::CallerResponse aResponse,
+                     const admission::QuotaDecision& aDecision,
                      const transport::HttpServer::Respond& aRespond);
+  void TakeQuota(routing::CallerRequest aRequest,
+                 const std::shared_ptr<transport::CallerLink>& aLink,
+                 const transport::HttpServer::Respond& aRespond);
   void Dispatch(routing::CallerRequest aRequest,
                 const std::shared_ptr<transport::CallerLink>& aLink,
                 const transport::HttpServer::Respond& aRespond);
+  std::optional<state::HostId> FindQuotaLender() const;
   void SendToUpstream(const routing::UpstreamRequest& aRequest);
   void SendLeaseCommand(const ownership::LeaseCommand& aCommand,
                         ownership::Assigner::CommandDone aDone);
@@ -146,6 +151,7 @@
   std::set<std::string> connectedPeers;
   std::unique_ptr<TableReplication> replication;
   std::unique_ptr<Registration> registration;
+  std::unique_ptr<TeamQuotas> quotas;
   ServerPtr callerServer;
   ServerPtr readinessServer;
   ServerPtr metricsServer;
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -3,6 +3,7 @@
 
 #include "node/internal/gatewayimpl.h"
 
+#include "admission/lenderchoice.h"
 #include "node/internal/clocks.h"
 #include "platform/names.h"
 
@@ -144,9 +145,36 @@
   }
   this->topology.SetHosts(std::move(hosts));
   this->upstreams.SetCellRange(this->topology.Cells().OwnRange());
+  const bool areAllKnown = this->replication->Find(kHostTable).version > 0;
+  this->quotas->SetHosts(areAllKnown ? this->topology.AllHosts()
+                                     : std::vector<state::HostId>{});
   this->UpdateConnections();
 }
 
+// All hosts are connected to the hubs, and to all others while there are none.
+std::optional<state::HostId> Gateway::Impl::FindQuotaLender() const
+{
+  constexpr milliseconds kMaxSilence{ 1500 };
+  std::vector<admission::LenderCandidate> candidates;
+  const auto add = [&](const state::HostId& aHost, bool aIsLending) {
+    if (!this->topology.Cells().IsDivided() || this->topology.IsHub(aHost)) {
+      candidates.push_back(
+        { aHost, aIsLending, this->topology.DutyPreference(aHost) });
+    }
+  };
+  if (!this->isLeaving) {
+    add(this->self.host, this->quotas->IsLending());
+  }
+  const TimePoint now = BootTime();
+  for (const auto& [host, peer] : this->peers.All()) {
+    if (!peer.leaving && now - peer.lastHeardAt <= kMaxSilence &&
+        this->connectedPeers.contains(host.value)) {
+      add(host, peer.lendsQuotas);
+    }
+  }
+  return admission::ChooseLender(candidates);
+}
+
 void Gateway::Impl::UpdateConnections()
 {
   std::set<state::HostId> assigners = this->keyedServices->Assigners();
@@ -184,6 +212,10 @@
     this->replication->OnCopy(aFrame.tableCopy);
   } else if (aFrame.__isset.tableChange) {
     this->replication->OnChange(aFrame.tableChange);
+  } else if (aFrame.__isset.quotaAsk) {
+    this->quotas->OnAsk({ aFrom.host }, aFrame.quotaAsk);
+  } else if (aFrame.__isset.quotaReply) {
+    this->quotas->OnReply({ aFrom.host }, aFrame.quotaReply);
   }
 }
 
@@ -240,6 +272,7 @@
                              this->replication->Find(kHostTable).version > 0);
   this->registration->OnTimer();
   this->UpdateFollowedTables(live);
+  this->quotas->OnTimer();
   if (this->IsConfigurationOutdated() && now >= this->configurationDueAt) {
     this->ApplyOperatorRows();
   }
@@ -292,6 +325,7 @@
   digest.__set_reachesStore(this->isStoreAvailable);
   this->replication->AddVersionsTo(digest);
   digest.__set_keyMaps(this->keyedServices->MapVersions());
+  digest.__set_lendsQuotas(this->quotas->IsLending());
   return digest;
 }
 
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -67,8 +67,13 @@
   };
   hooks.onRequestEnded = [this](const routing::RequestTrace& aTrace) {
     this->OnRequestEnded(aTrace);
+    if (!aTrace.mayHaveRun && !aTrace.team.value.empty()) {
+      this->quotas->Borrower().Return(aTrace.team);
+    }
+  };
+  hooks.allowsAnotherRun = [this](const admission::TeamName& aTeam) {
+    return this->quotas->Borrower().TryTake(aTeam);
   };
-  hooks.allowsAnotherRun = [](const admission::TeamName&) { return true; };
   hooks.onRetry = [this](ErrorKind aReason) { this->retries.Add(aReason); };
   return hooks;
 }
@@ -99,19 +104,19 @@
       request->teamPriority = access.team->priority;
     }
   }
-  this->Dispatch(std::move(*request), connection, aRespond);
+  this->TakeQuota(std::move(*request), connection, aRespond);
 }
 
 // A key that this host does not know may have come with a configuration that is
 // on its way here. Refusing it for good would turn away a caller that operators
 // have just let in.
-routing::CallerResponse Gateway::Impl::AccessRefusal(ErrorKind aError) const
+admission::QuotaDecision Gateway::Impl::AccessRefusal(ErrorKind aError) const
 {
   constexpr milliseconds kOutdatedRetryAfter{ 200 };
   if (aError == ErrorKind::kApiKeyUnknown && this->IsBehindPeers()) {
-    return { {}, ErrorKind::kConfigurationOutdated, kOutdatedRetryAfter };
+    return { ErrorKind::kConfigurationOutdated, kOutdatedRetryAfter };
   }
-  return { {}, aError, {} };
+  return { aError, {} };
 }
 
 bool Gateway::Impl::IsBehindPeers() const
@@ -127,7 +132,7 @@
 // Refuses a request that was not handed to the dispatcher.
 void Gateway::Impl::RefuseAtEntry(
   const routing::CallerRequest& aRequest, const routing::Route& aRoute,
-  routing::CallerResponse aResponse,
+  const admission::QuotaDecision& aDecision,
   const transport::HttpServer::Respond& aRespond)
 {
   routing::RequestTrace trace;
@@ -135,8 +140,8 @@
   trace.route = aRoute.name;
   trace.team = aRequest.team;
   trace.key = aRequest.key;
-  trace.error = aResponse.error;
-  trace.status = protocol::ErrorInfoFor(aResponse.error).httpStatus;
+  trace.error = aDecision.error;
+  trace.status = protocol::ErrorInfoFor(aDecision.error).httpStatus;
   trace.took =
     std::chrono::duration_cast<milliseconds>(BootTime() - aRequest.arrived);
   trace.waited = trace.took;
@@ -145,7 +150,48 @@
     trace.apiKey = admission::LogText(aRequest.credentials.fingerprint);
   }
   this->OnRequestEnded(trace);
-  aRespond(platform::MakeCallerResponse(std::move(aResponse), aRequest.id));
+  routing::CallerResponse response;
+  response.error = aDecision.error;
+  if (aDecision.retryAfter.count() > 0) {
+    response.retryAfter = aDecision.retryAfter;
+  }
+  aRespond(platform::MakeCallerResponse(std::move(response), aRequest.id));
+}
+
+// Waits for a token of the team's quota where there is none in stock.
+void Gateway::Impl::TakeQuota(
+  routing::CallerRequest aRequest,
+  const std::shared_ptr<transport::CallerLink>& aLink,
+  const transport::HttpServer::Respond& aRespond)
+{
+  if (aRequest.team.value.empty()) {
+    this->Dispatch(std::move(aRequest), aLink, aRespond);
+    return;
+  }
+  const auto isGone = std::make_shared<bool>(false);
+  aLink->onGone = [isGone] { *isGone = true; };
+  const admission::TeamName team = aRequest.team;
+  const auto request =
+    std::make_shared<routing::CallerRequest>(std::move(aRequest));
+  this->quotas->Borrower().Take(
+    team, [this, team, request, isGone, aLink,
+           aRespond](const admission::QuotaDecision& aDecision) {
+      if (*isGone) {
+        if (aDecision.error == ErrorKind::kNone) {
+          this->quotas->Borrower().Return(team);
+        }
+        return;
+      }
+      if (aDecision.error == ErrorKind::kNone) {
+        this->Dispatch(std::move(*request), aLink, aRespond);
+        return;
+      }
+      const routing::Route* route =
+        this->routes->FindRoute(request->hostName, request->message.target);
+      this->RefuseAtEntry(*request,
+                          route == nullptr ? routing::Route{} : *route,
+                          aDecision, aRespond);
+    });
 }
 
 void Gateway::Impl::Dispatch(
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -160,6 +160,7 @@
     }
   }
   this->keyedServices->SetServices(keyed);
+  this->quotas->SetTeams(this->routes->CurrentConfiguration().teams);
   const routing::CallerLimits& limits =
     this->routes->CurrentConfiguration().limits;
   this->callerServer->SetLimits(limits.maxHeaderBytes, limits.maxBodyBytes,
--- a/src/node/internal/peers.cpp
+++ b/src/node/internal/peers.cpp
@@ -47,6 +47,7 @@
   peer.lastHeardAt = this->clock();
   peer.leaving = aDigest.leaving;
   peer.reachesStore = aDigest.reachesStore;
+  peer.lendsQuotas = aDigest.lendsQuotas;
   peer.operatorVersion = aDigest.operatorVersion;
   peer.upstreamVersion = aDigest.upstreamVersion;
   peer.hostsVersion = aDigest.hostsVersion;
--- a/src/node/internal/peers.h
+++ b/src/node/internal/peers.h
@@ -25,6 +25,7 @@
   TimePoint lastHeardAt;
   bool leaving = false;
   bool reachesStore = true;
+  bool lendsQuotas = false;
   state::Version operatorVersion = 0;
   state::Version upstreamVersion = 0;
   state::Version hostsVersion = 0;
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -281,6 +281,8 @@
   // The store responds to this host, or this host did not call it.
   9: bool reachesStore
   10: i64 hostsVersion
+  // This host lends the teams' quotas.
+  11: bool lendsQuotas
 }
 
 struct KeyRange {
@@ -332,6 +334,38 @@
   3: list<TableRow> rows
 }
 
+// What a host needs of a team's quota: see QuotaDemand in src/admission.
+struct QuotaDemand {
+  1: string team
+  2: i32 stock
+  3: i32 needed
+  4: i32 wanted
+  // Requests per 1000 seconds.
+  5: i32 perKilosecond
+  6: i32 shareMillionths
+}
+
+// Asks the lender of the teams' quotas for tokens.
+struct QuotaAsk {
+  1: i64 number
+  2: i64 lastReply
+  3: list<QuotaDemand> demands
+}
+
+struct QuotaGrant {
+  1: string team
+  2: i32 tokens
+  // Millionths of the team's rate.
+  3: i32 shareMillionths
+  4: i32 untilNextMs
+}
+
+struct QuotaReply {
+  1: i64 number
+  2: bool lending
+  3: list<QuotaGrant> grants
+}
+
 // Exactly one of the optional fields is set.
 struct Frame {
   1: i64 correlation
@@ -364,4 +398,6 @@
   35: optional TableQuery tableQuery
   36: optional TableCopy tableCopy
   37: optional TableChange tableChange
+  38: optional QuotaAsk quotaAsk
+  39: optional QuotaReply quotaReply
 }
