Cold upstreams: the cells that share one divide its rate

Cause: an upstream of a service with fewer upstreams than there are cells belongs to up to three cells, and each sent it its full cold rate.

Change: a cell takes the part of the rate that it has of the upstream. The test plays 82 hosts and six upstreams; with the full rate in each cell it fails.

--- a/src/routing/cells.h
+++ b/src/routing/cells.h
@@ -89,4 +89,9 @@
 bool OverlapsRange(const FractionRange& aRange, std::size_t aPlace,
                    std::size_t aCount);
 
+// The part of element aPlace of aCount elements that lies in aRange. Over all
+// cells it adds up to 1, so cells can divide what an upstream can take.
+double PartInRange(const FractionRange& aRange, std::size_t aPlace,
+                   std::size_t aCount);
+
 } // namespace kumquat::routing
--- a/src/routing/internal/cells.cpp
+++ b/src/routing/internal/cells.cpp
@@ -50,6 +50,17 @@
   return begin < aRange.end - kRounding && end > aRange.begin + kRounding;
 }
 
+double PartInRange(const FractionRange& aRange, std::size_t aPlace,
+                   std::size_t aCount)
+{
+  const double count = static_cast<double>(aCount);
+  const double begin =
+    std::max(aRange.begin, static_cast<double>(aPlace) / count);
+  const double end =
+    std::min(aRange.end, static_cast<double>(aPlace + 1) / count);
+  return std::clamp((end - begin) * count, 0.0, 1.0);
+}
+
 Cells::Cells(state::HostId aSelf)
   : self(std::move(aSelf))
   , members{ this->self }
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -137,10 +137,14 @@
     return true;
   }
   const Service* service = aRequest.routes->FindService(aRequest.service);
-  const ColdRateLimiter& limiter =
-    this->IsKeyed(aRequest) ? this->ownerRateLimiter : this->cellRateLimiter;
-  return service == nullptr ||
-         limiter.MaySend(aOne.entry.id, service->coldPerSecond, now);
+  if (service == nullptr) {
+    return true;
+  }
+  return this->IsKeyed(aRequest)
+           ? this->ownerRateLimiter.MaySend(aOne.entry.id,
+                                            service->coldPerSecond, now)
+           : this->cellRateLimiter.MaySend(
+               aOne.entry.id, service->coldPerSecond * aOne.cellPart, now);
 }
 
 const UpstreamState* Dispatcher::Choose(const Request& aRequest)
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -293,6 +293,7 @@
     for (std::size_t i = 0; i < usable.size(); ++i) {
       UpstreamState* one = usable[i];
       one->isInCell = OverlapsRange(this->cellRange, i, usable.size());
+      one->cellPart = PartInRange(this->cellRange, i, usable.size());
       (one->isInCell ? service.inCell : service.inOtherCells).push_back(one);
     }
   }
--- a/src/routing/tests/cells_test.cpp
+++ b/src/routing/tests/cells_test.cpp
@@ -2,6 +2,7 @@
 // upstreams of others.
 
 #include "routing/cells.h"
+#include "routing/coldratelimiter.h"
 #include "routing/spilloverwindow.h"
 #include "routing/upstreams.h"
 
@@ -21,6 +22,7 @@
   CPPUNIT_TEST(testFewHostsAreOneCell);
   CPPUNIT_TEST(testCellsHaveAboutTenHostsAndCoverAll);
   CPPUNIT_TEST(testEveryCellHasItsShareOfUpstreams);
+  CPPUNIT_TEST(testCellsDivideTheRateOfAColdUpstream);
   CPPUNIT_TEST(testUpstreamsOfOtherDataCentresAreSharedEvenly);
   CPPUNIT_TEST(testNewHostChangesFewCells);
   CPPUNIT_TEST(testHubsAreLargestHostsOfDifferentDataCentres);
@@ -91,6 +93,49 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 15 }, cellsOf.size());
   }
 
+  // Guards against a cold upstream that gets its full rate from each of the cells
+  // that it belongs to: six upstreams for nine cells, each belongs to three.
+  void testCellsDivideTheRateOfAColdUpstream()
+  {
+    constexpr double kPerSecond = 4.2;
+    constexpr std::size_t kUpstreams = 6;
+    // Rules of the platform: 1.5 times the rate and 8 in any second.
+    constexpr std::size_t kMostInOneSecond = 14;
+    const auto hosts = Hosts(82);
+    std::vector<Cells> cells;
+    std::vector<ColdRateLimiter> limiters;
+    for (const CellHost& host : hosts) {
+      cells.push_back(CellsOf(host, hosts));
+      limiters.emplace_back(host.id);
+      const auto& members = cells.back().Members();
+      limiters.back().SetHosts({ members.begin(), members.end() });
+    }
+    for (std::size_t place = 0; place < kUpstreams; ++place) {
+      const state::UpstreamId id{ "u" + std::to_string(place) };
+      const TimePoint start(std::chrono::hours(1));
+      std::vector<TimePoint> sent;
+      for (int ms = 0; ms < 3000; ms += 10) {
+        const TimePoint now = start + milliseconds(ms);
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+          const double part =
+            PartInRange(cells[i].OwnRange(), place, kUpstreams);
+          if (part > 0 && limiters[i].MaySend(id, kPerSecond * part, now)) {
+            limiters[i].OnSent(id, now);
+            sent.push_back(now);
+          }
+        }
+      }
+      for (const TimePoint first : sent) {
+        const auto inSecond =
+          std::ranges::count_if(sent, [first](TimePoint aTime) {
+            return aTime >= first && aTime < first + std::chrono::seconds(1);
+          });
+        CPPUNIT_ASSERT(static_cast<std::size_t>(inSecond) <= kMostInOneSecond);
+      }
+      CPPUNIT_ASSERT(sent.size() >= 2 * kPerSecond);
+    }
+  }
+
   // A data centre's upstreams are taken out of service. The cells of its hosts
   // get a share of the other upstreams, like that of any other cell.
   void testUpstreamsOfOtherDataCentresAreSharedEvenly()
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -99,6 +99,8 @@
   // Whether the upstream belongs to this host's cell; see ServiceUpstreams. Set
   // by the index.
   bool isInCell = true;
+  // The part of it that belongs to this host's cell; see PartInRange.
+  double cellPart = 1;
   // When each request of this host that still runs there was sent.
   std::multiset<TimePoint> running;
   // Requests of all reachable peers that run there.
