Quotas: faster change of lender, shares kept, requests that come together

Small teams were refused at a steady 1 to 5 in 100, as a burst of two tokens does not let four requests run that come together.

Change: a lender that does not reply for 0.7 s is left, and the pause before the next one counts from its last reply. Requests wait up to 0.4 s for a token of the host's own share. A host keeps its own tokens as it gets a lender. If no host has a share, all have restarted, and the buckets begin with what has come in since. A bucket may be overdrawn by 8 tokens while the window's runs stay within the limit; not in the first window of a lender.

--- a/src/admission/internal/quotaborrower.cpp
+++ b/src/admission/internal/quotaborrower.cpp
@@ -20,6 +20,12 @@
 // Asks that only refill stocks are this far apart.
 constexpr milliseconds kRefillInterval{ 200 };
 constexpr milliseconds kShareInterval{ 1000 };
+// After this time another host should lend.
+constexpr milliseconds kSilenceOfLender{ 700 };
+// Longest wait of a request for a token.
+constexpr milliseconds kMaxWait{ 400 };
+// A lender is found within about this time from the start of all hosts.
+constexpr milliseconds kStartTime{ 1500 };
 // A stock covers the requests of this time.
 constexpr milliseconds kStockTime{ 500 };
 // Below this rate a stock would mostly expire unused.
@@ -52,6 +58,7 @@
   : hooks(std::move(aHooks))
   , lastNumber(aFirstNumber)
   , withoutLenderSince(this->hooks.now())
+  , lastGrantAt(this->hooks.now())
   , ratesUpdatedAt(this->hooks.now())
 {
 }
@@ -92,7 +99,7 @@
   const TimePoint now = this->hooks.now();
   if (this->lender) {
     this->LoseLender();
-    if (now - this->askSentAt <= kAttachmentTerm + kMaxCheckInterval) {
+    if (now - this->lastReplyAt <= kAttachmentTerm + kMaxCheckInterval) {
       return;
     }
   }
@@ -107,11 +114,21 @@
          this->isLenderLending;
 }
 
-// Whether a lender's tokens may arrive within the time that requests wait.
-bool QuotaBorrower::MayReplySoon() const
+// Whether a token may come within the time that requests wait: from a lender,
+// or by the host's own share.
+bool QuotaBorrower::MayGetTokenSoon(const TeamState& aTeam) const
 {
-  return this->HasLender() ||
-         this->hooks.now() - this->withoutLenderSince < kReplyTimeout;
+  if (this->HasLender()) {
+    return true;
+  }
+  const Duration without = this->hooks.now() - this->withoutLenderSince;
+  if (without < (this->hadLender ? kReplyTimeout : kStartTime)) {
+    return true;
+  }
+  const double missing =
+    1.0 + static_cast<double>(aTeam.waiters.size()) - aTeam.ownTokens;
+  return missing <=
+         aTeam.quota.perSecond * this->ShareOf(aTeam) * ToSeconds(kMaxWait);
 }
 
 void QuotaBorrower::LoseLender()
@@ -120,7 +137,17 @@
     return;
   }
   this->isLenderLending = false;
-  this->withoutLenderSince = this->hooks.now();
+  // The lender reserves this host's share from its last reply on.
+  this->withoutLenderSince =
+    this->isAsking ? this->askSentAt : this->hooks.now();
+}
+
+std::optional<state::HostId> QuotaBorrower::SilentLender() const
+{
+  const bool isSilent =
+    this->lastReply > 0 &&
+    this->hooks.now() - this->lastReplyAt >= kSilenceOfLender;
+  return isSilent ? this->lender : std::nullopt;
 }
 
 double QuotaBorrower::ShareOf(const TeamState& aTeam) const
@@ -133,7 +160,7 @@
            : kEqualPart / static_cast<double>(this->hostCount);
 }
 
-bool QuotaBorrower::TakeOwnToken(TeamState& aTeam)
+void QuotaBorrower::FillOwnTokens(TeamState& aTeam) const
 {
   const TimePoint now = this->hooks.now();
   const double share = this->ShareOf(aTeam);
@@ -146,6 +173,11 @@
              aTeam.ownTokens + aTeam.quota.perSecond * share *
                                  ToSeconds(now - aTeam.ownTokensAt));
   aTeam.ownTokensAt = now;
+}
+
+bool QuotaBorrower::TakeOwnToken(TeamState& aTeam)
+{
+  this->FillOwnTokens(aTeam);
   if (aTeam.ownTokens < 1) {
     return false;
   }
@@ -153,6 +185,22 @@
   return true;
 }
 
+// With a lender again, the host may still use the tokens that it has by its
+// shares.
+void QuotaBorrower::KeepOwnTokens()
+{
+  const TimePoint now = this->hooks.now();
+  for (auto& [name, team] : this->teams) {
+    this->FillOwnTokens(team);
+    const int whole = static_cast<int>(std::floor(team.ownTokens));
+    team.ownTokens = 0;
+    if (whole > 0) {
+      team.stock = (team.stockUntil > now ? team.stock : 0) + whole;
+      team.stockUntil = now + kTokenTerm;
+    }
+  }
+}
+
 bool QuotaBorrower::TakeToken(TeamState& aTeam)
 {
   if (aTeam.stock > 0 && aTeam.stockUntil > this->hooks.now()) {
@@ -186,7 +234,8 @@
   } else if (this->HasLender() && team.exhaustedUntil > now) {
     aDecide({ ErrorKind::kTeamOverLimit,
               ClampRetryAfter(ToSeconds(team.exhaustedUntil - now)) });
-  } else if (!this->MayReplySoon() || team.waiters.size() >= kMaxWaiters) {
+  } else if (!this->MayGetTokenSoon(team) ||
+             team.waiters.size() >= kMaxWaiters) {
     aDecide(this->RefuseWithoutLender(team));
   } else {
     team.waiters.push_back({ now, std::move(aDecide) });
@@ -237,7 +286,7 @@
   const int target = this->StockTarget(aTeam);
   const bool isStockLow = 2 * aTeam.stock <= target && target > 0;
   const bool isShareDue =
-    now - aTeam.shareAskedAt >= kShareInterval &&
+    (now - aTeam.shareAskedAt >= kShareInterval || !this->isLenderLending) &&
     (aTeam.perSecond > kNegligibleRate || aTeam.shareUntil > now);
   if (aTeam.waiters.empty() && !isStockLow && !isShareDue) {
     return std::nullopt;
@@ -259,14 +308,20 @@
   if (!this->lender || this->lender != this->wantedLender) {
     return;
   }
-  QuotaAsk ask{ ++this->lastNumber, this->lastReply, {} };
+  const TimePoint now = this->hooks.now();
+  QuotaAsk ask;
+  ask.number = ++this->lastNumber;
+  ask.lastReply = this->lastReply;
+  ask.sinceLastGrant =
+    std::chrono::floor<milliseconds>(now - this->lastGrantAt);
   for (auto& [name, team] : this->teams) {
+    ask.hasShares = ask.hasShares || team.shareUntil > now;
     if (auto demand = this->DemandOf(name, team)) {
       ask.demands.push_back(std::move(*demand));
     }
   }
   this->isAsking = true;
-  this->askSentAt = this->hooks.now();
+  this->askSentAt = now;
   this->hooks.sendAsk(*this->lender, ask);
 }
 
@@ -277,6 +332,7 @@
   aTeam.share = aGrant.share;
   aTeam.shareUntil = aAskSentAt + kShareTerm;
   if (aGrant.tokens > 0) {
+    this->lastGrantAt = now;
     aTeam.stock = (aTeam.stockUntil > now ? aTeam.stock : 0) + aGrant.tokens;
     aTeam.stockUntil = aAskSentAt + kTokenTerm;
   }
@@ -311,13 +367,23 @@
     return;
   }
   const TimePoint sentAt = this->askSentAt;
+  const bool isFirst = this->lastReply == 0;
   this->isAsking = false;
   this->lastReply = aReply.number;
+  this->lastReplyAt = this->hooks.now();
   if (!aReply.isLending) {
     this->LoseLender();
+    if (isFirst) {
+      // The lender counts this host once it knows that its reply has arrived.
+      this->SendAsk();
+    }
     return;
   }
+  if (!this->isLenderLending) {
+    this->KeepOwnTokens();
+  }
   this->isLenderLending = true;
+  this->hadLender = true;
   for (const QuotaGrant& grant : aReply.grants) {
     const auto team = this->teams.find(grant.team);
     if (team != this->teams.end()) {
@@ -341,10 +407,11 @@
   const TimePoint now = this->hooks.now();
   std::vector<std::pair<Decide, QuotaDecision>> decided;
   for (auto& [name, team] : this->teams) {
-    while (!team.waiters.empty() &&
-           (now - team.waiters.front().since >= kReplyTimeout ||
-            !this->MayReplySoon())) {
+    while (!team.waiters.empty()) {
       const bool hasToken = this->TakeToken(team);
+      if (!hasToken && now - team.waiters.front().since < kMaxWait) {
+        break;
+      }
       decided.emplace_back(std::move(team.waiters.front().decide),
                            hasToken ? QuotaDecision{}
                                     : this->RefuseWithoutLender(team));
@@ -376,12 +443,12 @@
   }
   this->SetLender(this->wantedLender);
   if (this->isAsking && now - this->askSentAt >= kReplyTimeout) {
-    this->isAsking = false;
     this->LoseLender();
+    this->isAsking = false;
   }
   if (!this->isAsking) {
     const Duration sinceAsk = now - this->askSentAt;
-    const bool isDue = sinceAsk >= kAskInterval;
+    const bool isDue = sinceAsk >= kAskInterval || !this->isLenderLending;
     const bool isStockLow =
       sinceAsk >= kRefillInterval &&
       std::ranges::any_of(this->teams, [this](const auto& aItem) {
--- a/src/admission/internal/quotalender.cpp
+++ b/src/admission/internal/quotalender.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::size_t kRememberedReplies = 4;
 constexpr milliseconds kLongestWaitForToken{ 5000 };
+// Tokens that a bucket may be overdrawn by: callers send some requests
+// together, and the burst of a small team is a token or two.
+constexpr int kMaxOverdraft = 8;
 // Hosts report their shares each second.
 constexpr milliseconds kReportTime{ 1500 };
 
@@ -30,8 +33,9 @@
 
 } // namespace
 
-QuotaLender::QuotaLender(Clock aClock)
+QuotaLender::QuotaLender(Clock aClock, milliseconds aWindow)
   : clock(std::move(aClock))
+  , window(aWindow)
 {
 }
 
@@ -107,13 +111,32 @@
 {
   this->lendingSince = aNow;
   this->unreported = this->knownHosts;
+  const double sinceRestart = ToSeconds(this->TimeSinceRestartOfAll(aNow));
   for (auto& [name, bucket] : this->buckets) {
-    bucket.level = 0;
+    bucket.level =
+      std::min(bucket.quota.burst,
+               bucket.quota.perSecond * sinceRestart * (1.0 - kEqualPart));
     bucket.filledAt = aNow;
     bucket.loans.clear();
   }
 }
 
+// How long no host has had a token, if no attached host has a share of an
+// earlier lender; else 0. Until now the hosts have used the equal parts at
+// most.
+Duration QuotaLender::TimeSinceRestartOfAll(TimePoint aNow) const
+{
+  Duration shortest = kShareTerm;
+  for (const auto& [host, asker] : this->askers) {
+    if (this->IsAttached(host, aNow)) {
+      shortest = asker.hasShares
+                   ? Duration(0)
+                   : std::min<Duration>(shortest, aNow - asker.lastGrantAt);
+    }
+  }
+  return std::max(Duration(0), shortest);
+}
+
 // An attached host reports its shares within kReportTime. After kShareTerm
 // those of the lender before have expired.
 void QuotaLender::UpdateUnreported(TimePoint aNow)
@@ -169,9 +192,11 @@
 {
   aBucket.reserve =
     std::min(1.0, this->SumOfShares(aBucket, this->unattached, aNow));
-  aBucket.level -= aBucket.quota.perSecond *
-                   this->SumOfShares(aBucket, aNewlyUnattached, aNow) *
-                   ToSeconds(kAttachmentTerm + kMaxCheckInterval);
+  const double mayBeUsed = aBucket.quota.perSecond *
+                           this->SumOfShares(aBucket, aNewlyUnattached, aNow) *
+                           ToSeconds(kAttachmentTerm + kMaxCheckInterval);
+  aBucket.level -= mayBeUsed;
+  aBucket.granted.Add(mayBeUsed, aNow);
 }
 
 void QuotaLender::Fill(Bucket& aBucket, TimePoint aNow)
@@ -182,10 +207,14 @@
       const Loan& loan = aItem.second;
       return aSum + (loan.unusedUntil > aNow ? loan.unused : 0.0);
     });
-  const double added = aBucket.quota.perSecond * (1.0 - aBucket.reserve) *
-                       ToSeconds(aNow - aBucket.filledAt);
+  const double total =
+    aBucket.quota.perSecond * ToSeconds(aNow - aBucket.filledAt);
+  const double reserved = total * aBucket.reserve;
+  if (reserved > 0) {
+    aBucket.granted.Add(reserved, aNow);
+  }
   const double capacity = std::max(1.0, aBucket.quota.burst);
-  aBucket.level = std::min(aBucket.level + added, capacity - unused);
+  aBucket.level = std::min(aBucket.level + total - reserved, capacity - unused);
   aBucket.filledAt = aNow;
 }
 
@@ -214,6 +243,23 @@
   aLoan.shareUntil = aNow + kShareTerm;
 }
 
+// Tokens for requests that wait. Tokens granted up to kTokenTerm before a
+// window may be used in it.
+int QuotaLender::Available(Bucket& aBucket, TimePoint aNow) const
+{
+  const int inBucket = WholeTokens(aBucket.level);
+  const double limit =
+    aBucket.quota.perSecond * ToSeconds(this->window) + aBucket.quota.burst;
+  const Duration span = this->window + kTokenTerm;
+  const double inWindow = aBucket.granted.Within(span, aNow);
+  const bool isKnown = aNow - this->lendingSince >= span;
+  const int overdraft = isKnown
+                          ? std::min(WholeTokens(aBucket.level + kMaxOverdraft),
+                                     WholeTokens(limit - inWindow))
+                          : 0;
+  return std::max(inBucket, overdraft);
+}
+
 QuotaGrant QuotaLender::Grant(Bucket& aBucket, const state::HostId& aTo,
                               const QuotaDemand& aDemand, TimePoint aNow)
 {
@@ -228,10 +274,12 @@
   this->UpdateShare(aBucket, loan, aNow);
   // A stock takes at most half of what is left, as other hosts may have
   // requests that wait.
-  const int forWaiting = std::min(aDemand.needed, WholeTokens(aBucket.level));
+  const int forWaiting =
+    std::min(aDemand.needed, this->Available(aBucket, aNow));
   const int forStock =
     std::min(aDemand.wanted, WholeTokens((aBucket.level - forWaiting) / 2));
   aBucket.level -= forWaiting + forStock;
+  aBucket.granted.Add(forWaiting + forStock, aNow);
   loan.unused += forStock;
   QuotaGrant grant{ aDemand.team, forWaiting + forStock, loan.share, {} };
   if (forWaiting < aDemand.needed) {
@@ -259,6 +307,8 @@
     return reply;
   }
   host.lastAsk = aAsk.number;
+  host.lastGrantAt = now - aAsk.sinceLastGrant;
+  host.hasShares = aAsk.hasShares;
   const auto received = std::ranges::find(
     host.replies, aAsk.lastReply, &std::pair<std::int64_t, TimePoint>::first);
   if (received != host.replies.end()) {
--- a/src/admission/quotaborrower.h
+++ b/src/admission/quotaborrower.h
@@ -11,7 +11,7 @@
 //   knows of this host's stock is never too low.
 // - The host asks another lender only kAttachmentTerm and kMaxCheckInterval
 // after
-//   its last ask to the one before.
+//   the last reply of the one before.
 
 #pragma once
 
@@ -68,6 +68,9 @@
   // Gives back the token of a request that has not run.
   void Return(const TeamName& aTeam);
 
+  // The lender, if it has not replied for so long that another should lend.
+  std::optional<state::HostId> SilentLender() const;
+
   void OnReply(const state::HostId& aFrom, const QuotaReply& aReply);
   // Asks for what is needed, and ends waits that are too long; call it several
   // times a second.
@@ -99,11 +102,13 @@
     std::size_t askedFor = 0;
   };
 
+  void KeepOwnTokens();
   bool HasLender() const;
-  bool MayReplySoon() const;
+  bool MayGetTokenSoon(const TeamState& aTeam) const;
   void LoseLender();
   double ShareOf(const TeamState& aTeam) const;
   bool TakeToken(TeamState& aTeam);
+  void FillOwnTokens(TeamState& aTeam) const;
   bool TakeOwnToken(TeamState& aTeam);
   QuotaDecision RefuseWithoutLender(const TeamState& aTeam) const;
   int StockTarget(const TeamState& aTeam) const;
@@ -127,6 +132,10 @@
   TimePoint askSentAt;
   // Since when this host has been without a lender.
   TimePoint withoutLenderSince;
+  TimePoint lastReplyAt;
+  TimePoint lastGrantAt;
+  // Whether it had a lender since its start.
+  bool hadLender = false;
   TimePoint ratesUpdatedAt;
 };
 
--- a/src/admission/quotalender.h
+++ b/src/admission/quotalender.h
@@ -10,22 +10,25 @@
 //   before has certainly noticed that it is not.
 // - One bucket a team: the tokens in the bucket and those unused at hosts
 //   together never exceed the burst, so no window sees more than the rate times
-//   its length and the burst.
+//   its length and the burst. A few requests that come together may overdraw
+//   the bucket as long as that still holds for the window that ends with them.
 // - Reserves: a host that can't reach the lender uses its share of the rate by
 //   itself. The bucket fills by what is left of the rate after the shares of
 //   all hosts that are not attached. The shares of a team never exceed 1 in
 //   total.
 //
 // A lender that starts knows nothing of the tokens and shares that the one
-// before has handed out. Its buckets start empty. Hosts report the shares that
-// they have; one that has not done so within kShareTerm counts with an equal
-// part of the rate. This is an estimate: it is too low if a team's callers are
-// mostly at hosts that can't be reached at the moment at which the lender
-// changes.
+// before has handed out. Its buckets start empty, unless all hosts have
+// restarted: then they start with what has come in since. Hosts report the
+// shares that they have; one that has not done so within kShareTerm counts with
+// an equal part of the rate. This is an estimate: it is too low if a team's
+// callers are mostly at hosts that can't be reached at the moment at which the
+// lender changes.
 
 #pragma once
 
 #include "admission/quotamessages.h"
+#include "admission/recentcount.h"
 #include "admission/teamdirectory.h"
 #include "framework/clock.h"
 #include "state/types.h"
@@ -55,7 +58,9 @@
 class QuotaLender
 {
 public:
-  explicit QuotaLender(Clock aClock);
+  // aWindow: the limits bind for each span of this length.
+  explicit QuotaLender(Clock aClock, std::chrono::milliseconds aWindow =
+                                       std::chrono::milliseconds(5000));
 
   // A raised burst is there at once; a lowered limit binds from now on.
   void SetTeams(const std::vector<Team>& aTeams);
@@ -87,6 +92,7 @@
     // Sum of the shares of the hosts that are not attached.
     double reserve = 0;
     std::map<state::HostId, Loan> loans;
+    RecentCount granted;
   };
   struct KnownHost
   {
@@ -94,6 +100,8 @@
     TimePoint attachedAt;
     // Since when it has been attached without a break.
     TimePoint attachedSince;
+    TimePoint lastGrantAt;
+    bool hasShares = false;
     // The last replies, by number, with the time of sending.
     std::deque<std::pair<std::int64_t, TimePoint>> replies;
   };
@@ -105,6 +113,8 @@
                      const std::set<state::HostId>& aHosts,
                      TimePoint aNow) const;
   void StartLending(TimePoint aNow);
+  Duration TimeSinceRestartOfAll(TimePoint aNow) const;
+  int Available(Bucket& aBucket, TimePoint aNow) const;
   void UpdateReserve(Bucket& aBucket,
                      const std::set<state::HostId>& aNewlyUnattached,
                      TimePoint aNow) const;
@@ -115,6 +125,7 @@
   void UpdateUnreported(TimePoint aNow);
 
   const Clock clock;
+  const std::chrono::milliseconds window;
   std::unordered_map<TeamName, Bucket> buckets;
   std::set<state::HostId> knownHosts;
   std::map<state::HostId, KnownHost> askers;
--- a/src/admission/quotamessages.h
+++ b/src/admission/quotamessages.h
@@ -35,6 +35,11 @@
   // Number of the last reply that the host has received from this lender; 0 if
   // there is none.
   std::int64_t lastReply = 0;
+  // Time since the host last received a token from any lender, or since its
+  // start.
+  std::chrono::milliseconds sinceLastGrant{ 0 };
+  // Whether the host has a share of any team's rate.
+  bool hasShares = false;
   std::vector<QuotaDemand> demands;
 };
 
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -165,10 +165,11 @@
   if (!this->isLeaving) {
     add(this->self.host, this->quotas->IsLending());
   }
+  const auto silent = this->quotas->Borrower().SilentLender();
   const TimePoint now = BootTime();
   for (const auto& [host, peer] : this->peers.All()) {
     if (!peer.leaving && now - peer.lastHeardAt <= kMaxSilence &&
-        this->connectedPeers.contains(host.value)) {
+        this->connectedPeers.contains(host.value) && host != silent) {
       add(host, peer.lendsQuotas);
     }
   }
--- a/src/node/internal/teamquotas.cpp
+++ b/src/node/internal/teamquotas.cpp
@@ -122,6 +122,9 @@
   protocol::QuotaAsk ask;
   ask.__set_number(aAsk.number);
   ask.__set_lastReply(aAsk.lastReply);
+  ask.__set_sinceLastGrantMs(
+    static_cast<std::int32_t>(aAsk.sinceLastGrant.count()));
+  ask.__set_hasShares(aAsk.hasShares);
   ask.__set_demands(Convert<protocol::QuotaDemand>(aAsk.demands));
   protocol::Frame frame;
   frame.__set_quotaAsk(ask);
@@ -132,7 +135,9 @@
                        const protocol::QuotaAsk& aAsk)
 {
   const QuotaReply lent = this->lender.OnAsk(
-    aFrom, { aAsk.number, aAsk.lastReply, Convert<QuotaDemand>(aAsk.demands) });
+    aFrom, { aAsk.number, aAsk.lastReply,
+             std::chrono::milliseconds(aAsk.sinceLastGrantMs), aAsk.hasShares,
+             Convert<QuotaDemand>(aAsk.demands) });
   protocol::QuotaReply reply;
   reply.__set_number(lent.number);
   reply.__set_lending(lent.isLending);
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -350,6 +350,8 @@
   1: i64 number
   2: i64 lastReply
   3: list<QuotaDemand> demands
+  4: i32 sinceLastGrantMs
+  5: bool hasShares
 }
 
 struct QuotaGrant {
