--- a/src/admission/internal/quotalender.cpp
+++ b/src/admission/internal/quotalender.cpp
@@ -100,6 +100,10 @@
       return aItem.second.unusedUntil <= now && aItem.second.shareUntil <= now;
     });
     this->UpdateReserve(bucket, newlyUnattached, now);
+    bucket.granted.Forget(this->window + kTokenTerm, now);
+    this->worstWindow =
+      std::max(this->worstWindow, bucket.granted.Within(this->window, now) /
+                                    std::max(1.0, this->LimitOf(bucket)));
   }
   std::erase_if(this->askers, [&](const auto& aItem) {
     return !this->knownHosts.contains(aItem.first) &&
@@ -243,20 +247,25 @@
   aLoan.shareUntil = aNow + kShareTerm;
 }
 
+// Runs that a window may have.
+double QuotaLender::LimitOf(const Bucket& aBucket) const
+{
+  return aBucket.quota.perSecond * ToSeconds(this->window) +
+         aBucket.quota.burst;
+}
+
 // Tokens for requests that wait. Tokens granted up to kTokenTerm before a
 // window may be used in it.
-int QuotaLender::Available(Bucket& aBucket, TimePoint aNow) const
+int QuotaLender::Available(const Bucket& aBucket, TimePoint aNow) const
 {
   const int inBucket = WholeTokens(aBucket.level);
-  const double limit =
-    aBucket.quota.perSecond * ToSeconds(this->window) + aBucket.quota.burst;
   const Duration span = this->window + kTokenTerm;
   const double inWindow = aBucket.granted.Within(span, aNow);
   const bool isKnown = aNow - this->lendingSince >= span;
-  const int overdraft = isKnown
-                          ? std::min(WholeTokens(aBucket.level + kMaxOverdraft),
-                                     WholeTokens(limit - inWindow))
-                          : 0;
+  const int overdraft =
+    isKnown ? std::min(WholeTokens(aBucket.level + kMaxOverdraft),
+                       WholeTokens(this->LimitOf(aBucket) - inWindow))
+            : 0;
   return std::max(inBucket, overdraft);
 }
 
--- a/src/admission/quotalender.h
+++ b/src/admission/quotalender.h
@@ -72,6 +72,8 @@
   void OnTimer();
 
   bool IsLending() const { return this->isLending; }
+  // The highest part of its limit that a team was lent in any window.
+  double WorstWindow() const { return this->worstWindow; }
 
 private:
   // What a host has of one team's quota.
@@ -114,7 +116,8 @@
                      TimePoint aNow) const;
   void StartLending(TimePoint aNow);
   Duration TimeSinceRestartOfAll(TimePoint aNow) const;
-  int Available(Bucket& aBucket, TimePoint aNow) const;
+  int Available(const Bucket& aBucket, TimePoint aNow) const;
+  double LimitOf(const Bucket& aBucket) const;
   void UpdateReserve(Bucket& aBucket,
                      const std::set<state::HostId>& aNewlyUnattached,
                      TimePoint aNow) const;
@@ -136,6 +139,7 @@
   bool isLending = false;
   TimePoint lendingSince;
   TimePoint checkedAt;
+  double worstWindow = 0;
 };
 
 } // namespace kumquat::admission
--- a/src/admission/recentcount.h
+++ b/src/admission/recentcount.h
@@ -25,13 +25,23 @@
   }
 
   // The count of the last aSpan; a little more, as slots are whole.
-  double Within(Duration aSpan, TimePoint aNow)
+  double Within(Duration aSpan, TimePoint aNow) const
+  {
+    double count = this->sum;
+    for (auto slot = this->slots.begin();
+         slot != this->slots.end() && aNow - slot->first >= aSpan; ++slot) {
+      count -= slot->second;
+    }
+    return count;
+  }
+
+  // Forgets what is longer ago than aSpan.
+  void Forget(Duration aSpan, TimePoint aNow)
   {
     while (!this->slots.empty() && aNow - this->slots.front().first >= aSpan) {
       this->sum -= this->slots.front().second;
       this->slots.pop_front();
     }
-    return this->sum;
   }
 
 private:
--- a/src/admission/tests/quota_test.cpp
+++ b/src/admission/tests/quota_test.cpp
@@ -279,6 +279,7 @@
       constexpr int kHosts = 12;
       const std::vector<Quota> quotas = { { 100, 100 }, { 3, 3 }, { 20, 60 } };
       std::vector<TeamLoad> loads;
+      loads.reserve(quotas.size());
       for (const Quota& quota : quotas) {
         loads.push_back(MakeLoad("q" + std::to_string(loads.size()), quota,
                                  Evenly(kHosts, 3 * quota.perSecond)));
--- a/src/admission/tests/quotasimulation.h
+++ b/src/admission/tests/quotasimulation.h
@@ -328,9 +328,11 @@
   std::optional<state::HostId> ChooseLenderFor(int aHost, const Host& aSelf)
   {
     std::vector<LenderCandidate> candidates;
-    candidates.push_back({ IdOf(aHost), aSelf.lender->IsLending(), 0 });
+    if (this->MayLend(aHost)) {
+      candidates.push_back({ IdOf(aHost), aSelf.lender->IsLending(), 0 });
+    }
     for (const auto& [other, heard] : aSelf.heard) {
-      if (this->now - heard.first <= kMaxSilence &&
+      if (this->MayLend(other) && this->now - heard.first <= kMaxSilence &&
           IdOf(other) != aSelf.borrower->SilentLender()) {
         candidates.push_back({ IdOf(other), heard.second, 0 });
       }
@@ -338,8 +340,19 @@
     return ChooseLender(candidates);
   }
 
+  // Many hosts have a few hubs, which alone lend.
+  bool MayLend(int aHost) const
+  {
+    constexpr std::size_t kMaxHostsWithoutHubs = 20;
+    constexpr int kHubs = 3;
+    return aHost < kHubs || this->hosts.size() <= kMaxHostsWithoutHubs;
+  }
+
   void SendDigest(int aHost, int aLife)
   {
+    if (this->sharing != Sharing::kPartsByDemand && !this->MayLend(aHost)) {
+      return;
+    }
     this->RunAt(aHost, aLife, [this, aHost, aLife](Host& aSelf) {
       const bool isLending = aSelf.lender->IsLending();
       const auto buckets = aSelf.buckets;
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -18,7 +18,6 @@
 using protocol::ErrorKind;
 using std::chrono::milliseconds;
 using transport::HttpRequest;
-using transport::HttpResponse;
 
 namespace {
 
@@ -121,7 +120,7 @@
              this->settings.dataCentre, this->settings.processors },
     this->settings.isFirstStart, this->RegistrationHooks());
   this->quotas = std::make_unique<TeamQuotas>(
-    this->self,
+    this->self, this->settings.quotaWindow,
     TeamQuotas::Hooks{
       BootTime,
       [this](const std::string& aTo, const protocol::Frame& aFrame) {
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -163,7 +163,7 @@
     }
   };
   if (!this->isLeaving) {
-    add(this->self.host, this->quotas->IsLending());
+    add(this->self.host, this->quotas->Lender().IsLending());
   }
   const auto silent = this->quotas->Borrower().SilentLender();
   const TimePoint now = BootTime();
@@ -326,7 +326,7 @@
   digest.__set_reachesStore(this->isStoreAvailable);
   this->replication->AddVersionsTo(digest);
   digest.__set_keyMaps(this->keyedServices->MapVersions());
-  digest.__set_lendsQuotas(this->quotas->IsLending());
+  digest.__set_lendsQuotas(this->quotas->Lender().IsLending());
   return digest;
 }
 
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -150,6 +150,16 @@
     trace.apiKey = admission::LogText(aRequest.credentials.fingerprint);
   }
   this->OnRequestEnded(trace);
+  if (!aRequest.team.value.empty()) {
+    // The name comes from the configuration.
+    const std::string reason(protocol::ErrorInfoFor(aDecision.error).name);
+    this->metrics
+      .GetOrCreateCounter(
+        "kumquat_team_refusals_total",
+        "Requests of a team that were refused because of its limit.",
+        { { "team", aRequest.team.value }, { "reason", reason } })
+      .Add();
+  }
   routing::CallerResponse response;
   response.error = aDecision.error;
   if (aDecision.retryAfter.count() > 0) {
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -233,6 +233,14 @@
       this->isStoreAvailable ? 1 : 0);
   set("kumquat_assigner", "1 if this host assigns the keys of a service.",
       this->keyedServices->IsAssigner() ? 1 : 0);
+  constexpr double kPercent = 100;
+  set("kumquat_quota_lender", "1 if this host lends the tokens of quotas.",
+      this->quotas->Lender().IsLending() ? 1 : 0);
+  set(
+    "kumquat_quota_worst_window_percent",
+    "Highest part of its limit that a team was lent by this host in any "
+    "window.",
+    static_cast<std::int64_t>(kPercent * this->quotas->Lender().WorstWindow()));
   set("kumquat_log_lines_dropped",
       "Log lines dropped since the start, as nobody read them.",
       static_cast<std::int64_t>(this->log.DroppedLines()));
--- a/src/node/internal/teamquotas.cpp
+++ b/src/node/internal/teamquotas.cpp
@@ -84,10 +84,11 @@
 
 } // namespace
 
-TeamQuotas::TeamQuotas(state::HostRef aSelf, Hooks aHooks)
+TeamQuotas::TeamQuotas(const state::HostRef& aSelf,
+                       std::chrono::milliseconds aWindow, Hooks aHooks)
   : self(aSelf.host)
   , hooks(std::move(aHooks))
-  , lender(this->hooks.now)
+  , lender(this->hooks.now, aWindow)
   , borrower(aSelf.incarnation,
              { this->hooks.now,
                [this](const state::HostId& aLender, const QuotaAsk& aAsk) {
--- a/src/node/internal/teamquotas.h
+++ b/src/node/internal/teamquotas.h
@@ -26,14 +26,16 @@
     std::function<std::optional<state::HostId>()> findLender;
   };
 
-  TeamQuotas(state::HostRef aSelf, Hooks aHooks);
+  // aWindow: the limits bind for each span of this length.
+  TeamQuotas(const state::HostRef& aSelf, std::chrono::milliseconds aWindow,
+             Hooks aHooks);
 
   void SetTeams(const std::vector<admission::Team>& aTeams);
   // All known hosts, this one included; empty while they are not known.
   void SetHosts(const std::vector<state::HostId>& aHosts);
 
   admission::QuotaBorrower& Borrower() { return this->borrower; }
-  bool IsLending() const { return this->lender.IsLending(); }
+  const admission::QuotaLender& Lender() const { return this->lender; }
 
   void OnAsk(const state::HostId& aFrom, const protocol::QuotaAsk& aAsk);
   void OnReply(const state::HostId& aFrom, const protocol::QuotaReply& aReply);
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -87,13 +87,16 @@
   const KeyOwner owner =
     this->hooks.findOwner(aRequest.service, *aRequest.caller.key);
   const UpstreamState* one = this->upstreams.Find(owner.upstream);
+  const TimePoint now = this->hooks.now();
   if (one == nullptr || !this->upstreams.IsUsable(*one)) {
+    const bool isLeaving = one != nullptr && one->entry.leaving;
+    const Duration handOverTime =
+      isLeaving ? now - one->leavingSince : owner.unchangedFor;
     forecast.queued = 1;
     forecast.perSecond =
-      owner.unchangedFor < kHandOverTime ? 1000.0 / forecast.typicalMs : 0;
+      handOverTime < kHandOverTime ? 1000.0 / forecast.typicalMs : 0;
     return forecast;
   }
-  const TimePoint now = this->hooks.now();
   forecast.typicalMs = EstimatedServiceMs(*one, forecast.typicalMs, now);
   if (one->ejectedUntil > now) {
     forecast.queued = 1;
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -203,7 +203,11 @@
   this->isIndexed = false;
   UpstreamState& upstream = this->upstreams[aEntry.id];
   upstream.entry = aEntry;
-  upstream.entry.leaving = aEntry.leaving || (isSameLife && last->leaving);
+  const bool wasLeaving = isSameLife && last->leaving;
+  upstream.entry.leaving = aEntry.leaving || wasLeaving;
+  if (upstream.entry.leaving && !wasLeaving) {
+    upstream.leavingSince = aNow;
+  }
   upstream.coldUntil = aNow + aEntry.coldRemaining;
   upstream.removeAt.reset();
   this->removed.erase(aEntry.id);
--- a/src/routing/tests/cells_test.cpp
+++ b/src/routing/tests/cells_test.cpp
@@ -93,8 +93,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 15 }, cellsOf.size());
   }
 
-  // Guards against a cold upstream that gets its full rate from each of the cells
-  // that it belongs to: six upstreams for nine cells, each belongs to three.
+  // Guards against a cold upstream that gets its full rate from each of the
+  // cells that it belongs to: six upstreams for nine cells, each belongs to
+  // three.
   void testCellsDivideTheRateOfAColdUpstream()
   {
     constexpr double kPerSecond = 4.2;
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(testAttemptAtUpstreamThatLeftWhileConnectingIsWithdrawn);
   CPPUNIT_TEST(testAttemptAtPreviousOwnerIsWithdrawn);
   CPPUNIT_TEST(testKeyWithoutOwnerIsRefusedAtOnce);
+  CPPUNIT_TEST(testRequestWaitsWhileItsOwnerLeaves);
   CPPUNIT_TEST(testFullOwnerIsNotRetriedAtOnce);
   CPPUNIT_TEST(testRequestWaitsForOwnerWithShortQueue);
   CPPUNIT_TEST(testRequestForOwnerWithLongQueueIsRefusedAtOnce);
@@ -413,6 +414,31 @@
     CPPUNIT_ASSERT(this->OutcomeOf(number) == Outcome::kNotRun);
   }
 
+  // Guards against requests that are refused although another upstream is about
+  // to own their key: the owner has announced that it leaves. After the time
+  // that a hand-over takes, they are refused.
+  void testRequestWaitsWhileItsOwnerLeaves()
+  {
+    this->owner = KeyOwner{ { "s0" }, std::chrono::seconds(60) };
+    UpstreamEntry leaving = this->upstreams.Find({ "s0" })->entry;
+    leaving.leaving = true;
+    leaving.sequence = 1;
+    this->upstreams.PutEntry(leaving, this->now);
+    const auto number =
+      this->StartRequest("/stock/1", milliseconds(1200), Key{ 5 });
+    CPPUNIT_ASSERT(!this->responses.contains(number));
+    this->owner = KeyOwner{ { "s1" }, milliseconds(0) };
+    this->now += milliseconds(40);
+    this->dispatcher->RecheckWaitingRequests();
+    CPPUNIT_ASSERT_EQUAL(std::string("s1"),
+                         this->attempts.back().upstream.value);
+    this->owner = KeyOwner{ { "s0" }, std::chrono::seconds(60) };
+    this->now += std::chrono::seconds(2);
+    const auto late =
+      this->StartRequest("/stock/1", milliseconds(1200), Key{ 5 });
+    CPPUNIT_ASSERT(this->OutcomeOf(late) == Outcome::kNotRun);
+  }
+
   // A hot key's owner is full with requests of hosts whose digests this one
   // does not get, and refuses within a millisecond. Asked again at once it
   // refuses again, and the request's four attempts are used up before a slot is
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -96,6 +96,8 @@
 {
   UpstreamEntry entry;
   TimePoint coldUntil;
+  // When it was first known to leave.
+  TimePoint leavingSince;
   // Whether the upstream belongs to this host's cell; see ServiceUpstreams. Set
   // by the index.
   bool isInCell = true;
--- a/src/state/internal/settings.cpp
+++ b/src/state/internal/settings.cpp
@@ -178,6 +178,8 @@
     fields.Number("resend_share", 0, kMostShare).value_or(settings.resendShare);
   settings.resendExtra =
     fields.Number("resend_extra", 0, kMostExtra).value_or(settings.resendExtra);
+  settings.quotaWindow =
+    fields.Time("quota_window").value_or(settings.quotaWindow);
   settings.maxConnections = ReadSize(
     fields, "max_connections", kConnectionsBounds, settings.maxConnections);
   settings.processors =
@@ -207,6 +209,7 @@
     { "grace", FormatDuration(aSettings.grace) },
     { "resend_share", aSettings.resendShare },
     { "resend_extra", aSettings.resendExtra },
+    { "quota_window", FormatDuration(aSettings.quotaWindow) },
     { "max_connections", aSettings.maxConnections },
     { "processors", aSettings.processors },
     { "first_start", aSettings.isFirstStart },
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -58,6 +58,8 @@
   // the requests for a service, and so many beside.
   double resendShare = 0.2;
   double resendExtra = 20;
+  // The limits of teams bind for each span of this length.
+  std::chrono::milliseconds quotaWindow{ 5'000 };
   std::size_t maxConnections = 3000;
   // That this host may use. In large deployments those with more are asked
   // first to assign keys and to pass on news.
