Quotas: all hosts choose the same lender at once after a start

Hosts that had heard different hubs chose different ones and then paused before asking the other; a lost lender could also become a candidate again before its silence was noticed.

Change: hubs that were not heard yet are candidates, so that all hosts choose alike, and a lender that did not reply is avoided for 3 s. A log event tells when the lender changes.

--- a/src/admission/internal/quotaborrower.cpp
+++ b/src/admission/internal/quotaborrower.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds kShareInterval{ 1000 };
 // After this time another host should lend.
 constexpr milliseconds kSilenceOfLender{ 700 };
+constexpr milliseconds kSilentLenderAvoided{ 3000 };
 // Longest wait of a request for a token.
 constexpr milliseconds kMaxWait{ 400 };
 // A lender is found within about this time from the start of all hosts.
@@ -104,6 +105,7 @@
     }
   }
   this->lender = this->wantedLender;
+  this->lenderSince = now;
   this->lastReply = 0;
   this->isAsking = false;
 }
@@ -142,12 +144,21 @@
     this->isAsking ? this->askSentAt : this->hooks.now();
 }
 
-std::optional<state::HostId> QuotaBorrower::SilentLender() const
+bool QuotaBorrower::IsSilent(const state::HostId& aHost) const
 {
-  const bool isSilent =
-    this->lastReply > 0 &&
-    this->hooks.now() - this->lastReplyAt >= kSilenceOfLender;
-  return isSilent ? this->lender : std::nullopt;
+  const auto found = this->silentUntil.find(aHost);
+  return found != this->silentUntil.end() && found->second > this->hooks.now();
+}
+
+void QuotaBorrower::NoteSilentLender()
+{
+  const TimePoint now = this->hooks.now();
+  std::erase_if(this->silentUntil,
+                [now](const auto& aItem) { return aItem.second <= now; });
+  if (this->lender && now - std::max(this->lastReplyAt, this->lenderSince) >=
+                        kSilenceOfLender) {
+    this->silentUntil[*this->lender] = now + kSilentLenderAvoided;
+  }
 }
 
 double QuotaBorrower::ShareOf(const TeamState& aTeam) const
@@ -442,6 +453,7 @@
     }
   }
   this->SetLender(this->wantedLender);
+  this->NoteSilentLender();
   if (this->isAsking && now - this->askSentAt >= kReplyTimeout) {
     this->LoseLender();
     this->isAsking = false;
--- a/src/admission/quotaborrower.h
+++ b/src/admission/quotaborrower.h
@@ -27,6 +27,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -68,8 +69,14 @@
   // Gives back the token of a request that has not run.
   void Return(const TeamName& aTeam);
 
-  // The lender, if it has not replied for so long that another should lend.
-  std::optional<state::HostId> SilentLender() const;
+  // The host that lends to this one now.
+  std::optional<state::HostId> Lender() const
+  {
+    return this->HasLender() ? this->lender : std::nullopt;
+  }
+  // Whether the host, as a lender, has recently not replied for so long that
+  // another should lend.
+  bool IsSilent(const state::HostId& aHost) const;
 
   void OnReply(const state::HostId& aFrom, const QuotaReply& aReply);
   // Asks for what is needed, and ends waits that are too long; call it several
@@ -106,6 +113,7 @@
   bool HasLender() const;
   bool MayGetTokenSoon(const TeamState& aTeam) const;
   void LoseLender();
+  void NoteSilentLender();
   double ShareOf(const TeamState& aTeam) const;
   bool TakeToken(TeamState& aTeam);
   void FillOwnTokens(TeamState& aTeam) const;
@@ -124,6 +132,8 @@
   std::size_t hostCount = 0;
   std::optional<state::HostId> lender;
   std::optional<state::HostId> wantedLender;
+  TimePoint lenderSince;
+  std::map<state::HostId, TimePoint> silentUntil;
   // Whether the lender's last reply said that it lends.
   bool isLenderLending = false;
   std::int64_t lastNumber = 0;
--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -59,6 +59,7 @@
   kCollectionComplete = 4004,
   kCollectionUnsure = 4005,
   kKeys = 4006,
+  kQuotaLender = 4007,
 
   kConfigurationInForce = 5001,
   kConfigurationNotLowered = 5002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -95,6 +95,8 @@
               "a host does not respond; the outcome of older keys is unknown" },
   EventEntry{ Event::kKeys, "keys", kInfo,
               "the assigner of a service or its key assignment has changed" },
+  EventEntry{ Event::kQuotaLender, "quota-lender", kInfo,
+              "the host that lends the tokens of teams' quotas has changed" },
 
   EventEntry{ Event::kConfigurationInForce, "configuration-in-force", kInfo,
               "a configuration became active on this host" },
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -126,7 +126,12 @@
       [this](const std::string& aTo, const protocol::Frame& aFrame) {
         static_cast<void>(this->peerNetwork->Send(aTo, aFrame));
       },
-      [this] { return this->FindQuotaLender(); } });
+      [this] { return this->FindQuotaLender(); },
+      [this](const state::HostId& aLender, bool aLends) {
+        this->log.Write(Event::kQuotaLender,
+                        { { "lender", aLender.value },
+                          { "lends", static_cast<std::int64_t>(aLends) } });
+      } });
   this->storeClient = std::make_unique<StoreClient>(
     this->storeThread, this->settings.storeAddress,
     IpOf(this->settings.peerAddress),
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -79,6 +79,8 @@
                 const std::shared_ptr<transport::CallerLink>& aLink,
                 const transport::HttpServer::Respond& aRespond);
   std::optional<state::HostId> FindQuotaLender() const;
+  bool IsReachable(const state::HostId& aHost) const;
+  bool LendsQuotas(const state::HostId& aHost) const;
   void SendToUpstream(const routing::UpstreamRequest& aRequest);
   void SendLeaseCommand(const ownership::LeaseCommand& aCommand,
                         ownership::Assigner::CommandDone aDone);
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -152,30 +152,46 @@
 }
 
 // All hosts are connected to the hubs, and to all others while there are none.
+// Hosts that were not heard yet are candidates too: right after a start, hosts
+// that have heard different ones would otherwise choose differently.
 std::optional<state::HostId> Gateway::Impl::FindQuotaLender() const
 {
-  constexpr milliseconds kMaxSilence{ 1500 };
   std::vector<admission::LenderCandidate> candidates;
-  const auto add = [&](const state::HostId& aHost, bool aIsLending) {
-    if (!this->topology.Cells().IsDivided() || this->topology.IsHub(aHost)) {
+  for (const state::HostId& host : this->topology.AllHosts()) {
+    const bool mayLend =
+      !this->topology.Cells().IsDivided() || this->topology.IsHub(host);
+    if (mayLend && this->IsReachable(host) &&
+        !this->quotas->Borrower().IsSilent(host)) {
       candidates.push_back(
-        { aHost, aIsLending, this->topology.DutyPreference(aHost) });
-    }
-  };
-  if (!this->isLeaving) {
-    add(this->self.host, this->quotas->Lender().IsLending());
-  }
-  const auto silent = this->quotas->Borrower().SilentLender();
-  const TimePoint now = BootTime();
-  for (const auto& [host, peer] : this->peers.All()) {
-    if (!peer.leaving && now - peer.lastHeardAt <= kMaxSilence &&
-        this->connectedPeers.contains(host.value) && host != silent) {
-      add(host, peer.lendsQuotas);
+        { host, this->LendsQuotas(host), this->topology.DutyPreference(host) });
     }
   }
   return admission::ChooseLender(candidates);
 }
 
+// False for hosts that leave, or that were heard and are not any more.
+bool Gateway::Impl::IsReachable(const state::HostId& aHost) const
+{
+  constexpr milliseconds kMaxSilence{ 1500 };
+  if (aHost == this->self.host) {
+    return !this->isLeaving;
+  }
+  const auto peer = this->peers.All().find(aHost);
+  return peer == this->peers.All().end() ||
+         (!peer->second.leaving &&
+          BootTime() - peer->second.lastHeardAt <= kMaxSilence &&
+          this->connectedPeers.contains(aHost.value));
+}
+
+bool Gateway::Impl::LendsQuotas(const state::HostId& aHost) const
+{
+  if (aHost == this->self.host) {
+    return this->quotas->Lender().IsLending();
+  }
+  const auto peer = this->peers.All().find(aHost);
+  return peer != this->peers.All().end() && peer->second.lendsQuotas;
+}
+
 void Gateway::Impl::UpdateConnections()
 {
   std::set<state::HostId> assigners = this->keyedServices->Assigners();
--- a/src/node/internal/teamquotas.cpp
+++ b/src/node/internal/teamquotas.cpp
@@ -19,6 +19,8 @@
 
 constexpr double kPerKilosecond = 1e3;
 constexpr double kMillionths = 1e6;
+// Longer times make no difference to the lender.
+constexpr std::chrono::milliseconds kMaxSinceLastGrant{ 3'600'000 };
 
 // Rounded down, so that the shares never add up to more than 1.
 std::int32_t ShareToWire(double aShare)
@@ -123,8 +125,8 @@
   protocol::QuotaAsk ask;
   ask.__set_number(aAsk.number);
   ask.__set_lastReply(aAsk.lastReply);
-  ask.__set_sinceLastGrantMs(
-    static_cast<std::int32_t>(aAsk.sinceLastGrant.count()));
+  ask.__set_sinceLastGrantMs(static_cast<std::int32_t>(
+    std::min(aAsk.sinceLastGrant, kMaxSinceLastGrant).count()));
   ask.__set_hasShares(aAsk.hasShares);
   ask.__set_demands(Convert<protocol::QuotaDemand>(aAsk.demands));
   protocol::Frame frame;
@@ -163,6 +165,14 @@
   this->lender.OnTimer();
   this->borrower.SetLender(this->hooks.findLender());
   this->borrower.OnTimer();
+  const state::HostId current =
+    this->borrower.Lender().value_or(state::HostId{});
+  const bool lends = this->lender.IsLending();
+  if (current != this->reportedLender || lends != this->reportedLends) {
+    this->reportedLender = current;
+    this->reportedLends = lends;
+    this->hooks.changed(current, lends);
+  }
 }
 
 } // namespace kumquat::node
--- a/src/node/internal/teamquotas.h
+++ b/src/node/internal/teamquotas.h
@@ -24,6 +24,9 @@
     std::function<void(const std::string&, const protocol::Frame&)> send;
     // The host that should lend, as far as this one knows.
     std::function<std::optional<state::HostId>()> findLender;
+    // This host borrows from another host, or from none if it is empty. aLends:
+    // it lends itself.
+    std::function<void(const state::HostId& aLender, bool aLends)> changed;
   };
 
   // aWindow: the limits bind for each span of this length.
@@ -47,6 +50,9 @@
   const state::HostId self;
   const Hooks hooks;
   bool hasQuotas = false;
+  // As reported last.
+  state::HostId reportedLender;
+  bool reportedLends = false;
   admission::QuotaLender lender;
   admission::QuotaBorrower borrower;
 };
