Quotas: replies are applied before callers hear; keys checked again after a wait

Cause, read in the code: a request that a reply let run could bring the next one, and with it an ask, before the reply's other grants were applied. The lender then took this host's stock to be lower than it is. And a request that waited for a token did not notice that its key was removed meanwhile.

Change: callers are told after all grants are applied. After a wait under a newer configuration the key is checked again, and the token goes back if it is gone.

--- a/src/admission/internal/quotaborrower.cpp
+++ b/src/admission/internal/quotaborrower.cpp
@@ -337,7 +337,8 @@
 }
 
 void QuotaBorrower::ApplyGrant(TeamState& aTeam, const QuotaGrant& aGrant,
-                               TimePoint aAskSentAt)
+                               TimePoint aAskSentAt,
+                               std::vector<Decided>& aDecided)
 {
   const TimePoint now = this->hooks.now();
   aTeam.share = aGrant.share;
@@ -352,21 +353,26 @@
       now + std::clamp(aGrant.untilNext, kMinExhausted, kMaxExhausted);
   }
   const std::size_t askedFor = std::exchange(aTeam.askedFor, 0);
-  std::vector<std::pair<Decide, QuotaDecision>> decided;
+  std::size_t refused = 0;
   for (std::size_t i = 0; i < askedFor && !aTeam.waiters.empty(); ++i) {
     QuotaDecision decision;
     if (!this->TakeToken(aTeam)) {
-      const auto ahead = static_cast<double>(decided.size());
+      const auto ahead = static_cast<double>(refused++);
       decision = { ErrorKind::kTeamOverLimit,
                    ClampRetryAfter(ToSeconds(aGrant.untilNext) +
                                    ahead / aTeam.quota.perSecond) };
     }
-    decided.emplace_back(std::move(aTeam.waiters.front().decide), decision);
+    aDecided.push_back({ std::move(aTeam.waiters.front().decide), decision });
     aTeam.waiters.pop_front();
   }
-  // A decision may bring a new request, and so change this team.
-  for (const auto& [decide, decision] : decided) {
-    decide(decision);
+}
+
+// A decision may bring a new request, and so change teams and send an ask. It
+// is told after everything else is up to date.
+void QuotaBorrower::TellCallers(const std::vector<Decided>& aDecided)
+{
+  for (const Decided& decided : aDecided) {
+    decided.decide(decided.decision);
   }
 }
 
@@ -395,12 +401,14 @@
   }
   this->isLenderLending = true;
   this->hadLender = true;
+  std::vector<Decided> decided;
   for (const QuotaGrant& grant : aReply.grants) {
     const auto team = this->teams.find(grant.team);
     if (team != this->teams.end()) {
-      this->ApplyGrant(team->second, grant, sentAt);
+      this->ApplyGrant(team->second, grant, sentAt, decided);
     }
   }
+  TellCallers(decided);
   if (!this->isAsking && this->HasUnaskedWaiters()) {
     this->SendAsk();
   }
@@ -416,23 +424,21 @@
 void QuotaBorrower::EndLongWaits()
 {
   const TimePoint now = this->hooks.now();
-  std::vector<std::pair<Decide, QuotaDecision>> decided;
+  std::vector<Decided> decided;
   for (auto& [name, team] : this->teams) {
     while (!team.waiters.empty()) {
       const bool hasToken = this->TakeToken(team);
       if (!hasToken && now - team.waiters.front().since < kMaxWait) {
         break;
       }
-      decided.emplace_back(std::move(team.waiters.front().decide),
-                           hasToken ? QuotaDecision{}
-                                    : this->RefuseWithoutLender(team));
+      decided.push_back(
+        { std::move(team.waiters.front().decide),
+          hasToken ? QuotaDecision{} : this->RefuseWithoutLender(team) });
       team.waiters.pop_front();
       team.askedFor -= std::min<std::size_t>(1, team.askedFor);
     }
   }
-  for (const auto& [decide, decision] : decided) {
-    decide(decision);
-  }
+  TellCallers(decided);
 }
 
 void QuotaBorrower::OnTimer()
--- a/src/admission/quotaborrower.h
+++ b/src/admission/quotaborrower.h
@@ -89,6 +89,12 @@
     TimePoint since;
     Decide decide;
   };
+  // A wait that has ended.
+  struct Decided
+  {
+    Decide decide;
+    QuotaDecision decision;
+  };
   struct TeamState
   {
     Quota quota;
@@ -123,7 +129,8 @@
   std::optional<QuotaDemand> DemandOf(const TeamName& aName, TeamState& aTeam);
   void SendAsk();
   void ApplyGrant(TeamState& aTeam, const QuotaGrant& aGrant,
-                  TimePoint aAskSentAt);
+                  TimePoint aAskSentAt, std::vector<Decided>& aDecided);
+  static void TellCallers(const std::vector<Decided>& aDecided);
   void EndLongWaits();
   bool HasUnaskedWaiters() const;
 
--- a/src/admission/tests/quota_test.cpp
+++ b/src/admission/tests/quota_test.cpp
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(testRaisedLimitIsThereAtOnce);
   CPPUNIT_TEST(testLoadThatMoves);
   CPPUNIT_TEST(testReturnedTokenIsUsedAgain);
+  CPPUNIT_TEST(testAskDuringReplyReportsAllStock);
   CPPUNIT_TEST(testRandomTroubleNeverExceedsQuotas);
   CPPUNIT_TEST(testWaysOfSharing);
   CPPUNIT_TEST_SUITE_END();
@@ -270,6 +271,53 @@
     CPPUNIT_ASSERT(take() == protocol::ErrorKind::kTeamOverLimit);
   }
 
+  // Guards against a lender that believes a host's stock to be lower than it
+  // is: a request that a reply lets run brings the next request, and with it an
+  // ask, before the rest of the reply is applied.
+  void testAskDuringReplyReportsAllStock()
+  {
+    const TimePoint now{ std::chrono::hours(1) };
+    const state::HostId lender{ "h1" };
+    std::vector<QuotaAsk> asks;
+    QuotaBorrower borrower(
+      1, { [&now] { return now; },
+           [&asks](const state::HostId&, const QuotaAsk& aAsk) {
+             asks.push_back(aAsk);
+           } });
+    std::vector<Team> teams;
+    for (const char* name : { "a", "b" }) {
+      teams.push_back(MakeLoad(name, { 10, 10 }, {}).team);
+    }
+    borrower.SetTeams(teams);
+    borrower.SetLender(lender);
+    std::map<std::string, int> ran;
+    for (const Team& team : teams) {
+      borrower.Take(team.name, [&, team](const QuotaDecision&) {
+        if (++ran[team.name.value] == 1) {
+          borrower.Take(team.name, [](const QuotaDecision&) {});
+        }
+      });
+    }
+    // The second team's request came after the first ask.
+    borrower.OnReply(lender,
+                     { asks.back().number, true, { { { "a" }, 1, 0.5, {} } } });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, asks.size());
+    borrower.OnReply(lender,
+                     { asks.back().number,
+                       true,
+                       { { { "a" }, 4, 0.5, {} }, { { "b" }, 4, 0.5, {} } } });
+    CPPUNIT_ASSERT_EQUAL(1, ran["b"]);
+    borrower.OnTimer();
+    for (const QuotaAsk& ask : asks) {
+      if (ask.number <= asks[1].number) {
+        continue;
+      }
+      for (const QuotaDemand& demand : ask.demands) {
+        CPPUNIT_ASSERT(demand.stock >= 2);
+      }
+    }
+  }
+
   // Hosts are cut off, killed, restarted and paused at random, several at a
   // time, under a load of several times the limits.
   void testRandomTroubleNeverExceedsQuotas()
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -65,6 +65,8 @@
   // On the serving thread.
   void OnCallerRequest(transport::HttpRequest&& aRequest,
                        const transport::HttpServer::Respond& aRespond);
+  bool FindTeam(routing::CallerRequest& aRequest,
+                const transport::HttpServer::Respond& aRespond);
   admission::QuotaDecision AccessRefusal(protocol::ErrorKind aError) const;
   // Whether a peer has announced operators' rows that this host lacks.
   bool IsBehindPeers() const;
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -89,22 +89,34 @@
     aRespond(platform::MakeErrorResponse(kind));
     return;
   }
+  if (this->FindTeam(*request, aRespond)) {
+    this->TakeQuota(std::move(*request), connection, aRespond);
+  }
+}
+
+// Sets the request's team. Refuses the request and returns false if its API key
+// does not allow it to run.
+bool Gateway::Impl::FindTeam(routing::CallerRequest& aRequest,
+                             const transport::HttpServer::Respond& aRespond)
+{
   const routing::Route* route =
-    this->routes->FindRoute(request->hostName, request->message.target);
-  if (route != nullptr) {
-    const admission::AccessDecision access = admission::CheckAccess(
-      this->routes->Teams(), route->isPublic, request->credentials);
-    if (access.error != ErrorKind::kNone) {
-      this->RefuseAtEntry(*request, *route, this->AccessRefusal(access.error),
-                          aRespond);
-      return;
-    }
-    if (access.team != nullptr) {
-      request->team = access.team->name;
-      request->teamPriority = access.team->priority;
-    }
+    this->routes->FindRoute(aRequest.hostName, aRequest.message.target);
+  if (route == nullptr) {
+    // The dispatcher refuses it.
+    return true;
+  }
+  const admission::AccessDecision access = admission::CheckAccess(
+    this->routes->Teams(), route->isPublic, aRequest.credentials);
+  if (access.error != ErrorKind::kNone) {
+    this->RefuseAtEntry(aRequest, *route, this->AccessRefusal(access.error),
+                        aRespond);
+    return false;
+  }
+  if (access.team != nullptr) {
+    aRequest.team = access.team->name;
+    aRequest.teamPriority = access.team->priority;
   }
-  this->TakeQuota(std::move(*request), connection, aRespond);
+  return true;
 }
 
 // A key that this host does not know may have come with a configuration that is
@@ -184,8 +196,8 @@
   const auto request =
     std::make_shared<routing::CallerRequest>(std::move(aRequest));
   this->quotas->Borrower().Take(
-    team, [this, team, request, isGone, aLink,
-           aRespond](const admission::QuotaDecision& aDecision) {
+    team, [this, team, request, isGone, aLink, aRespond,
+           routes = this->routes](const admission::QuotaDecision& aDecision) {
       if (*isGone) {
         if (aDecision.error == ErrorKind::kNone) {
           this->quotas->Borrower().Return(team);
@@ -193,7 +205,12 @@
         return;
       }
       if (aDecision.error == ErrorKind::kNone) {
-        this->Dispatch(std::move(*request), aLink, aRespond);
+        // The key may have been removed while the request waited for a token.
+        if (routes == this->routes || this->FindTeam(*request, aRespond)) {
+          this->Dispatch(std::move(*request), aLink, aRespond);
+        } else {
+          this->quotas->Borrower().Return(team);
+        }
         return;
       }
       const routing::Route* route =
