--- a/src/admission/quotaborrower.h
+++ b/src/admission/quotaborrower.h
@@ -10,8 +10,7 @@
 // - One ask at a time, and replies to earlier ones are ignored: what a lender
 //   knows of this host's stock is never too low.
 // - The host asks another lender only kAttachmentTerm and kMaxCheckInterval
-// after
-//   the last reply of the one before.
+//   after the last reply of the one before.
 
 #pragma once
 
@@ -137,18 +136,23 @@
   const Hooks hooks;
   std::unordered_map<TeamName, TeamState> teams;
   std::size_t hostCount = 0;
+  // The lender that is asked, and the one to ask as soon as that is allowed.
   std::optional<state::HostId> lender;
   std::optional<state::HostId> wantedLender;
   TimePoint lenderSince;
+  // Lenders that did not reply, with the time until which they are avoided.
   std::map<state::HostId, TimePoint> silentUntil;
   // Whether the lender's last reply said that it lends.
   bool isLenderLending = false;
+  // Numbers of the last ask, and of the last reply from this lender.
   std::int64_t lastNumber = 0;
   std::int64_t lastReply = 0;
+  // Whether the last ask has neither been replied to nor timed out.
   bool isAsking = false;
   TimePoint askSentAt;
   // Since when this host has been without a lender.
   TimePoint withoutLenderSince;
+  // Of the last reply from any lender.
   TimePoint lastReplyAt;
   TimePoint lastGrantAt;
   // Whether it had a lender since its start.
