--- a/src/admission/internal/quotaborrower.cpp
+++ b/src/admission/internal/quotaborrower.cpp
@@ -32,6 +32,7 @@
 // Below this rate a stock would mostly expire unused.
 constexpr double kMinStockRate = 0.8;
 constexpr milliseconds kRateAveragingTime{ 1000 };
+constexpr milliseconds kMinRateInterval{ 50 };
 constexpr milliseconds kMinExhausted{ 100 };
 constexpr milliseconds kMaxExhausted{ 200 };
 constexpr milliseconds kMinRetryAfter{ 50 };
@@ -206,19 +207,27 @@
     const int whole = static_cast<int>(std::floor(team.ownTokens));
     team.ownTokens = 0;
     if (whole > 0) {
-      team.stock = (team.stockUntil > now ? team.stock : 0) + whole;
+      this->DropExpiredStock(team);
+      team.stock += whole;
       team.stockUntil = now + kTokenTerm;
     }
   }
 }
 
+void QuotaBorrower::DropExpiredStock(TeamState& aTeam) const
+{
+  if (aTeam.stockUntil <= this->hooks.now()) {
+    aTeam.stock = 0;
+  }
+}
+
 bool QuotaBorrower::TakeToken(TeamState& aTeam)
 {
-  if (aTeam.stock > 0 && aTeam.stockUntil > this->hooks.now()) {
+  this->DropExpiredStock(aTeam);
+  if (aTeam.stock > 0) {
     --aTeam.stock;
     return true;
   }
-  aTeam.stock = 0;
   return !this->HasLender() && this->TakeOwnToken(aTeam);
 }
 
@@ -269,16 +278,13 @@
     return;
   }
   TeamState& team = found->second;
-  const TimePoint now = this->hooks.now();
-  if (team.stockUntil <= now) {
-    team.stock = 0;
-  }
+  this->DropExpiredStock(team);
   ++team.stock;
   // The lender learns of it with the next ask.
-  team.stockUntil = std::max(team.stockUntil, now + kAskInterval);
+  team.stockUntil = std::max(team.stockUntil, this->hooks.now() + kAskInterval);
 }
 
-int QuotaBorrower::StockTarget(const TeamState& aTeam) const
+int QuotaBorrower::StockTarget(const TeamState& aTeam)
 {
   return aTeam.perSecond < kMinStockRate
            ? 0
@@ -286,20 +292,22 @@
                std::ceil(aTeam.perSecond * ToSeconds(kStockTime)));
 }
 
+bool QuotaBorrower::IsStockLow(const TeamState& aTeam)
+{
+  const int target = StockTarget(aTeam);
+  return target > 0 && 2 * aTeam.stock <= target;
+}
+
 // Returns nullopt if the lender need not hear of the team now.
 std::optional<QuotaDemand> QuotaBorrower::DemandOf(const TeamName& aName,
                                                    TeamState& aTeam)
 {
   const TimePoint now = this->hooks.now();
-  if (aTeam.stockUntil <= now) {
-    aTeam.stock = 0;
-  }
-  const int target = this->StockTarget(aTeam);
-  const bool isStockLow = 2 * aTeam.stock <= target && target > 0;
+  this->DropExpiredStock(aTeam);
   const bool isShareDue =
     (now - aTeam.shareAskedAt >= kShareInterval || !this->isLenderLending) &&
     (aTeam.perSecond > kNegligibleRate || aTeam.shareUntil > now);
-  if (aTeam.waiters.empty() && !isStockLow && !isShareDue) {
+  if (aTeam.waiters.empty() && !IsStockLow(aTeam) && !isShareDue) {
     return std::nullopt;
   }
   aTeam.shareAskedAt = now;
@@ -309,7 +317,7 @@
   return QuotaDemand{ aName,
                       aTeam.stock,
                       static_cast<int>(aTeam.askedFor),
-                      std::max(0, target - aTeam.stock),
+                      std::max(0, StockTarget(aTeam) - aTeam.stock),
                       perSecond,
                       aTeam.shareUntil > now ? aTeam.share : 0.0 };
 }
@@ -345,7 +353,8 @@
   aTeam.shareUntil = aAskSentAt + kShareTerm;
   if (aGrant.tokens > 0) {
     this->lastGrantAt = now;
-    aTeam.stock = (aTeam.stockUntil > now ? aTeam.stock : 0) + aGrant.tokens;
+    this->DropExpiredStock(aTeam);
+    aTeam.stock += aGrant.tokens;
     aTeam.stockUntil = aAskSentAt + kTokenTerm;
   }
   if (aGrant.untilNext.count() > 0) {
@@ -448,7 +457,7 @@
   }
   const TimePoint now = this->hooks.now();
   const Duration passed = now - this->ratesUpdatedAt;
-  if (passed >= milliseconds(50)) {
+  if (passed >= kMinRateInterval) {
     this->ratesUpdatedAt = now;
     const double weight =
       std::min(1.0, ToSeconds(passed) / ToSeconds(kRateAveragingTime));
@@ -469,9 +478,8 @@
     const bool isDue = sinceAsk >= kAskInterval || !this->isLenderLending;
     const bool isStockLow =
       sinceAsk >= kRefillInterval &&
-      std::ranges::any_of(this->teams, [this](const auto& aItem) {
-        const int target = this->StockTarget(aItem.second);
-        return target > 0 && 2 * aItem.second.stock <= target;
+      std::ranges::any_of(this->teams, [](const auto& aItem) {
+        return IsStockLow(aItem.second);
       });
     if (isDue || isStockLow || this->HasUnaskedWaiters()) {
       this->SendAsk();
--- a/src/admission/quotaborrower.h
+++ b/src/admission/quotaborrower.h
@@ -124,7 +124,9 @@
   void FillOwnTokens(TeamState& aTeam) const;
   bool TakeOwnToken(TeamState& aTeam);
   QuotaDecision RefuseWithoutLender(const TeamState& aTeam) const;
-  int StockTarget(const TeamState& aTeam) const;
+  void DropExpiredStock(TeamState& aTeam) const;
+  static int StockTarget(const TeamState& aTeam);
+  static bool IsStockLow(const TeamState& aTeam);
   std::optional<QuotaDemand> DemandOf(const TeamName& aName, TeamState& aTeam);
   void SendAsk();
   void ApplyGrant(TeamState& aTeam, const QuotaGrant& aGrant,
