Uploads are a kind of route; routes of an unknown kind are kept as at most once

Change: uploads are parsed as such and run at most once. A route of any other kind is kept as at most once with one attempt, with an error event (5008) and a counter.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -68,6 +68,7 @@
   kPlaceOut = 5005,
   kPlaceIn = 5006,
   kOperatorRefused = 5007,
+  kConfigurationUnknownKind = 5008,
 
   kStoreDown = 6001,
   kStoreBack = 6002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -114,6 +114,10 @@
               "a data centre or host was brought back into service" },
   EventEntry{ Event::kOperatorRefused, "operator-refused", kWarn,
               "a request to the operators' listener had no valid token" },
+  EventEntry{ Event::kConfigurationUnknownKind, "configuration-unknown-kind",
+              kError,
+              "routes of a kind that this version does not know are handled as "
+              "at most once" },
 
   EventEntry{ Event::kStoreDown, "store-down", kWarn,
               "the platform's store does not respond" },
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -97,6 +97,7 @@
   void OnStoreCall(state::StoreCall aCall, const std::string& aTable);
   void ApplyOperatorRows();
   void ApplyConfiguration(const state::StoredRow& aRow);
+  void ReportUnknownKinds();
   // Whether the replica has a newer configuration than the one last parsed.
   bool IsConfigurationOutdated() const;
   void ApplyUpstreamRows(const std::vector<state::StoredRow>& aChanged,
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -171,6 +171,22 @@
   this->log.Write(
     Event::kConfigurationInForce,
     { { "version", this->routes->CurrentConfiguration().version } });
+  this->ReportUnknownKinds();
+}
+
+void Gateway::Impl::ReportUnknownKinds()
+{
+  const routing::Configuration& configuration =
+    this->routes->CurrentConfiguration();
+  for (const std::string& kind : configuration.unknownKinds) {
+    this->log.Write(Event::kConfigurationUnknownKind,
+                    { { "kind", kind }, { "version", configuration.version } });
+    this->metrics
+      .GetOrCreateCounter("kumquat_configuration_unknown_kinds_total",
+                          "Kinds of routes in configurations that this version "
+                          "does not know.")
+      .Add();
+  }
 }
 
 bool Gateway::Impl::IsConfigurationOutdated() const
--- a/src/routing/configuration.h
+++ b/src/routing/configuration.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -24,11 +25,19 @@
   kAtMostOnce,
   // Idempotent, with large responses.
   kDownload,
+  // May run at most once per attempt of a caller, with large requests.
+  kUpload,
 };
 
 constexpr bool IsIdempotent(RouteKind aKind)
 {
-  return aKind != RouteKind::kAtMostOnce;
+  return aKind == RouteKind::kIdempotent || aKind == RouteKind::kDownload;
+}
+
+// Whether requests or responses are large.
+constexpr bool IsLarge(RouteKind aKind)
+{
+  return aKind == RouteKind::kDownload || aKind == RouteKind::kUpload;
 }
 
 // A service that a route's requests may go to.
@@ -93,6 +102,9 @@
   std::vector<Service> services;
   std::vector<admission::Team> teams;
   CallerLimits limits;
+  // Kinds of routes that this version does not know. Their routes are handled
+  // as kAtMostOnce with one attempt, which is safe for requests of any kind.
+  std::set<std::string> unknownKinds;
 };
 
 // Finds a request's route: the one with the request's host name and the longest
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -13,8 +13,9 @@
 
 // What a request is assumed to take while nothing is known of its service.
 constexpr double kUnknownServiceMs = 120;
-// Bytes of a download while nothing is known of its route.
-constexpr double kUnknownDownloadBytes = 50'000;
+// Bytes of a large request and its response while nothing is known of its
+// route.
+constexpr double kUnknownLargeBytes = 50'000;
 // Time that a hand-over of keys takes: running requests end, a release and a
 // grant are confirmed, and the map reaches all hosts.
 constexpr milliseconds kHandOverTime{ 500 };
@@ -242,9 +243,8 @@
   context.tried.push_back(aRequest.refusedBy);
   const auto bytes = this->routeBytes.find(aRequest.route->name);
   context.bytes = bytes != this->routeBytes.end() ? bytes->second
-                  : aRequest.route->kind == RouteKind::kDownload
-                    ? kUnknownDownloadBytes
-                    : 0;
+                  : IsLarge(aRequest.route->kind) ? kUnknownLargeBytes
+                                                  : 0;
   context.typicalMs = this->TypicalMs(aRequest.service);
   return context;
 }
