Bytes held for bodies are counted and bounded; large bodies are refused unread

Cause: a request's body was read whole before anything else, whatever it was, copied once more for each send, and responses of up to 2 MB were held for slow readers, with no bound but the number of connections: 3,000 uploads of 360 KB are a gigabyte on hosts of 120 MB.

A body without room, and one whose head is refused anyway (API key, deadline), is not read: 503 or 401 at once, not run. A response without room is passed on as the caller takes it. Expect: 100-continue is answered. All sends of a request share its body. While a long body is sent the client watches for an early response, so that an upstream's 'not run' is not lost.

--- a/src/node/internal/callerhttp.cpp
+++ b/src/node/internal/callerhttp.cpp
@@ -159,6 +159,8 @@
       return ErrorKind::kBodyTooLarge;
     case transport::ServerRefusal::kTooManyConnections:
       return ErrorKind::kTooManyConnections;
+    case transport::ServerRefusal::kTooManyBytes:
+      return ErrorKind::kTooManyBytes;
     case transport::ServerRefusal::kMalformed:
     case transport::ServerRefusal::kTooSlow:
       return ErrorKind::kMalformedRequest;
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -32,6 +32,9 @@
 // first byte. If one breaks off, the request can still be retried at another
 // upstream.
 constexpr std::size_t kMaxBufferedResponse = 2U << 20U;
+// Bodies of requests and responses may hold one of so many parts of the host's
+// memory. The rest is for tables, connections and their buffers.
+constexpr std::size_t kHeldBytesPart = 4;
 // Idle connections kept to each upstream. An upstream accepts some hundred
 // connections in total, from a dozen hosts.
 constexpr std::size_t kMaxIdleConnections = 8;
@@ -67,6 +70,8 @@
           .host = aSettings.host.value,
           .toStandardOutput = true })
   , random(std::random_device{}())
+  , heldBytes(
+      transport::ByteAccount::Create(aSettings.memoryBytes / kHeldBytesPart))
   , serving(kRingSize)
   , storeThread(kRingSize)
   , peers(this->self, BootTime,
@@ -102,6 +107,7 @@
   options.echoHeader = platform::RequestIdHeader();
   options.errorsNeedEcho = false;
   options.wholeBodyBytes = kMaxBufferedResponse;
+  options.bytes = this->heldBytes;
   this->upstreamClient =
     std::make_unique<transport::HttpClient>(this->serving.Context(), options);
   this->keyedServices = std::make_unique<KeyedServices>(
@@ -183,10 +189,13 @@
                            const transport::HttpServer::Respond& aRespond) {
     this->OnCallerRequest(std::move(aRequest), aRespond);
   };
-  options.refuse = [this](transport::ServerRefusal aRefusal) {
-    const ErrorKind kind = ErrorKindOf(aRefusal);
-    this->refusals.Add(kind);
-    return platform::MakeErrorResponse(kind);
+  options.bytes = this->heldBytes;
+  options.checkHead = [this](const HttpRequest& aHead) {
+    return this->CheckHead(aHead);
+  };
+  options.refuse = [this](transport::ServerRefusal aRefusal,
+                          const HttpRequest& aHead) {
+    return this->RefuseUnread(ErrorKindOf(aRefusal), aHead);
   };
   return TakeListener(
     transport::HttpServer::Listen(this->serving.Context(), std::move(options)),
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -65,6 +65,11 @@
   // On the serving thread.
   void OnCallerRequest(transport::HttpRequest&& aRequest,
                        const transport::HttpServer::Respond& aRespond);
+  // The response to a request that is refused without its body.
+  std::optional<transport::HttpResponse> CheckHead(
+    const transport::HttpRequest& aHead);
+  transport::HttpResponse RefuseUnread(protocol::ErrorKind aKind,
+                                       const transport::HttpRequest& aHead);
   bool FindTeam(routing::CallerRequest& aRequest,
                 const transport::HttpServer::Respond& aRespond);
   admission::QuotaDecision AccessRefusal(protocol::ErrorKind aError) const;
@@ -141,6 +146,7 @@
   EventLog log;
   std::mt19937_64 random;
   std::map<std::string, Summary*> latencies;
+  const std::shared_ptr<transport::ByteAccount> heldBytes;
 
   transport::DutyThread serving;
   transport::DutyThread storeThread;
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -82,6 +82,11 @@
   HttpRequest&& aRequest, const transport::HttpServer::Respond& aRespond)
 {
   const auto connection = aRequest.link;
+  if (!aRequest.body.empty()) {
+    aRequest.sharedBody =
+      std::make_shared<const std::string>(std::move(aRequest.body));
+    aRequest.body.clear();
+  }
   auto request = platform::ParseCallerRequest(std::move(aRequest), BootTime());
   if (!request) {
     const auto kind = static_cast<ErrorKind>(request.error().value());
@@ -94,6 +99,42 @@
   }
 }
 
+std::optional<HttpResponse> Gateway::Impl::CheckHead(const HttpRequest& aHead)
+{
+  auto request = platform::ParseCallerRequest(aHead, BootTime());
+  if (!request) {
+    return this->RefuseUnread(static_cast<ErrorKind>(request.error().value()),
+                              aHead);
+  }
+  std::optional<HttpResponse> refusal;
+  static_cast<void>(
+    this->FindTeam(*request, [&refusal](HttpResponse aResponse) {
+      refusal = std::move(aResponse);
+    }));
+  return refusal;
+}
+
+// Refuses a request that was not read as a whole.
+HttpResponse Gateway::Impl::RefuseUnread(ErrorKind aKind,
+                                         const HttpRequest& aHead)
+{
+  this->refusals.Add(aKind);
+  const protocol::ErrorInfo& info = protocol::ErrorInfoFor(aKind);
+  const std::string id(aHead.Header(platform::RequestIdHeader()));
+  this->log.Write(
+    Event::kRequestRefused,
+    { { "request", id },
+      { "reason", info.name },
+      { "status", static_cast<std::int64_t>(info.httpStatus) },
+      { "held_bytes", static_cast<std::int64_t>(this->heldBytes->Held()) } });
+  routing::CallerResponse response;
+  response.error = aKind;
+  if (info.retryAfter) {
+    response.retryAfter = *info.retryAfter;
+  }
+  return platform::MakeCallerResponse(std::move(response), id);
+}
+
 // Sets the request's team. Refuses the request and returns false if its API key
 // does not allow it to run.
 bool Gateway::Impl::FindTeam(routing::CallerRequest& aRequest,
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -257,6 +257,15 @@
     "Highest part of its limit that a team was lent by this host in any "
     "window.",
     static_cast<std::int64_t>(kPercent * this->quotas->Lender().WorstWindow()));
+  for (const transport::BytePurpose purpose : transport::kBytePurposes) {
+    this->metrics
+      .GetOrCreateGauge(
+        "kumquat_held_bytes", "Bytes held for bodies, by purpose.",
+        { { "purpose", std::string(transport::BytePurposeName(purpose)) } })
+      .Set(static_cast<std::int64_t>(this->heldBytes->Held(purpose)));
+  }
+  set("kumquat_held_bytes_peak", "The most bytes ever held for bodies.",
+      static_cast<std::int64_t>(this->heldBytes->Peak()));
   set("kumquat_log_lines_dropped",
       "Log lines dropped since the start, as nobody read them.",
       static_cast<std::int64_t>(this->log.DroppedLines()));
--- a/src/node/internal/nodeimpl.cpp
+++ b/src/node/internal/nodeimpl.cpp
@@ -137,7 +137,8 @@
                            const transport::HttpServer::Respond& aRespond) {
     this->OnCallerRequest(std::move(aRequest), aRespond);
   };
-  options.refuse = [this](transport::ServerRefusal aRefusal) {
+  options.refuse = [this](transport::ServerRefusal aRefusal,
+                          const transport::HttpRequest&) {
     const ErrorKind kind = ErrorKindOf(aRefusal);
     return this->CountAnswer(kind, MakeErrorResponse(kind));
   };
--- a/src/protocol/errorkind.h
+++ b/src/protocol/errorkind.h
@@ -57,6 +57,7 @@
   kConfigurationOutdated,
   kTeamOverLimit,
   kTeamLimitUnknown,
+  kTooManyBytes,
 };
 
 // Whether the caller's request was run by an upstream.
--- a/src/protocol/internal/errorkind.cpp
+++ b/src/protocol/internal/errorkind.cpp
@@ -133,9 +133,11 @@
              seconds(1) },
   ErrorInfo{ ErrorKind::kTeamLimitUnknown, "team-limit-unknown", 503, kNotRun,
              false, seconds(1) },
+  ErrorInfo{ ErrorKind::kTooManyBytes, "too-many-bytes", 503, kNotRun, false,
+             seconds(1) },
 };
 
-constexpr ErrorKind kLastKind = ErrorKind::kTeamLimitUnknown;
+constexpr ErrorKind kLastKind = ErrorKind::kTooManyBytes;
 
 constexpr bool IsInOrder()
 {
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -462,7 +462,7 @@
                                   std::size_t aResponseBytes)
 {
   const auto bytes =
-    static_cast<double>(aResponseBytes + aRequest.caller.message.body.size());
+    static_cast<double>(aResponseBytes + aRequest.caller.message.Body().size());
   const auto [average, isFirst] =
     this->routeBytes.emplace(aRequest.route->name, bytes);
   average->second += kBytesWeight * (bytes - average->second);
--- a/src/state/internal/settings.cpp
+++ b/src/state/internal/settings.cpp
@@ -18,6 +18,9 @@
 constexpr IntegerBounds kRingBounds{ 16, 65'534 };
 constexpr IntegerBounds kConnectionsBounds{ 1, 65'536 };
 constexpr std::size_t kLeastToken = 8;
+// Of a host's memory, in megabytes.
+constexpr IntegerBounds kMemoryBounds{ 16, 1'048'576 };
+constexpr unsigned kMegabyteShift = 20;
 
 constexpr std::array<std::string_view, 5> kLogLevels = { "trace", "debug",
                                                          "info", "warn",
@@ -182,6 +185,9 @@
     fields.Time("quota_window").value_or(settings.quotaWindow);
   settings.maxConnections = ReadSize(
     fields, "max_connections", kConnectionsBounds, settings.maxConnections);
+  if (const auto memory = fields.Integer("memory_mb", kMemoryBounds)) {
+    settings.memoryBytes = static_cast<std::size_t>(*memory) << kMegabyteShift;
+  }
   settings.processors =
     fields.Number("processors", kLeastProcessors, kMostProcessors)
       .value_or(settings.processors);
@@ -211,6 +217,7 @@
     { "resend_extra", aSettings.resendExtra },
     { "quota_window", FormatDuration(aSettings.quotaWindow) },
     { "max_connections", aSettings.maxConnections },
+    { "memory_mb", aSettings.memoryBytes >> kMegabyteShift },
     { "processors", aSettings.processors },
     { "first_start", aSettings.isFirstStart },
     { "log_level", aSettings.logLevel },
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -61,6 +61,8 @@
   // The limits of teams bind for each span of this length.
   std::chrono::milliseconds quotaWindow{ 5'000 };
   std::size_t maxConnections = 3000;
+  // A process that exceeds it is killed.
+  std::size_t memoryBytes = 256U << 20U;
   // That this host may use. In large deployments those with more are asked
   // first to assign keys and to pass on news.
   double processors = 1;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "framework/result.h"
+#include "transport/byteaccount.h"
 
 #include <cstdint>
 #include <functional>
@@ -44,6 +45,10 @@
   std::string target = "/";
   std::vector<HttpHeader> headers;
   std::string body;
+  // If set, the body in place of `body`: one copy for all sends of a request.
+  std::shared_ptr<const std::string> sharedBody;
+  // Bytes that the body holds of the host's account; may be null.
+  ByteAccount::ReservationPtr held;
   // Of requests that a server has read, and of those that a client passes on
   // for that caller; null elsewhere.
   std::shared_ptr<CallerLink> link;
@@ -53,6 +58,10 @@
 
   // Empty where there is none; names are compared without case.
   std::string_view Header(std::string_view aName) const;
+  const std::string& Body() const
+  {
+    return this->sharedBody ? *this->sharedBody : this->body;
+  }
 };
 
 // Closes the connection without an answer; only the stand-ins' servers use it.
@@ -67,6 +76,8 @@
   BodyReader rest;
   // Length of the whole body, where it is known before `rest` is read.
   std::optional<std::uint64_t> length;
+  // Bytes that the body holds of the host's account; may be null.
+  ByteAccount::ReservationPtr held;
 
   std::string_view Header(std::string_view aName) const;
 };
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -29,6 +29,9 @@
     // Bodies up to this size come whole; of longer ones the rest is read
     // through HttpResponse::rest.
     std::size_t wholeBodyBytes = 64U << 10U;
+    // What whole bodies are counted in; may be null. A body for which there is
+    // no room is read through HttpResponse::rest, as the receiver takes it.
+    std::shared_ptr<ByteAccount> bytes;
     std::size_t pieceBytes = 64U << 10U;
     std::size_t maxHeaderBytes = 16U << 10U;
     // Idle connections kept to one address.
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -25,6 +26,8 @@
   kBodyTooLarge,
   kTooSlow,
   kTooManyConnections,
+  // The host already holds as many bytes as it can; the request can be retried.
+  kTooManyBytes,
 };
 
 class HttpServer
@@ -54,8 +57,15 @@
     // of one that has asked for the connection's end is not seen.
     bool endIsLeaving = false;
     Handler handler;
-    // Makes the answer to a request that was refused; may be empty.
-    std::function<HttpResponse(ServerRefusal)> refuse;
+    // Looks at the head of a request whose body was not read yet. Returns the
+    // response if the request cannot be served whatever its body is; the body
+    // is then not waited for. May be empty.
+    std::function<std::optional<HttpResponse>(const HttpRequest&)> checkHead;
+    // What bodies of requests are counted in and bounded by; may be null.
+    std::shared_ptr<ByteAccount> bytes;
+    // Makes the answer to a request that was refused, of which the head is
+    // empty if it was not read; may be empty.
+    std::function<HttpResponse(ServerRefusal, const HttpRequest& aHead)> refuse;
   };
 
   // Throws nothing; the error says why the address cannot be had.
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -18,7 +18,9 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -50,10 +52,13 @@
 using ConnectionPtr = std::shared_ptr<Connection>;
 using ResponseParser = http::response_parser<http::buffer_body>;
 
-http::request<http::string_body> MakeMessage(const std::string& aAddress,
-                                             HttpRequest&& aRequest)
+using RequestMessage = http::request<http::span_body<const char>>;
+
+// The body stays in the request, which must outlive the message.
+RequestMessage MakeMessage(const std::string& aAddress,
+                           const HttpRequest& aRequest)
 {
-  http::request<http::string_body> message;
+  RequestMessage message;
   message.version(11);
   message.method_string(aRequest.method);
   message.target(aRequest.target);
@@ -65,7 +70,7 @@
       message.insert(header.name, header.value);
     }
   }
-  message.body() = std::move(aRequest.body);
+  message.body() = { aRequest.Body().data(), aRequest.Body().size() };
   message.prepare_payload();
   return message;
 }
@@ -132,6 +137,27 @@
   setsockopt(native, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
 }
 
+// Requests with longer bodies watch for a response while they are sent. Shorter
+// ones fit into the buffers of a connection.
+constexpr std::size_t kLongBodyBytes = 16U << 10U;
+
+enum class SendResult
+{
+  kSent,
+  // The response began before the whole request was sent, and the rest will
+  // not be.
+  kAnsweredEarly,
+  kTimedOut,
+  kFailed,
+};
+
+// Shared by the sending of a request and the watch for an early response.
+struct SendState
+{
+  bool isSending = true;
+  bool isAnsweredEarly = false;
+};
+
 } // namespace
 
 class HttpClient::State : public std::enable_shared_from_this<State>
@@ -259,14 +285,44 @@
     found->second = connection;
     connection->stream.expires_at(aDeadline);
     const std::string echo(aRequest.Header(this->options.echoHeader));
-    const auto message = MakeMessage(aAddress, std::move(aRequest));
+    const SendResult sent = co_await SendRequest(
+      *connection, MakeMessage(aAddress, aRequest), aRequest.Body().size());
+    if (sent == SendResult::kFailed || sent == SendResult::kTimedOut) {
+      co_return make_error_code(sent == SendResult::kTimedOut
+                                  ? TransportError::kTimeout
+                                  : TransportError::kBroken);
+    }
+    co_return co_await this->ReadAnswer(aAddress, connection, echo,
+                                        sent == SendResult::kSent);
+  }
+
+  // Stops sending a long body when the response begins before its end: a server
+  // that rejects a request early may never read the rest.
+  static asio::awaitable<SendResult> SendRequest(Connection& aConnection,
+                                                 RequestMessage aMessage,
+                                                 std::size_t aBodyBytes)
+  {
+    const auto state = std::make_shared<SendState>();
+    if (aBodyBytes > kLongBodyBytes) {
+      tcp::socket& socket = aConnection.stream.socket();
+      socket.async_wait(tcp::socket::wait_read,
+                        [state, &socket](const beast::error_code& aError) {
+                          if (!aError && state->isSending) {
+                            state->isAnsweredEarly = true;
+                            socket.cancel();
+                          }
+                        });
+    }
     const auto [error, bytes] =
-      co_await http::async_write(connection->stream, message, kAwait);
+      co_await http::async_write(aConnection.stream, aMessage, kAwait);
+    state->isSending = false;
+    if (state->isAnsweredEarly) {
+      co_return error ? SendResult::kAnsweredEarly : SendResult::kSent;
+    }
     if (error) {
-      co_return make_error_code(IsTimeout(error) ? TransportError::kTimeout
-                                                 : TransportError::kBroken);
+      co_return IsTimeout(error) ? SendResult::kTimedOut : SendResult::kFailed;
     }
-    co_return co_await this->ReadAnswer(aAddress, connection, echo);
+    co_return SendResult::kSent;
   }
 
   asio::awaitable<Result<ConnectionPtr>> Connect(
@@ -316,7 +372,8 @@
 
   asio::awaitable<Result<HttpResponse>> ReadAnswer(std::string aAddress,
                                                    ConnectionPtr aConnection,
-                                                   std::string aEcho)
+                                                   std::string aEcho,
+                                                   bool aReusable)
   {
     // An answer to a request that was given up on may come late, in the place
     // of the one that is due; behind it the right one may still follow.
@@ -329,7 +386,8 @@
       }
       if (this->IsOwn(*head, aEcho)) {
         co_return co_await this->ReadBody(aAddress, aConnection, parser,
-                                          std::move(*head), foreign == 0);
+                                          std::move(*head),
+                                          aReusable && foreign == 0);
       }
       while (!parser->is_done()) {
         const auto piece =
@@ -387,8 +445,10 @@
     if (const auto length = parser->content_length()) {
       response.length = *length;
     }
-    while (!parser->is_done() &&
-           response.body.size() < this->options.wholeBodyBytes) {
+    if (this->options.bytes) {
+      response.held = this->options.bytes->Open(BytePurpose::kResponse);
+    }
+    while (!parser->is_done() && this->MayHoldMore(response)) {
       if (this->options.bodyProgress.count() > 0) {
         aConnection->stream.expires_after(this->options.bodyProgress);
       }
@@ -417,6 +477,15 @@
     co_return response;
   }
 
+  bool MayHoldMore(const HttpResponse& aResponse) const
+  {
+    const std::size_t next = aResponse.body.size() + this->options.pieceBytes;
+    const std::size_t most = std::min<std::size_t>(
+      next, aResponse.length.value_or(std::numeric_limits<std::size_t>::max()));
+    return aResponse.body.size() < this->options.wholeBodyBytes &&
+           (!aResponse.held || aResponse.held->GrowTo(most));
+  }
+
   // An empty piece: the body is whole.
   static asio::awaitable<Result<std::string>> ReadPiece(Connection& aConnection,
                                                         ResponseParser& aParser,
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -51,7 +51,9 @@
 // Of a request's body that is read along with its header.
 constexpr std::size_t kReadAheadBytes = 64U << 10U;
 
-HttpRequest TakeRequest(http::request<http::string_body>&& aMessage)
+using RequestParser = http::request_parser<http::string_body>;
+
+HttpRequest CopyHead(const http::request<http::string_body>& aMessage)
 {
   HttpRequest request;
   request.method = std::string(aMessage.method_string());
@@ -60,10 +62,15 @@
     request.headers.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
   }
-  request.body = std::move(aMessage.body());
   return request;
 }
 
+// Whether the caller waits for an interim response before it sends the body.
+bool ExpectsContinue(const http::request<http::string_body>& aMessage)
+{
+  return beast::iequals(aMessage[http::field::expect], "100-continue");
+}
+
 template<typename Message>
 void FillHead(Message& aMessage, const HttpResponse& aResponse, bool aKeepAlive)
 {
@@ -157,8 +164,15 @@
   // Takes in what the caller still sends: closing over unread bytes resets the
   // connection, and the caller would lose the answer that it was just sent.
   asio::awaitable<void> Linger();
+  // Reads the body after its head, if the head allows that. Returns false if
+  // the connection is to end.
+  asio::awaitable<bool> ReadBody(RequestParser& aParser,
+                                 ByteAccount::ReservationPtr& aHeld);
+  asio::awaitable<bool> SendContinue();
   void Handle(HttpRequest aRequest, bool aKeepAlive);
-  void Refuse(ServerRefusal aRefusal);
+  void OnReadError(const beast::error_code& aError);
+  void Refuse(ServerRefusal aRefusal, const HttpRequest& aHead = {});
+  void RefuseWith(HttpResponse aResponse);
   void Answer(const ExchangePtr& aExchange, HttpResponse aResponse);
   void OnGone();
   bool IsCallerThere();
@@ -389,7 +403,7 @@
 asio::awaitable<bool> HttpServer::Session::ReadOne()
 {
   const Options& options = this->state->options;
-  http::request_parser<http::string_body> parser;
+  RequestParser parser;
   parser.header_limit(static_cast<std::uint32_t>(options.maxHeaderBytes));
   parser.body_limit(options.maxBodyBytes);
   if (this->buffer.size() == 0) {
@@ -406,15 +420,16 @@
     this->Expect(options.readTimeout);
   }
   this->midRequest = true;
-  const auto [error, bytes] =
-    co_await http::async_read(this->socket, this->buffer, parser, kAwait);
+  const auto [error, bytes] = co_await http::async_read_header(
+    this->socket, this->buffer, parser, kAwait);
+  ByteAccount::ReservationPtr held;
+  const bool isWhole =
+    !error && (parser.is_done() || co_await this->ReadBody(parser, held));
   this->midRequest = false;
   if (error) {
-    if (IsOfMessage(error)) {
-      this->Refuse(RefusalFor(error));
-    } else if (!this->ending) {
-      this->OnGone();
-    }
+    this->OnReadError(error);
+  }
+  if (!isWhole) {
     co_return false;
   }
   // The answers' coroutine may have ended the connection meanwhile; a request
@@ -424,10 +439,79 @@
   }
   this->due = TimePoint::max();
   const bool keepAlive = parser.keep_alive();
-  this->Handle(TakeRequest(parser.release()), keepAlive);
+  auto message = parser.release();
+  HttpRequest request = CopyHead(message);
+  request.body = std::move(message.body());
+  request.held = std::move(held);
+  this->Handle(std::move(request), keepAlive);
   co_return keepAlive;
 }
 
+// A body of known length is reserved as a whole before it is read: reserved
+// piece by piece, many bodies could each wait for bytes that the others hold.
+asio::awaitable<bool> HttpServer::Session::ReadBody(
+  RequestParser& aParser, ByteAccount::ReservationPtr& aHeld)
+{
+  const Options& options = this->state->options;
+  if (options.checkHead) {
+    if (auto refusal = options.checkHead(CopyHead(aParser.get()))) {
+      this->RefuseWith(std::move(*refusal));
+      co_return false;
+    }
+  }
+  if (options.bytes) {
+    aHeld = options.bytes->Open(BytePurpose::kRequest);
+  }
+  const auto hold = [&](std::size_t aBytes) {
+    return !aHeld || aHeld->GrowTo(aBytes);
+  };
+  if (!hold(aParser.content_length().value_or(0))) {
+    this->Refuse(ServerRefusal::kTooManyBytes, CopyHead(aParser.get()));
+    co_return false;
+  }
+  if (ExpectsContinue(aParser.get()) && !co_await this->SendContinue()) {
+    co_return false;
+  }
+  while (!aParser.is_done()) {
+    const auto [error, bytes] = co_await http::async_read_some(
+      this->socket, this->buffer, aParser, kAwait);
+    if (error) {
+      this->OnReadError(error);
+      co_return false;
+    }
+    if (!hold(aParser.get().body().size())) {
+      this->Refuse(ServerRefusal::kTooManyBytes, CopyHead(aParser.get()));
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+// The interim response comes after the responses to earlier requests of the
+// connection.
+asio::awaitable<bool> HttpServer::Session::SendContinue()
+{
+  while (!this->exchanges.empty() && !this->ending && !this->gone) {
+    co_await this->wake.async_wait(kAwait);
+  }
+  if (this->ending || this->gone) {
+    co_return false;
+  }
+  http::response<http::empty_body> message(http::status::continue_, 11);
+  const auto [error, bytes] =
+    co_await http::async_write(this->socket, message, kAwait);
+  co_return !error;
+}
+
+void HttpServer::Session::OnReadError(const beast::error_code& aError)
+{
+  if (IsOfMessage(aError)) {
+    this->Refuse(RefusalFor(aError));
+  } else if (!this->ending) {
+    this->OnGone();
+  }
+}
+
 // No further request is due; see Options::endIsLeaving. Failure: with nothing
 // left to read, the close of a caller that had sent its last request was never
 // seen, and its work went on.
@@ -481,14 +565,19 @@
 }
 
 // What was refused is the last that is answered on the connection.
-void HttpServer::Session::Refuse(ServerRefusal aRefusal)
+void HttpServer::Session::Refuse(ServerRefusal aRefusal,
+                                 const HttpRequest& aHead)
 {
-  if (!this->state->options.refuse) {
-    return;
+  if (this->state->options.refuse) {
+    this->RefuseWith(this->state->options.refuse(aRefusal, aHead));
   }
+}
+
+void HttpServer::Session::RefuseWith(HttpResponse aResponse)
+{
   const auto exchange = std::make_shared<Exchange>();
   exchange->keepAlive = false;
-  exchange->response = this->state->options.refuse(aRefusal);
+  exchange->response = std::move(aResponse);
   this->exchanges.push_back(exchange);
   this->state->busy.fetch_add(1);
   this->Wake();
