Keyed services in parts: an assigner, a claim and an assignment row a part

Cause: the assignment of a keyed service is one row, which passes the store's 65,536 bytes at some 1,200 to 1,500 upstreams. The store refused the write, the write was repeated for ever, no log line said so, and the service was not served at any number of hosts. One host also sent all lease commands.

Change: the keys are divided into adjacent parts of some 350 upstreams, from 500 upstreams on; fewer have one part and the same rows as before. The layout is a row in the store, changed by the assigner of the first part, with hysteresis; a new part closes the parts before it and begins with their assignment, so that a change of the layout is a change of assigner and no lease is given up. Upstreams belong to parts by a hash in whose order the first assignment also goes, so most stay with their keys. Peers learn of a layout from the names of parts; digests name all maps once a second only, an assigner's own each time.

A write that the store refuses for good is an error event (6012) with table, row and bytes and a counter, and is not repeated for 10 s.

Mutants that fail the tests: a new part that begins without the leases before; one that does not close them.

--- a/src/coordination/internal/operatorapi.cpp
+++ b/src/coordination/internal/operatorapi.cpp
@@ -369,6 +369,7 @@
           this->ReportPlaceConflict(aChange);
           return;
         case WriteOutcome::kUnknown:
+        case WriteOutcome::kRefused:
           aChange.respond(ToResponse(
             state::ChangeResult{ .error = ErrorKind::kStoreUnavailable,
                                  .outcome = Outcome::kUnknown }));
--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -81,6 +81,7 @@
   kTableRead = 6009,
   kTableCaughtUp = 6010,
   kStoreCall = 6011,
+  kWriteRefused = 6012,
 
   kAnswerCrossed = 7001,
   kAnswerTruncated = 7002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -143,6 +143,8 @@
     "this host has received a table change that peers had announced" },
   EventEntry{ Event::kStoreCall, "store-call", kDebug,
               "a call to the store was started" },
+  EventEntry{ Event::kWriteRefused, "write-refused", kError,
+              "the store refused to write a row, and will refuse it again" },
 
   EventEntry{
     Event::kAnswerCrossed, "answer-crossed", kError,
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -259,8 +259,8 @@
 {
   KeyedServices::Hooks hooks;
   hooks.now = BootTime;
-  hooks.read = [this](const std::string& aTable, const std::string& aPart,
-                      state::RowStore::ReadDone aDone) {
+  hooks.store.read = [this](const std::string& aTable, const std::string& aPart,
+                            state::RowStore::ReadDone aDone) {
     this->storeThread.Hand([this, aTable, aPart, done = std::move(aDone)] {
       this->storeClient->Rows().Read(
         aTable, aPart, [this, done](Result<state::RowsRead> aRead) {
@@ -270,8 +270,8 @@
         });
     });
   };
-  hooks.write = [this](const state::RowsWrite& aWrite,
-                       state::RowStore::WriteDone aDone) {
+  hooks.store.write = [this](const state::RowsWrite& aWrite,
+                             state::RowStore::WriteDone aDone) {
     this->WriteRows(aWrite, std::move(aDone));
   };
   hooks.sendCommand = [this](const ownership::LeaseCommand& aCommand,
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -117,12 +117,17 @@
   void OnFirstHostRows(const state::RowsRead& aRead);
   void WriteRows(const state::RowsWrite& aWrite,
                  state::RowStore::WriteDone aDone);
+  // On the store's thread.
+  void ReportRefusedWrite(const state::RowsWrite& aWrite);
   void SetHosts(const std::vector<state::StoredRow>& aRows);
   // Opens and closes connections to peers as the topology demands.
   void UpdateConnections();
   void Tick();
   protocol::HostDigest MakeDigest();
   void SendDigests();
+  // Whether a digest may name a part of the key maps only; see HostDigest.
+  // aAllNamedAt: when one of its kind named all of them.
+  bool MayOmitKeyMaps(TimePoint& aAllNamedAt) const;
   void SendDigest(std::vector<std::string> aHosts,
                   protocol::HostDigest aDigest);
   // Sends changes of this host's own key maps to all connected peers.
@@ -180,6 +185,8 @@
   state::Version configurationRowVersion = 0;
   // When UpdateConnections last ran on a tick.
   TimePoint connectionsUpdatedAt;
+  TimePoint briefNamedAllMapsAt;
+  TimePoint fullNamedAllMapsAt;
   // A host that claimed keys and from which no digest was ever received; see
   // Assigner::Hooks::requestConnection.
   state::HostId unknownClaimant;
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds kTickInterval{ 100 };
 // Interval at which connections to peers are opened and closed.
 constexpr milliseconds kConnectionUpdateInterval{ 500 };
+// A digest names the maps of all key parts at least this often.
+constexpr milliseconds kAllKeyMapsInterval{ 1000 };
 // Rows of the hosts' table that a host reads at its start.
 constexpr std::size_t kFirstHostRows = 64;
 
@@ -89,14 +91,34 @@
 {
   this->storeThread.Hand([this, aWrite, done = std::move(aDone)] {
     this->storeClient->Rows().Write(
-      aWrite,
-      [this, done](state::WriteOutcome aOutcome, state::Version aVersion) {
+      aWrite, [this, done, aWrite](state::WriteOutcome aOutcome,
+                                   state::Version aVersion) {
+        if (aOutcome == state::WriteOutcome::kRefused) {
+          this->ReportRefusedWrite(aWrite);
+        }
         this->serving.Hand(
           [done, aOutcome, aVersion] { done(aOutcome, aVersion); });
       });
   });
 }
 
+void Gateway::Impl::ReportRefusedWrite(const state::RowsWrite& aWrite)
+{
+  for (const state::StoredRow& row : aWrite.puts) {
+    this->log.Write(
+      Event::kWriteRefused,
+      { { "table", row.table },
+        { "partition", aWrite.part },
+        { "row", row.key },
+        { "bytes", static_cast<std::int64_t>(row.value.size()) } });
+    this->metrics
+      .GetOrCreateCounter("kumquat_store_refused_rows_total",
+                          "Rows that the store refused for good.",
+                          { { "table", row.table } })
+      .Add();
+  }
+}
+
 std::vector<state::HostId> Gateway::Impl::LiveCellMembers() const
 {
   std::vector<state::HostId> live = this->peers.LiveCellMembers();
@@ -246,6 +268,7 @@
   this->upstreams.OnPeerReports(id, reports, BootTime());
   this->keyedServices->OnKeyUses(aDigest.keyUses);
   const KnownPeer& peer = this->peers.All().at(id);
+  this->keyedServices->OnPeerParts(peer);
   this->replication->OnPeerVersions(peer);
   for (const auto& update : this->keyedServices->TakeFullMapsFor(peer)) {
     protocol::Frame frame;
@@ -357,8 +380,13 @@
     return;
   }
   protocol::HostDigest digest = this->MakeDigest();
-  this->SendDigest(recipients.brief, digest);
+  if (!recipients.brief.empty()) {
+    digest.__set_keyMapsPartial(
+      this->MayOmitKeyMaps(this->briefNamedAllMapsAt));
+    this->SendDigest(recipients.brief, digest);
+  }
   if (!recipients.full.empty()) {
+    digest.__set_keyMapsPartial(this->MayOmitKeyMaps(this->fullNamedAllMapsAt));
     this->upstreams.SetWaiting(this->dispatcher->WaitingByOwner());
     const auto reports = this->upstreams.TakeReports();
     std::ranges::transform(reports, std::back_inserter(digest.uses),
@@ -367,23 +395,48 @@
   }
 }
 
-// Key uses go to the assigner of the keys only; all other recipients get the
-// same digest, which is encoded once.
+// With many parts, naming the maps of all of them would make up most of a
+// digest. Only an assigner needs to hear of its own maps each time.
+bool Gateway::Impl::MayOmitKeyMaps(TimePoint& aAllNamedAt) const
+{
+  const TimePoint now = BootTime();
+  if (this->keyedServices->IsAnyLayoutDivided() &&
+      now - aAllNamedAt < kAllKeyMapsInterval) {
+    return true;
+  }
+  aAllNamedAt = now;
+  return false;
+}
+
+// Key uses go to the assigner of the keys only, and so do the versions of its
+// maps in a partial digest. All other recipients get the same digest, which is
+// encoded once.
 void Gateway::Impl::SendDigest(std::vector<std::string> aHosts,
                                protocol::HostDigest aDigest)
 {
   protocol::Frame frame;
+  const std::set<state::HostId> assigners = this->keyedServices->Assigners();
   std::erase_if(aHosts, [&](const std::string& aHost) {
+    if (!assigners.contains({ aHost })) {
+      return false;
+    }
     const auto uses = this->keyedServices->TakeKeyUses({ aHost });
-    if (uses.empty()) {
+    if (uses.empty() && !aDigest.keyMapsPartial) {
       return false;
     }
     frame.__set_hostDigest(aDigest);
     frame.hostDigest.__set_keyUses(uses);
+    if (aDigest.keyMapsPartial) {
+      frame.hostDigest.__set_keyMaps(
+        this->keyedServices->MapVersionsFor({ aHost }));
+    }
     static_cast<void>(this->peerNetwork->Send(aHost, frame));
     return true;
   });
   aDigest.keyUses.clear();
+  if (aDigest.keyMapsPartial) {
+    aDigest.__set_keyMaps(this->keyedServices->MapVersionsFor({}));
+  }
   frame.__set_hostDigest(aDigest);
   this->peerNetwork->SendToAll(aHosts, frame);
 }
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -51,19 +51,13 @@
   };
   hooks.findOwner = [this](const state::ServiceName& aService,
                            routing::Key aKey) {
-    const ownership::KeyMap* map = this->keyedServices->FindMap(aService);
-    if (map == nullptr) {
-      return routing::KeyOwner{};
-    }
-    const TimePoint now = BootTime();
-    const ownership::KeyMap::Owner owner = map->OwnerOf(aKey, now);
-    return routing::KeyOwner{ owner.upstream, now - owner.since };
+    const ownership::KeyMap::Owner owner =
+      this->keyedServices->OwnerOf(aService, aKey);
+    return routing::KeyOwner{ owner.upstream, BootTime() - owner.since };
   };
   hooks.reportNotOwner = [this](const state::ServiceName& aService,
                                 routing::Key aKey, const state::UpstreamId&) {
-    if (ownership::KeyMap* map = this->keyedServices->FindMap(aService)) {
-      map->OnNotOwner(aKey, BootTime());
-    }
+    this->keyedServices->OnNotOwner(aService, aKey);
   };
   hooks.onRequestEnded = [this](const routing::RequestTrace& aTrace) {
     this->OnRequestEnded(aTrace);
--- a/src/node/internal/keyedservices.h
+++ b/src/node/internal/keyedservices.h
@@ -1,10 +1,17 @@
-// The keyed services of a host: for each service, the key map that the host
-// uses and the assigner that may take over the assignment of its keys. Connects
-// the assigners to the store, the upstreams and the peers. Runs on the serving
-// thread.
+// The keyed services of a host: for each part of a service's keys, the key map
+// that the host uses and the assigner that may take over the assignment of the
+// part's keys. Connects the assigners to the store, the upstreams and the
+// peers. Runs on the serving thread.
+//
+// How a service's keys are divided into parts, the layout, follows the number
+// of its upstreams. It is agreed on in the store, and peers announce it by the
+// names of the parts. A host that learns of a newer layout leaves the parts of
+// the one before to their assigners, which end once a new part has closed them,
+// and uses their maps until it has those of the new parts.
 
 #pragma once
 
+#include "node/internal/keyrows.h"
 #include "node/internal/peers.h"
 #include "ownership/assigner.h"
 #include "ownership/keymap.h"
@@ -15,7 +22,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -27,12 +36,7 @@
   struct Hooks
   {
     Clock now;
-    // Calls to the store. Their callbacks run on the serving thread.
-    std::function<void(const std::string& aTable, const std::string& aPart,
-                       state::RowStore::ReadDone)>
-      read;
-    std::function<void(const state::RowsWrite&, state::RowStore::WriteDone)>
-      write;
+    KeyRowStore store;
     std::function<void(const ownership::LeaseCommand&,
                        ownership::Assigner::CommandDone)>
       sendCommand;
@@ -47,7 +51,7 @@
     std::function<void()> publishMaps;
     // Owners have changed, so waiting requests may have one now.
     std::function<void()> ownersChanged;
-    // The service, what happened, and details; see Assigner::Hooks.
+    // The part, what happened, and details; see Assigner::Hooks.
     std::function<void(std::string_view, std::string_view, std::string_view)>
       log;
   };
@@ -57,7 +61,7 @@
                 Hooks aHooks);
 
   // Sets the services that are keyed now. A service that is no longer keyed
-  // keeps its assigner, as its upstreams still have leases.
+  // keeps its assigners, as its upstreams still have leases.
   void SetServices(const std::set<state::ServiceName>& aServices);
   void OnTimer();
   // Upstreams have changed, or data centres were taken out of service or put
@@ -67,19 +71,29 @@
   // Prepares a planned stop; see Assigner::Leave.
   void Leave();
 
-  // Null if the service is unknown.
-  ownership::KeyMap* FindMap(const state::ServiceName& aService);
+  // No owner if the service is unknown.
+  ownership::KeyMap::Owner OwnerOf(const state::ServiceName& aService,
+                                   ownership::Key aKey) const;
+  // See KeyMap::OnNotOwner.
+  void OnNotOwner(const state::ServiceName& aService, ownership::Key aKey);
   // A peer has sent a map or its changes.
   void OnMapUpdate(const protocol::KeyMapUpdate& aUpdate);
-  // Records the key of a request that arrived here, for the service's assigner.
+  // A peer's digest was recorded; it names the parts that the peer knows.
+  void OnPeerParts(const KnownPeer& aPeer);
+  // Records the key of a request that arrived here, for the part's assigner.
   void OnRequest(const state::ServiceName& aService, ownership::Key aKey);
   // Keys of requests that arrived at some host, for an assigner on this host.
   void OnKeyUses(const std::vector<protocol::KeyUse>& aUses);
 
-  // Versions of the maps that this host uses, for its digests.
+  // Versions of the maps that this host uses, for its digests: of all parts, or
+  // only of those that this host or aPeer assigns.
   std::vector<protocol::KeyMapMark> MapVersions() const;
-  // Removes and returns the recorded keys of the services whose assigner is
-  // aPeer, for the digest to it. Each key is reported once.
+  std::vector<protocol::KeyMapMark> MapVersionsFor(
+    const state::HostId& aPeer) const;
+  // Whether there are so many parts that digests should seldom name all.
+  bool IsAnyLayoutDivided() const;
+  // Removes and returns the recorded keys of the parts whose assigner is aPeer,
+  // for the digest to it. Each key is reported once.
   std::vector<protocol::KeyUse> TakeKeyUses(const state::HostId& aPeer);
   // Changes of this host's own maps since the last call, for all peers.
   std::vector<protocol::KeyMapUpdate> TakeMapUpdates();
@@ -88,16 +102,21 @@
   // can't apply the later changes, and maps from the stored assignment if the
   // peer has no map.
   std::vector<protocol::KeyMapUpdate> TakeFullMapsFor(const KnownPeer& aPeer);
-  // Whether this host is the assigner of any service.
+  // Whether this host is the assigner of any part.
   bool IsAssigner() const;
   // The assigners of the maps that this host uses.
   std::set<state::HostId> Assigners() const;
 
 private:
-  struct ServiceState
+  struct PartState
   {
+    state::ServiceName service;
+    ownership::KeyPart part;
+    std::string name;
     ownership::KeyMap map;
     std::unique_ptr<ownership::Assigner> assigner;
+    // Set when the layout was replaced; see RemoveRetiredParts.
+    std::optional<TimePoint> retiredAt;
     // Keys of requests that arrived here, not reported to the assigner yet.
     std::vector<ownership::Key> recentKeys;
     // While there is no map: when the stored assignment is read next. A host
@@ -118,40 +137,71 @@
     std::deque<std::pair<TimePoint, ownership::MapVersion>> publications;
     // When each peer was last sent the full map.
     std::map<state::HostId, TimePoint> fullMapSentAt;
+
+    bool HasMap() const
+    {
+      return this->map.CurrentVersion().assignmentVersion > 0;
+    }
   };
 
-  // Whether the peer has no map of the service while this host uses one made
-  // from the stored assignment.
-  bool PeerLacksMap(const ServiceState& aEntry,
-                    const state::ServiceName& aService,
+  struct LayoutState
+  {
+    ownership::KeyLayout layout;
+    // The parts of the layout, by index.
+    std::vector<PartState*> parts;
+    bool isChanging = false;
+    TimePoint checkDueAt;
+  };
+
+  // Whether the peer has no map of the part while this host uses one made from
+  // the stored assignment.
+  bool PeerLacksMap(const PartState& aEntry, const std::string& aName,
                     const KnownPeer& aPeer) const;
-  bool WasRecentlySentFullMap(const ServiceState& aEntry,
+  bool WasRecentlySentFullMap(const PartState& aEntry,
                               const KnownPeer& aPeer) const;
   // Whether the peer lacks a version of this host's own map that was sent
   // longer ago than digests take to confirm it.
-  bool PeerMissedUpdate(const ServiceState& aEntry,
-                        const state::ServiceName& aService,
+  bool PeerMissedUpdate(const PartState& aEntry, const std::string& aName,
                         const KnownPeer& aPeer) const;
 
-  std::unique_ptr<ownership::Assigner> MakeAssigner(
-    const state::ServiceName& aService);
-  // All upstreams of the service, with their capacity.
-  std::vector<ownership::OwnerCandidate> CandidatesFor(
-    const state::ServiceName& aService);
-  void ReadRows(const state::ServiceName& aService,
+  PartState* AddPart(const state::ServiceName& aService,
+                     const ownership::KeyPart& aPart);
+  // Uses the layout if it is newer than the one known.
+  void AdoptLayout(const state::ServiceName& aService,
+                   const ownership::KeyLayout& aLayout);
+  void ConsiderLayout(const state::ServiceName& aService, LayoutState& aState);
+  std::size_t CountUsableUpstreams(const state::ServiceName& aService);
+  void ChangeLayout(const state::ServiceName& aService,
+                    const ownership::KeyLayout& aNext);
+  void ReadLayout(const state::ServiceName& aService);
+  void RemoveRetiredParts();
+  std::vector<PartState*> AllParts() const;
+  // The part with the key whose map is in use; null if the service is unknown.
+  PartState* FindPart(const state::ServiceName& aService,
+                      ownership::Key aKey) const;
+  // The part with the key in the layout before, if it has a map.
+  PartState* FindRetiredPart(const state::ServiceName& aService,
+                             ownership::Key aKey) const;
+
+  std::unique_ptr<ownership::Assigner> MakeAssigner(PartState& aEntry);
+  // The upstreams that belong to the part, with their capacity, and those that
+  // still hold keys of it.
+  std::vector<ownership::OwnerCandidate> CandidatesFor(const PartState& aEntry);
+  void ReadRows(const PartState& aEntry,
                 const ownership::Assigner::ReadDone& aDone);
-  void WriteRows(const state::ServiceName& aService,
-                 const ownership::AssignmentWrite& aWrite,
-                 ownership::Assigner::WriteDone aDone);
-  void PublishMap(const state::ServiceName& aService);
-  void UseStoredAssignment(const state::ServiceName& aService);
+  void PublishMap(PartState& aEntry);
+  void UseStoredAssignment(PartState& aEntry);
+  protocol::KeyMapMark MakeMark(const std::string& aName,
+                                const PartState& aEntry) const;
 
   const state::HostRef self;
   const std::chrono::milliseconds maxLease;
   routing::Upstreams& upstreams;
   const Peers& peers;
   const Hooks hooks;
-  std::map<state::ServiceName, ServiceState> services;
+  std::map<state::ServiceName, LayoutState> layouts;
+  // By name; see PartName. The parts of the layouts in use, and retired ones.
+  std::map<std::string, std::unique_ptr<PartState>> parts;
 };
 
 } // namespace kumquat::node
--- a/src/node/internal/peers.cpp
+++ b/src/node/internal/peers.cpp
@@ -52,12 +52,14 @@
   peer.upstreamVersion = aDigest.upstreamVersion;
   peer.hostsVersion = aDigest.hostsVersion;
   peer.lastDigestNumber = aDigest.number;
-  peer.mapVersions.clear();
+  if (!aDigest.keyMapsPartial) {
+    peer.mapVersions.clear();
+  }
   for (const protocol::KeyMapMark& mark : aDigest.keyMaps) {
-    const state::ServiceName service{ mark.serviceName };
-    peer.mapVersions[service] = FromWire(mark);
-    if (peer.mapVersions[service].assigner == this->self) {
-      peer.mapConfirmedAt[service] = this->digestSendTimes.SentAt(mark.heard);
+    const std::string& part = mark.serviceName;
+    peer.mapVersions[part] = FromWire(mark);
+    if (peer.mapVersions[part].assigner == this->self) {
+      peer.mapConfirmedAt[part] = this->digestSendTimes.SentAt(mark.heard);
     }
   }
   this->silentPeers.erase(id);
@@ -77,17 +79,17 @@
 
 std::set<state::HostId> Peers::Assigners() const
 {
-  std::map<state::ServiceName, ownership::MapVersion> newest;
+  std::map<std::string, ownership::MapVersion> newest;
   for (const auto& [id, peer] : this->peers) {
-    for (const auto& [service, version] : peer.mapVersions) {
-      ownership::MapVersion& known = newest[service];
+    for (const auto& [part, version] : peer.mapVersions) {
+      ownership::MapVersion& known = newest[part];
       if (version.IsNewerThan(known)) {
         known = version;
       }
     }
   }
   std::set<state::HostId> assigners;
-  for (const auto& [service, version] : newest) {
+  for (const auto& [part, version] : newest) {
     assigners.insert(version.assigner.host);
   }
   return assigners;
@@ -105,18 +107,18 @@
 }
 
 std::vector<ownership::PeerStatus> Peers::PeerStatusesFor(
-  const state::ServiceName& aService) const
+  const std::string& aPart) const
 {
   std::vector<ownership::PeerStatus> statuses;
   for (const auto& [id, peer] : this->peers) {
     ownership::PeerStatus status{
       peer.host, peer.lastHeardAt, peer.leaving, {}, {}
     };
-    const auto confirmedAt = peer.mapConfirmedAt.find(aService);
+    const auto confirmedAt = peer.mapConfirmedAt.find(aPart);
     if (confirmedAt != peer.mapConfirmedAt.end()) {
       status.mapConfirmedAt = confirmedAt->second;
     }
-    const auto version = peer.mapVersions.find(aService);
+    const auto version = peer.mapVersions.find(aPart);
     if (version != peer.mapVersions.end()) {
       status.mapVersion = version->second;
     }
@@ -143,11 +145,11 @@
            { { aMark.assigner.host }, aMark.assigner.incarnation } };
 }
 
-protocol::KeyMapMark ToWire(const state::ServiceName& aService,
+protocol::KeyMapMark ToWire(const std::string& aPart,
                             const ownership::MapVersion& aVersion)
 {
   protocol::KeyMapMark mark;
-  mark.__set_serviceName(aService.value);
+  mark.__set_serviceName(aPart);
   mark.__set_version(aVersion.assignmentVersion);
   mark.__set_step(aVersion.revision);
   mark.assigner.__set_host(aVersion.assigner.host.value);
@@ -155,12 +157,12 @@
   return mark;
 }
 
-protocol::KeyMapUpdate ToWire(const state::ServiceName& aService,
+protocol::KeyMapUpdate ToWire(const std::string& aPart,
                               const ownership::MapVersion& aVersion,
                               const std::vector<ownership::MapRange>& aRanges)
 {
   protocol::KeyMapUpdate update;
-  update.__set_mark(ToWire(aService, aVersion));
+  update.__set_mark(ToWire(aPart, aVersion));
   std::ranges::transform(aRanges, std::back_inserter(update.ranges),
                          [](const ownership::MapRange& aRange) {
                            protocol::KeyRange range;
--- a/src/node/internal/peers.h
+++ b/src/node/internal/peers.h
@@ -31,10 +31,18 @@
   state::Version hostsVersion = 0;
   // Number of the last digest of its current incarnation.
   std::int64_t lastDigestNumber = 0;
-  std::map<state::ServiceName, ownership::MapVersion> mapVersions;
-  // For services whose map this host assigns: a time at which the peer
+  std::map<std::string, ownership::MapVersion> mapVersions;
+  // For parts whose map this host assigns: a time at which the peer
   // certainly used that map.
-  std::map<state::ServiceName, TimePoint> mapConfirmedAt;
+  std::map<std::string, TimePoint> mapConfirmedAt;
+
+  // Whether the peer uses a map of the part.
+  bool HasMap(const std::string& aPart) const
+  {
+    const auto found = this->mapVersions.find(aPart);
+    return found != this->mapVersions.end() &&
+           found->second.assignmentVersion > 0;
+  }
 };
 
 class Peers
@@ -62,11 +70,11 @@
   TimePoint LastHeardAt(const state::HostId& aHost) const;
   // Cell members that are neither silent for too long nor leaving.
   std::vector<state::HostId> LiveCellMembers() const;
-  // The assigner of each service according to the newest map that any peer
+  // The assigner of each part according to the newest map that any peer
   // uses.
   std::set<state::HostId> Assigners() const;
   std::vector<ownership::PeerStatus> PeerStatusesFor(
-    const state::ServiceName& aService) const;
+    const std::string& aPart) const;
   // Peers that became silent since the last call.
   std::vector<state::HostId> TakeNewlySilent();
 
@@ -82,9 +90,9 @@
 };
 
 ownership::MapVersion FromWire(const protocol::KeyMapMark& aMark);
-protocol::KeyMapMark ToWire(const state::ServiceName& aService,
+protocol::KeyMapMark ToWire(const std::string& aPart,
                             const ownership::MapVersion& aVersion);
-protocol::KeyMapUpdate ToWire(const state::ServiceName& aService,
+protocol::KeyMapUpdate ToWire(const std::string& aPart,
                               const ownership::MapVersion& aVersion,
                               const std::vector<ownership::MapRange>& aRanges);
 std::vector<ownership::MapRange> RangesOf(
--- a/src/node/tests/keyedservices_test.cpp
+++ b/src/node/tests/keyedservices_test.cpp
@@ -50,8 +50,7 @@
     this->StoreAssignment(7, "u1");
     this->keyedServices->SetServices({ kStoc });
     this->keyedServices->OnTimer();
-    const auto owner =
-      this->keyedServices->FindMap(kStoc)->OwnerOf(5, this->now);
+    const auto owner = this->keyedServices->OwnerOf(kStoc, 5);
     CPPUNIT_ASSERT_EQUAL(std::string("u1"), owner.upstream.value);
     // Requests that wait for an owner are checked again.
     CPPUNIT_ASSERT_EQUAL(1, this->ownerChanges);
@@ -77,8 +76,7 @@
     range.__set_upstream("u2");
     update.__set_ranges({ range });
     this->keyedServices->OnMapUpdate(update);
-    const auto owner =
-      this->keyedServices->FindMap(kStoc)->OwnerOf(5, this->now);
+    const auto owner = this->keyedServices->OwnerOf(kStoc, 5);
     CPPUNIT_ASSERT_EQUAL(std::string("u2"), owner.upstream.value);
   }
 
@@ -120,8 +118,7 @@
     this->now += milliseconds(2000);
     this->keyedServices->OnTimer();
     CPPUNIT_ASSERT_EQUAL(0, this->reads);
-    const auto owner =
-      this->keyedServices->FindMap(kStoc)->OwnerOf(5, this->now);
+    const auto owner = this->keyedServices->OwnerOf(kStoc, 5);
     CPPUNIT_ASSERT_EQUAL(std::string("u1"), owner.upstream.value);
   }
 
@@ -146,8 +143,8 @@
   {
     KeyedServices::Hooks hooks;
     hooks.now = [this] { return this->now; };
-    hooks.read = [this](const std::string&, const std::string&,
-                        const state::RowStore::ReadDone& aDone) {
+    hooks.store.read = [this](const std::string&, const std::string&,
+                              const state::RowStore::ReadDone& aDone) {
       ++this->reads;
       if (this->doesStoreFail) {
         aDone(make_error_code(protocol::ErrorKind::kStoreUnavailable));
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -43,6 +43,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -105,7 +106,12 @@
   state::Version claimVersion = 0;
   state::HostRef assigner;
   state::Version assignmentVersion = 0;
+  // If assignmentVersion is 0, the assignment to begin with: keys that the
+  // parts of an earlier layout have assigned. Empty if no keys were ever
+  // assigned.
   std::string assignmentText;
+  // The part belongs to an earlier layout, and nobody may claim it any more.
+  bool isClosed = false;
 };
 
 // A conditional write of both rows. It succeeds only if the versions of the
@@ -173,6 +179,9 @@
     // How much longer than other hosts this host waits before it claims. May
     // be empty.
     std::function<Duration()> claimDelay;
+    // Asked before the first assignment of keys, with the number of upstreams.
+    // Returns true if the layout of the keys has to change first. May be empty.
+    std::function<bool(std::size_t)> needsOtherLayout;
     // Called when the map has changed.
     std::function<void()> publish;
     // Logs event aWhat; aDetail gives the keys, the upstream and figures.
@@ -181,7 +190,9 @@
 
   struct Options
   {
-    state::ServiceName service;
+    // Name of the part; see PartName.
+    std::string name;
+    KeyPart part;
     state::HostRef self;
     // The longest lease that upstreams accept.
     std::chrono::milliseconds maxLease{ 10'000 };
@@ -206,6 +217,11 @@
   void Leave();
 
   bool IsAssigner() const { return this->phase == Phase::kActive; }
+  // Whether the upstream holds keys of the part, or may do so.
+  bool MayHoldKeys(const state::UpstreamId& aUpstream) const
+  {
+    return this->holders.contains(aUpstream);
+  }
   MapVersion CurrentMapVersion() const;
   // Ranges without a valid lease have no upstream.
   std::vector<MapRange> CurrentMap() const;
@@ -284,7 +300,9 @@
   // hosts from which a digest was received within the last minute.
   std::pair<std::size_t, std::size_t> CountFollowers() const;
   void ReloadAssignment();
+  void ResumeRenewals();
 
+  void CollectHolders();
   void ApplyAssignment(const Assignment& aAssignment, state::Version aVersion);
   RangeState MakeRangeState(const AssignedRange& aAssigned,
                             const std::vector<RangeState>& aOld);
@@ -339,6 +357,8 @@
   AssignmentRows rows;
   Assignment assignment;
   std::vector<RangeState> ranges;
+  // All current and previous holders in `ranges`.
+  std::set<state::UpstreamId> holders;
   std::int64_t revision = 0;
   TimePoint claimConfirmedAt;
   TimePoint claimCheckDue;
--- a/src/ownership/assignment.h
+++ b/src/ownership/assignment.h
@@ -6,6 +6,7 @@
 
 #include "framework/result.h"
 #include "ownership/keymap.h"
+#include "ownership/keyparts.h"
 #include "state/types.h"
 
 #include <cstdint>
@@ -54,8 +55,16 @@
 // Returns the JSON text that the store keeps as the assignment row's value.
 std::string SerializeAssignment(const Assignment& aAssignment);
 // Returns kMalformedRequest if the text was not made by SerializeAssignment or
-// does not cover all keys.
-Result<Assignment> ParseAssignment(std::string_view aText);
+// does not cover all keys of the part.
+Result<Assignment> ParseAssignment(std::string_view aText,
+                                   const KeyPart& aPart = {});
+// The ranges of the assignments that lie in the part. The next token is above
+// those of all of them.
+Assignment CutToPart(const std::vector<Assignment>& aAssignments,
+                     const KeyPart& aPart);
+// Gives keys of the part that are in no range to the holder of a range beside
+// them, under a new token. There must be a range.
+void CloseGaps(Assignment& aAssignment, const KeyPart& aPart);
 
 // Reassigns the keys from aFirst to aLast to aHolder under a new fencing token
 // and splits existing ranges at the ends. All who may still hold a lease on the
--- a/src/ownership/balance.h
+++ b/src/ownership/balance.h
@@ -55,7 +55,9 @@
 // Returns a limited number of moves. Returns none if no move is worthwhile.
 std::vector<BalanceMove> PlanMoves(const BalanceInput& aInput);
 
-// Returns a first assignment, in which all holders get equal numbers of keys.
-Assignment AssignEvenly(const std::vector<Holder>& aHolders);
+// Returns a first assignment, in which all holders get equal numbers of keys of
+// the part.
+Assignment AssignEvenly(std::vector<Holder> aHolders,
+                        const KeyPart& aPart = {});
 
 } // namespace kumquat::ownership
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -209,8 +209,8 @@
   const auto rankKey = [this](const state::HostId& aHost) {
     const double preference =
       this->hooks.preference ? this->hooks.preference(aHost) : 0;
-    return std::make_pair(
-      preference, RendezvousScore(aHost.value, this->options.service.value));
+    return std::make_pair(preference,
+                          RendezvousScore(aHost.value, this->options.name));
   };
   const auto ownKey = rankKey(this->options.self.host);
   return static_cast<int>(
@@ -228,7 +228,7 @@
 {
   const std::size_t previousCount =
     std::exchange(this->candidatesSeen, this->candidates.size());
-  return aRows.assignmentVersion == 0 &&
+  return aRows.assignmentVersion == 0 && aRows.assignmentText.empty() &&
          previousCount != this->candidates.size() &&
          this->hooks.now() < this->FirstAssignmentDeadline();
 }
@@ -281,7 +281,7 @@
     if (this->phase != Phase::kClaiming) {
       return;
     }
-    if (!aRows || this->IsAssignerAlive()) {
+    if (!aRows || aRows->isClosed || this->IsAssignerAlive()) {
       this->phase = Phase::kIdle;
       this->claimNotBefore = this->hooks.now() + kClaimRetryPause;
       return;
@@ -309,18 +309,21 @@
   write.expected = aRows;
   write.claim = this->options.self;
   write.assignmentText = aRows.assignmentText;
-  if (aRows.assignmentVersion == 0) {
-    std::vector<Holder> holders;
+  if (aRows.assignmentVersion == 0 && aRows.assignmentText.empty()) {
+    std::vector<Holder> owners;
     for (const OwnerCandidate& candidate : this->candidates) {
       if (candidate.mayOwn) {
-        holders.push_back(candidate.holder);
+        owners.push_back(candidate.holder);
       }
     }
-    if (holders.empty()) {
+    if (owners.empty() || (this->hooks.needsOtherLayout &&
+                           this->hooks.needsOtherLayout(owners.size()))) {
       this->phase = Phase::kIdle;
+      this->claimNotBefore = this->hooks.now() + kClaimRetryPause;
       return;
     }
-    write.assignmentText = SerializeAssignment(AssignEvenly(holders));
+    write.assignmentText =
+      SerializeAssignment(AssignEvenly(std::move(owners), this->options.part));
   }
   this->hooks.write(
     write, [this, write](WriteOutcome aOutcome, state::Version aVersion) {
@@ -329,7 +332,10 @@
       }
       if (aOutcome != WriteOutcome::kWritten) {
         this->phase = Phase::kIdle;
-        this->claimNotBefore = this->hooks.now() + kClaimRetryPause;
+        this->claimNotBefore =
+          this->hooks.now() + (aOutcome == WriteOutcome::kRefused
+                                 ? kRefusedWritePause
+                                 : kClaimRetryPause);
         return;
       }
       AssignmentRows claimedRows = write.expected;
@@ -344,7 +350,7 @@
 void Assigner::BecomeAssigner(const AssignmentRows& aRows)
 {
   const TimePoint now = this->hooks.now();
-  const auto parsed = ParseAssignment(aRows.assignmentText);
+  const auto parsed = ParseAssignment(aRows.assignmentText, this->options.part);
   if (!parsed) {
     this->hooks.log("assignment-unreadable", aRows.assignmentText);
     this->phase = Phase::kIdle;
@@ -382,6 +388,7 @@
     }
     this->ranges.push_back(std::move(range));
   }
+  this->CollectHolders();
   this->hooks.log("assigner-won",
                   "previous assigner: " + aRows.assigner.host.value);
   this->PublishMap();
@@ -393,6 +400,7 @@
   this->hooks.log("assigner-lost", aWhy);
   this->phase = this->leaving ? Phase::kStopped : Phase::kIdle;
   this->ranges.clear();
+  this->holders.clear();
   this->claimNotBefore = this->hooks.now() + kClaimRetryPause;
 }
 
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -53,6 +53,12 @@
     if (this->phase != Phase::kActive) {
       return;
     }
+    if (aOutcome == WriteOutcome::kRefused) {
+      this->writePending = false;
+      this->planDue = this->hooks.now() + kRefusedWritePause;
+      this->ResumeRenewals();
+      return;
+    }
     if (aOutcome != WriteOutcome::kWritten) {
       this->ReloadAssignment();
       return;
@@ -63,6 +69,13 @@
   });
 }
 
+// Leases are renewed again after a change that was not stored.
+void Assigner::ResumeRenewals()
+{
+  std::ranges::for_each(
+    this->ranges, [](RangeState& aRange) { aRange.renewalsStopped = false; });
+}
+
 // Called when a write failed or its outcome is unknown: what the store contains
 // now is in force.
 void Assigner::ReloadAssignment()
@@ -76,9 +89,7 @@
     if (!aRows) {
       // Leases are renewed again, and the next plan repeats the change.
       this->planDue = this->hooks.now() + kPlanInterval;
-      std::ranges::for_each(this->ranges, [](RangeState& aRange) {
-        aRange.renewalsStopped = false;
-      });
+      this->ResumeRenewals();
       return;
     }
     if (aRows->claimVersion != this->rows.claimVersion) {
@@ -86,13 +97,12 @@
       return;
     }
     this->claimConfirmedAt = std::max(this->claimConfirmedAt, requestedAt);
-    const auto parsed = ParseAssignment(aRows->assignmentText);
+    const auto parsed =
+      ParseAssignment(aRows->assignmentText, this->options.part);
     if (parsed && aRows->assignmentVersion != this->rows.assignmentVersion) {
       this->ApplyAssignment(*parsed, aRows->assignmentVersion);
     } else {
-      std::ranges::for_each(this->ranges, [](RangeState& aRange) {
-        aRange.renewalsStopped = false;
-      });
+      this->ResumeRenewals();
     }
   });
 }
@@ -123,11 +133,23 @@
   for (const AssignedRange& assigned : aAssignment.ranges) {
     this->ranges.push_back(this->MakeRangeState(assigned, old));
   }
+  this->CollectHolders();
   this->revision = 0;
   this->PublishMap();
   this->AdvanceRanges();
 }
 
+void Assigner::CollectHolders()
+{
+  this->holders.clear();
+  for (const RangeState& range : this->ranges) {
+    this->holders.insert(range.assigned.holder.upstream);
+    for (const PreviousHolder& previous : range.previousHolders) {
+      this->holders.insert(previous.holder.upstream);
+    }
+  }
+}
+
 Assigner::RangeState Assigner::MakeRangeState(
   const AssignedRange& aAssigned, const std::vector<RangeState>& aOld)
 {
--- a/src/ownership/internal/assignertiming.h
+++ b/src/ownership/internal/assignertiming.h
@@ -10,5 +10,8 @@
 inline constexpr std::chrono::milliseconds kPlanInterval{ 400 };
 // Requests of this last period are balanced: some 300 at 130 a second.
 inline constexpr std::chrono::milliseconds kRequestWindow{ 2500 };
+// Pause after a write that the store refused for good. The next one may be
+// different, as upstreams have changed.
+inline constexpr std::chrono::milliseconds kRefusedWritePause{ 10'000 };
 
 } // namespace kumquat::ownership
--- a/src/ownership/internal/assignment.cpp
+++ b/src/ownership/internal/assignment.cpp
@@ -29,16 +29,17 @@
            aText.at(1).get<std::int64_t>() };
 }
 
-bool CoversAllKeys(const std::vector<AssignedRange>& aRanges)
+bool CoversAllKeys(const std::vector<AssignedRange>& aRanges,
+                   const KeyPart& aPart)
 {
-  std::uint32_t next = 0;
+  std::uint32_t next = aPart.First();
   for (const AssignedRange& range : aRanges) {
     if (range.first != next || range.last < range.first) {
       return false;
     }
     next = std::uint32_t{ range.last } + 1;
   }
-  return next == std::uint32_t{ kLastKey } + 1;
+  return next == std::uint32_t{ aPart.Last() } + 1;
 }
 
 // Merges adjacent ranges that one lease command can name together.
@@ -91,7 +92,7 @@
   }.dump();
 }
 
-Result<Assignment> ParseAssignment(std::string_view aText)
+Result<Assignment> ParseAssignment(std::string_view aText, const KeyPart& aPart)
 {
   const auto malformed =
     make_error_code(protocol::ErrorKind::kMalformedRequest);
@@ -105,7 +106,7 @@
     std::vector<Holder> holders;
     std::ranges::transform(text.at("holders"), std::back_inserter(holders),
                            ParseHolder);
-    std::uint32_t first = 0;
+    std::uint32_t first = aPart.First();
     for (const json& entry : text.at("ranges")) {
       constexpr std::size_t kHolderIndex = 1;
       constexpr std::size_t kFencingTokenIndex = 2;
@@ -127,12 +128,54 @@
   } catch (const std::out_of_range&) {
     return malformed;
   }
-  if (!CoversAllKeys(assignment.ranges)) {
+  if (!CoversAllKeys(assignment.ranges, aPart)) {
     return malformed;
   }
   return assignment;
 }
 
+Assignment CutToPart(const std::vector<Assignment>& aAssignments,
+                     const KeyPart& aPart)
+{
+  Assignment cut;
+  for (const Assignment& assignment : aAssignments) {
+    cut.nextFencingToken =
+      std::max(cut.nextFencingToken, assignment.nextFencingToken);
+    for (AssignedRange range : assignment.ranges) {
+      range.first = std::max(range.first, aPart.First());
+      range.last = std::min(range.last, aPart.Last());
+      if (range.first <= range.last) {
+        cut.ranges.push_back(std::move(range));
+      }
+    }
+  }
+  std::ranges::sort(cut.ranges, {}, &AssignedRange::first);
+  return cut;
+}
+
+void CloseGaps(Assignment& aAssignment, const KeyPart& aPart)
+{
+  std::vector<AssignedRange> ranges;
+  std::uint32_t next = aPart.First();
+  const auto fill = [&](std::uint32_t aEnd, const Holder& aHolder) {
+    if (next < aEnd) {
+      ranges.push_back({ static_cast<Key>(next),
+                         static_cast<Key>(aEnd - 1),
+                         aHolder,
+                         aAssignment.nextFencingToken++,
+                         {} });
+    }
+  };
+  for (const AssignedRange& range : aAssignment.ranges) {
+    fill(range.first, range.holder);
+    ranges.push_back(range);
+    next = std::uint32_t{ range.last } + 1;
+  }
+  const Holder last = ranges.back().holder;
+  fill(std::uint32_t{ aPart.Last() } + 1, last);
+  aAssignment.ranges = std::move(ranges);
+}
+
 void Reassign(Assignment& aAssignment, Key aFirst, Key aLast,
               const Holder& aHolder)
 {
--- a/src/ownership/internal/balance.cpp
+++ b/src/ownership/internal/balance.cpp
@@ -323,15 +323,20 @@
   return Planner(aInput).Plan();
 }
 
-Assignment AssignEvenly(const std::vector<Holder>& aHolders)
+Assignment AssignEvenly(std::vector<Holder> aHolders, const KeyPart& aPart)
 {
+  std::ranges::sort(aHolders, {}, [](const Holder& aHolder) {
+    return UpstreamOrder(aHolder.upstream);
+  });
+  // A part may have more upstreams than keys.
+  const std::uint32_t keys = std::uint32_t{ aPart.Last() } - aPart.First() + 1;
+  const auto count =
+    std::min(keys, static_cast<std::uint32_t>(aHolders.size()));
   Assignment assignment;
-  const auto count = static_cast<std::uint32_t>(aHolders.size());
-  constexpr std::uint32_t kKeys = std::uint32_t{ kLastKey } + 1;
   for (std::uint32_t i = 0; i < count; ++i) {
     AssignedRange range;
-    range.first = static_cast<Key>(kKeys * i / count);
-    range.last = static_cast<Key>(kKeys * (i + 1) / count - 1);
+    range.first = static_cast<Key>(aPart.First() + keys * i / count);
+    range.last = static_cast<Key>(aPart.First() + keys * (i + 1) / count - 1);
     range.holder = aHolders[i];
     range.fencingToken = assignment.nextFencingToken++;
     assignment.ranges.push_back(std::move(range));
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -8,6 +8,7 @@
 
 #include "ownership/assigner.h"
 #include "ownership/digestsendtimes.h"
+#include "ownership/tests/fakeupstream.h"
 
 #include <algorithm>
 #include <functional>
@@ -29,31 +30,6 @@
 constexpr milliseconds kStoreTimeout{ 1500 };
 constexpr milliseconds kCommandTimeout{ 700 };
 
-// An upstream with the leases that it was granted.
-struct FakeUpstream
-{
-  struct Lease
-  {
-    Key first = 0;
-    Key last = 0;
-    FencingToken fencingToken = 0;
-    TimePoint expiresAt;
-  };
-
-  Holder holder;
-  bool alive = true;
-  bool mayOwn = true;
-  // No lease command reaches the upstream, but requests may.
-  bool unresponsive = false;
-  // If above zero, the upstream sends no response to a grant and executes it so
-  // much later. The lease still counts from the arrival of the grant.
-  milliseconds grantDelay{ 0 };
-  std::vector<Lease> leases;
-  // Fencing tokens of the grants and releases seen, by range.
-  std::vector<Lease> seenTokens;
-  int releases = 0;
-};
-
 class AssignmentSimulation
 {
 public:
@@ -128,7 +104,7 @@
     host->incarnation = ++this->lastIncarnation;
     this->hosts[aName] = host;
     host->assigner = std::make_unique<Assigner>(
-      Assigner::Options{ { "stoc" }, host->Ref(), milliseconds(10'000) },
+      Assigner::Options{ "stoc", {}, host->Ref(), milliseconds(10'000) },
       this->HooksOf(host));
     this->Tick(host);
   }
@@ -439,78 +415,19 @@
             [this, command, arrived, startedMs = upstream.holder.startedMs] {
               FakeUpstream& target = this->upstreams.at(command.upstream.value);
               if (target.alive && target.holder.startedMs == startedMs) {
-                ApplyCommand(target, command, arrived);
+                target.Apply(command, arrived);
               }
             });
           timeOut();
           return;
         }
-        const LeaseCommandResult result =
-          ApplyCommand(upstream, command, arrived);
+        const LeaseCommandResult result = upstream.Apply(command, arrived);
         this->RunOnHost(aHost, kLinkDelay, [done, result] {
           done({ result, result == LeaseCommandResult::kDone ? "work" : "" });
         });
       });
   }
 
-  static bool Overlaps(const FakeUpstream::Lease& aLease,
-                       const LeaseCommand& aCommand)
-  {
-    return aLease.first <= aCommand.last && aCommand.first <= aLease.last;
-  }
-
-  static LeaseCommandResult ApplyCommand(FakeUpstream& aUpstream,
-                                         const LeaseCommand& aCommand,
-                                         TimePoint aArrived)
-  {
-    if (aCommand.kind == LeaseCommandKind::kRelease) {
-      ++aUpstream.releases;
-      aUpstream.seenTokens.push_back(
-        { aCommand.first, aCommand.last, aCommand.fencingToken, aArrived });
-      RemoveRange(aUpstream.leases, aCommand);
-      return LeaseCommandResult::kDone;
-    }
-    const bool fenced = std::ranges::any_of(
-      aUpstream.seenTokens, [&](const FakeUpstream::Lease& aLease) {
-        return Overlaps(aLease, aCommand) &&
-               aLease.fencingToken > aCommand.fencingToken;
-      });
-    if (fenced) {
-      return LeaseCommandResult::kFenced;
-    }
-    RemoveRange(aUpstream.leases, aCommand);
-    RemoveRange(aUpstream.seenTokens, aCommand);
-    // The upstream's clock runs 2% slow.
-    const auto expiresAt = aArrived + std::chrono::duration_cast<Duration>(
-                                        aCommand.leaseDuration * 1.02);
-    const FakeUpstream::Lease lease{ aCommand.first, aCommand.last,
-                                     aCommand.fencingToken, expiresAt };
-    aUpstream.leases.push_back(lease);
-    aUpstream.seenTokens.push_back(lease);
-    return LeaseCommandResult::kDone;
-  }
-
-  static void RemoveRange(std::vector<FakeUpstream::Lease>& aLeases,
-                          const LeaseCommand& aCommand)
-  {
-    std::vector<FakeUpstream::Lease> left;
-    for (const FakeUpstream::Lease& lease : aLeases) {
-      if (!Overlaps(lease, aCommand)) {
-        left.push_back(lease);
-        continue;
-      }
-      if (lease.first < aCommand.first) {
-        left.push_back({ lease.first, static_cast<Key>(aCommand.first - 1),
-                         lease.fencingToken, lease.expiresAt });
-      }
-      if (lease.last > aCommand.last) {
-        left.push_back({ static_cast<Key>(aCommand.last + 1), lease.last,
-                         lease.fencingToken, lease.expiresAt });
-      }
-    }
-    aLeases = std::move(left);
-  }
-
   std::int64_t Millis() const
   {
     return std::chrono::duration_cast<milliseconds>(
@@ -520,28 +437,8 @@
 
   void CheckForTwoHolders()
   {
-    struct HeldRange
-    {
-      Key first;
-      Key last;
-      std::string name;
-    };
-    std::vector<HeldRange> leases;
-    for (const auto& [name, upstream] : this->upstreams) {
-      for (const FakeUpstream::Lease& lease : upstream.leases) {
-        if (upstream.alive && lease.expiresAt > this->now) {
-          leases.push_back({ lease.first, lease.last, name });
-        }
-      }
-    }
-    std::ranges::sort(leases, {}, &HeldRange::first);
-    for (std::size_t i = 1; i < leases.size(); ++i) {
-      if (leases[i].first <= leases[i - 1].last &&
-          leases[i].name != leases[i - 1].name && this->violation.empty()) {
-        this->violation = std::to_string(leases[i].first) + " leased to " +
-                          leases[i - 1].name + " and " + leases[i].name +
-                          " at " + std::to_string(this->Millis());
-      }
+    if (this->violation.empty()) {
+      this->violation = FindTwoHolders(this->upstreams, this->now);
     }
   }
 
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -283,6 +283,9 @@
   10: i64 hostsVersion
   // This host lends the teams' quotas.
   11: bool lendsQuotas
+  // keyMaps has only the parts that the sender or the receiver assigns; for the
+  // others the previous digests hold.
+  12: bool keyMapsPartial
 }
 
 struct KeyRange {
--- a/src/state/internal/configurationwriter.cpp
+++ b/src/state/internal/configurationwriter.cpp
@@ -78,6 +78,7 @@
       this->ReportConflict(aChange);
       return;
     case WriteOutcome::kUnknown:
+    case WriteOutcome::kRefused:
       aChange->done({ .error = ErrorKind::kStoreUnavailable,
                       .outcome = Outcome::kUnknown });
       return;
--- a/src/state/table.h
+++ b/src/state/table.h
@@ -41,6 +41,8 @@
   kConflict,
   // The store failed and could not be read back: it may have been written.
   kUnknown,
+  // The store will never accept the write; nothing was written.
+  kRefused,
 };
 
 struct TableHooks
