A gateway's work no longer grows with all upstreams and hosts that it knows

Cause: each host of a large deployment keeps all upstreams. It sorted all of them anew after every change of an entry, went through all of them at every tick and digest, took a mean over the service's for each request, copied the list of all hosts ten times a second, and parsed all rows of the hosts' table for each host that registered. It logged a line for each upstream.

Many changed entries are one line (3014) at hosts that get them from peers; the hosts that follow the store still log each.

--- a/bench/slope.h
+++ b/bench/slope.h
@@ -65,6 +65,7 @@
 std::vector<Slope> MeasureLeases();
 std::vector<Slope> MeasureDuplicates();
 std::vector<Slope> MeasureConfiguration();
+std::vector<Slope> MeasureUpstreams();
 std::vector<Slope> MeasureDaemons();
 
 } // namespace kumquat::bench
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -15,7 +15,7 @@
 
 ABSL_FLAG(std::string, part, "all",
           "what to measure: map, codec, steward, leases, duplicates, "
-          "configuration, daemons, or all");
+          "configuration, upstreams, daemons, or all");
 ABSL_FLAG(std::string, format, "table", "table or json");
 
 namespace kumquat::bench {
@@ -29,6 +29,7 @@
   SlopePart{ "leases", MeasureLeases },
   SlopePart{ "duplicates", MeasureDuplicates },
   SlopePart{ "configuration", MeasureConfiguration },
+  SlopePart{ "upstreams", MeasureUpstreams },
   SlopePart{ "daemons", MeasureDaemons },
 };
 
--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -52,6 +52,7 @@
   kUpstreamEjected = 3011,
   kUpstreamReadmitted = 3012,
   kUpstreamSeen = 3013,
+  kUpstreamsChanged = 3014,
 
   kSliceMoved = 4001,
   kGrantLapsed = 4002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -81,6 +81,8 @@
               "an ejected upstream responds in time again and was readmitted" },
   EventEntry{ Event::kUpstreamSeen, "upstream-seen", kInfo,
               "an upstream's entry was added or changed" },
+  EventEntry{ Event::kUpstreamsChanged, "upstreams-changed", kInfo,
+              "the entries of many upstreams were added, changed or removed" },
 
   EventEntry{ Event::kSliceMoved, "slice-moved", kInfo,
               "the owner of a slice has changed" },
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -11,6 +11,7 @@
 #include "framework/events.h"
 #include "framework/metrics.h"
 #include "node/gateway.h"
+#include "node/internal/hostrows.h"
 #include "node/internal/keyedservices.h"
 #include "node/internal/peers.h"
 #include "node/internal/peertopology.h"
@@ -55,6 +56,17 @@
 private:
   using ServerPtr = std::unique_ptr<transport::HttpServer>;
 
+  // The hosts that the dispatcher was told of last.
+  struct DispatcherHosts
+  {
+    std::vector<state::HostId> liveMembers;
+    std::int64_t revision = -1;
+    bool areAllKnown = false;
+
+    friend bool operator==(const DispatcherHosts&,
+                           const DispatcherHosts&) = default;
+  };
+
   std::error_code ListenForCallers();
   std::error_code ListenForPeers();
   std::error_code ListenForReadinessChecks();
@@ -107,11 +119,15 @@
   bool IsConfigurationOutdated() const;
   void ApplyUpstreamRows(const std::vector<state::StoredRow>& aChanged,
                          std::chrono::milliseconds aGrace);
+  void LogUpstreamSeen(const routing::UpstreamEntry& aEntry,
+                       routing::EntryChange aChange, state::Version aVersion);
   TableReplication::Hooks TableReplicationHooks();
   Registration::Hooks RegistrationHooks();
   // Members of this host's cell whose digests arrive in time, this host
   // included.
   std::vector<state::HostId> LiveCellMembers() const;
+  // Tells the dispatcher of the hosts if they have changed.
+  void UpdateDispatcherHosts(const std::vector<state::HostId>& aLiveMembers);
   void UpdateFollowedTables(const std::vector<state::HostId>& aLiveMembers);
   // The first rows of the hosts' table were read; see Registration.
   void OnFirstHostRows(const state::RowsRead& aRead);
@@ -163,6 +179,8 @@
   std::unique_ptr<KeyedServices> keyedServices;
   std::unique_ptr<routing::Dispatcher> dispatcher;
   std::shared_ptr<const routing::RouteTable> routes;
+  DispatcherHosts dispatcherHosts;
+  HostRows hostRows;
   // Peers that this host has a connection to.
   std::set<std::string> connectedPeers;
   std::unique_ptr<TableReplication> replication;
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -153,18 +153,12 @@
 
 void Gateway::Impl::SetHosts(const std::vector<state::StoredRow>& aRows)
 {
-  std::vector<HostAddress> hosts;
-  for (const state::StoredRow& row : aRows) {
-    const auto host = HostFromRow(row);
-    if (!host) {
+  std::vector<HostAddress> hosts =
+    this->hostRows.Parse(aRows, [this](const std::string& aKey) {
       this->log.Write(
         Event::kPeerRefused,
-        { { "peer", row.key }, { "why", "row is not a JSON object" } });
-      continue;
-    }
-    hosts.push_back(
-      { { host->host, host->dataCentre, host->processors }, host->address });
-  }
+        { { "peer", aKey }, { "why", "row is not a JSON object" } });
+    });
   this->topology.SetHosts(std::move(hosts));
   this->upstreams.SetCellRange(this->topology.Cells().OwnRange());
   const bool areAllKnown = this->replication->Find(kHostTable).version > 0;
@@ -307,9 +301,7 @@
     this->peerNetwork->Close(silent.value);
   }
   const std::vector<state::HostId> live = this->LiveCellMembers();
-  const bool isDivided = this->topology.Cells().IsDivided();
-  this->dispatcher->SetHosts(live, isDivided ? this->topology.AllHosts() : live,
-                             this->replication->Find(kHostTable).version > 0);
+  this->UpdateDispatcherHosts(live);
   this->registration->OnTimer();
   this->UpdateFollowedTables(live);
   this->quotas->OnTimer();
@@ -334,6 +326,24 @@
   });
 }
 
+// Copying the list of all hosts at each tick would cost a small host of a large
+// deployment more than its requests.
+void Gateway::Impl::UpdateDispatcherHosts(
+  const std::vector<state::HostId>& aLiveMembers)
+{
+  DispatcherHosts hosts{ aLiveMembers, this->topology.HostsRevision(),
+                         this->replication->Find(kHostTable).version > 0 };
+  if (hosts == this->dispatcherHosts) {
+    return;
+  }
+  this->dispatcherHosts = std::move(hosts);
+  this->dispatcher->SetHosts(aLiveMembers,
+                             this->topology.Cells().IsDivided()
+                               ? this->topology.AllHosts()
+                               : aLiveMembers,
+                             this->dispatcherHosts.areAllKnown);
+}
+
 // If the hosts are divided into cells, this runs only on ticks, so that several
 // changes go into one message: at the start, and when a data centre is lost,
 // hundreds of ranges change one by one.
@@ -350,9 +360,7 @@
 
 bool Gateway::Impl::AreRemovedUpstreamsExpired() const
 {
-  return std::ranges::none_of(this->upstreams.All(), [](const auto& aItem) {
-    return aItem.second.removeAt.has_value();
-  });
+  return !this->upstreams.HasExpiring();
 }
 
 protocol::HostDigest Gateway::Impl::MakeDigest()
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -198,40 +198,71 @@
          row->second.version > this->configurationRowVersion;
 }
 
+// A host that gets the table's changes from peers logs one line for many
+// entries at once: the hosts that follow the store log each of them.
 void Gateway::Impl::ApplyUpstreamRows(
   const std::vector<state::StoredRow>& aChanged, milliseconds aGrace)
 {
+  constexpr std::size_t kFewRows = 4;
+  const bool logsEach =
+    aChanged.size() <= kFewRows || this->replication->IsFollowing();
   const TimePoint now = BootTime();
+  std::size_t leavingCount = 0;
+  std::size_t removedCount = 0;
   for (const state::StoredRow& row : aChanged) {
     const auto entry = row.removed
                          ? std::nullopt
                          : platform::ParseUpstreamEntry(row.key, row.value);
     if (entry) {
       const routing::EntryChange change = this->upstreams.PutEntry(*entry, now);
-      this->log.Write(
-        Event::kUpstreamSeen,
-        { { "upstream", row.key },
-          { "service", entry->service.value },
-          { "data_centre", entry->dataCentre.value },
-          { "change", routing::EntryChangeName(change) },
-          { "leaving", static_cast<std::int64_t>(entry->leaving) },
-          { "cold_ms",
-            static_cast<std::int64_t>(entry->coldRemaining.count()) },
-          { "version", row.version } });
+      leavingCount += entry->leaving ? 1 : 0;
+      if (logsEach) {
+        this->LogUpstreamSeen(*entry, change, row.version);
+      }
     } else {
       this->upstreams.RemoveEntry({ row.key }, now, aGrace);
-      this->log.Write(
-        Event::kUpstreamGone,
-        { { "upstream", row.key },
-          { "grace_ms", static_cast<std::int64_t>(aGrace.count()) },
-          { "version", row.version } });
+      ++removedCount;
+      if (logsEach) {
+        this->log.Write(
+          Event::kUpstreamGone,
+          { { "upstream", row.key },
+            { "grace_ms", static_cast<std::int64_t>(aGrace.count()) },
+            { "version", row.version } });
+      }
     }
   }
+  if (!logsEach) {
+    this->log.Write(
+      Event::kUpstreamsChanged,
+      { { "count", static_cast<std::int64_t>(aChanged.size()) },
+        { "leaving", static_cast<std::int64_t>(leavingCount) },
+        { "removed", static_cast<std::int64_t>(removedCount) },
+        { "grace_ms", static_cast<std::int64_t>(aGrace.count()) },
+        { "first", aChanged.front().key },
+        { "last", aChanged.back().key },
+        { "version", std::ranges::max(aChanged, {}, &state::StoredRow::version)
+                       .version } });
+  }
   this->keyedServices->OnUpstreamsChanged();
   this->dispatcher->RecheckWaitingRequests();
   this->ScheduleDispatcher();
 }
 
+void Gateway::Impl::LogUpstreamSeen(const routing::UpstreamEntry& aEntry,
+                                    routing::EntryChange aChange,
+                                    state::Version aVersion)
+{
+  this->log.Write(
+    Event::kUpstreamSeen,
+    { { "upstream", aEntry.id.value },
+      { "service", aEntry.service.value },
+      { "data_centre", aEntry.dataCentre.value },
+      { "change", routing::EntryChangeName(aChange) },
+      { "leaving", static_cast<std::int64_t>(aEntry.leaving) },
+      { "cold_ms", static_cast<std::int64_t>(aEntry.coldRemaining.count()) },
+      { "version", aVersion } });
+}
+
 void Gateway::Impl::UpdateGauges()
 {
   const auto set = [this](const char* aName, const char* aHelp,
--- a/src/node/internal/peertopology.cpp
+++ b/src/node/internal/peertopology.cpp
@@ -54,6 +54,7 @@
   : self(std::move(aSelf))
   , hooks(std::move(aHooks))
   , cells(this->self.id)
+  , all{ this->self.id }
 {
   this->cells.SetHosts({ this->self });
 }
@@ -67,10 +68,14 @@
       this->hosts.emplace(id, std::move(one));
     }
   }
-  std::vector<routing::CellHost> all{ this->self };
-  std::ranges::transform(this->hosts, std::back_inserter(all),
+  std::vector<routing::CellHost> cellHosts{ this->self };
+  std::ranges::transform(this->hosts, std::back_inserter(cellHosts),
                          [](const auto& aItem) { return aItem.second.host; });
-  this->cells.SetHosts(std::move(all));
+  this->all.clear();
+  std::ranges::transform(cellHosts, std::back_inserter(this->all),
+                         &routing::CellHost::id);
+  ++this->hostsRevision;
+  this->cells.SetHosts(std::move(cellHosts));
 }
 
 void PeerTopology::SetAssigners(std::set<state::HostId> aAssigners)
@@ -88,14 +93,6 @@
   return !this->cells.IsDivided() || this->cells.Members().contains(aHost);
 }
 
-std::vector<state::HostId> PeerTopology::AllHosts() const
-{
-  std::vector<state::HostId> all{ this->self.id };
-  std::ranges::transform(this->hosts, std::back_inserter(all),
-                         [](const auto& aItem) { return aItem.first; });
-  return all;
-}
-
 double PeerTopology::DutyPreference(const state::HostId& aHost) const
 {
   const auto found = this->hosts.find(aHost);
--- a/src/node/internal/peertopology.h
+++ b/src/node/internal/peertopology.h
@@ -14,6 +14,7 @@
 #include "routing/cells.h"
 #include "state/types.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -56,7 +57,10 @@
   // Whether the host is a member of this host's cell. Every host is while the
   // hosts are not divided into cells.
   bool IsCellMember(const state::HostId& aHost) const;
-  std::vector<state::HostId> AllHosts() const;
+  // The hosts of the host table and this one.
+  const std::vector<state::HostId>& AllHosts() const { return this->all; }
+  // Rises when the hosts of the host table have changed.
+  std::int64_t HostsRevision() const { return this->hostsRevision; }
   // Precedence of a host as assigner of keys: of any two hosts the one with the
   // higher value should claim first.
   double DutyPreference(const state::HostId& aHost) const;
@@ -114,6 +118,8 @@
   const Hooks hooks;
   routing::Cells cells;
   std::map<state::HostId, HostAddress> hosts;
+  std::vector<state::HostId> all;
+  std::int64_t hostsRevision = 0;
   std::set<state::HostId> assigners;
   // Hosts that this one keeps connections to, and since when it does.
   std::map<state::HostId, TimePoint> connectingSince;
--- a/src/routing/internal/cells.cpp
+++ b/src/routing/internal/cells.cpp
@@ -31,6 +31,21 @@
                          RendezvousScore(aHost.id.value, "cell"), aHost.id);
 }
 
+// Computes the order of each host once; a sort asks for it many times.
+void SortByOrder(std::vector<CellHost>& aHosts)
+{
+  std::vector<std::pair<decltype(OrderOf(aHosts.front())), CellHost*>> ordered;
+  std::ranges::transform(
+    aHosts, std::back_inserter(ordered),
+    [](CellHost& aHost) { return std::make_pair(OrderOf(aHost), &aHost); });
+  std::ranges::sort(ordered);
+  std::vector<CellHost> sorted;
+  std::ranges::transform(
+    ordered, std::back_inserter(sorted),
+    [](const auto& aItem) { return std::move(*aItem.second); });
+  aHosts = std::move(sorted);
+}
+
 bool IsSame(const CellHost& aOne, const CellHost& aOther)
 {
   return aOne.id == aOther.id && aOne.dataCentre == aOther.dataCentre &&
@@ -69,7 +84,7 @@
 
 void Cells::SetHosts(std::vector<CellHost> aHosts)
 {
-  std::ranges::sort(aHosts, {}, OrderOf);
+  SortByOrder(aHosts);
   if (std::ranges::equal(aHosts, this->hosts, IsSame)) {
     return;
   }
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -121,6 +121,40 @@
                 1.0 - std::pow(1.0 - kServiceWeight, aResponses));
 }
 
+double MeanServiceMs(const std::vector<UpstreamState*>& aUpstreams,
+                     TimePoint aNow)
+{
+  struct Mean
+  {
+    double sum = 0;
+    std::size_t count = 0;
+
+    void Add(double aValue)
+    {
+      this->sum += aValue;
+      ++this->count;
+    }
+    double Value() const
+    {
+      return this->count == 0 ? 0
+                              : this->sum / static_cast<double>(this->count);
+    }
+  };
+  Mean known;
+  Mean fresh;
+  for (const UpstreamState* one : aUpstreams) {
+    if (one->serviceMs <= 0) {
+      continue;
+    }
+    known.Add(one->serviceMs);
+    if (!one->measuredWhileCold &&
+        aNow - one->measuredAt < 2 * kSlowPeriodDecay) {
+      fresh.Add(one->serviceMs);
+    }
+  }
+  return fresh.count > 0 ? fresh.Value() : known.Value();
+}
+
 } // namespace
 
 double EstimatedServiceMs(const UpstreamState& aUpstream, double aTypicalMs,
@@ -165,8 +199,14 @@
     last->removedAt = aNow;
     this->removed[aId] = *last;
   }
-  this->upstreams.erase(aId);
-  this->isIndexed = false;
+  const auto found = this->upstreams.find(aId);
+  if (found != this->upstreams.end()) {
+    this->RemoveFromIndex(found->second);
+    this->upstreams.erase(found);
+  }
+  this->expiring.erase(aId);
+  this->reportable.erase(aId);
+  this->awaited.erase(aId);
 }
 
 EntryChange Upstreams::PutEntry(const UpstreamEntry& aEntry, TimePoint aNow)
@@ -181,6 +221,12 @@
   }
   const bool newLife = found == this->upstreams.end() ||
                        found->second.entry.startedMs < aEntry.startedMs;
+  const bool isMoved = found == this->upstreams.end() ||
+                       found->second.entry.service != aEntry.service ||
+                       found->second.entry.dataCentre != aEntry.dataCentre;
+  if (isMoved && found != this->upstreams.end()) {
+    this->RemoveFromIndex(found->second);
+  }
   if (newLife) {
     UpstreamState fresh;
     if (found != this->upstreams.end()) {
@@ -200,9 +246,13 @@
     }
     this->upstreams[aEntry.id] = std::move(fresh);
   }
-  this->isIndexed = false;
   UpstreamState& upstream = this->upstreams[aEntry.id];
   upstream.entry = aEntry;
+  upstream.order = RendezvousScore(aEntry.id.value, "cell");
+  if (isMoved) {
+    this->AddToIndex(upstream);
+  }
+  this->byService[aEntry.service].isDivided = false;
   const bool wasLeaving = isSameLife && last->leaving;
   upstream.entry.leaving = aEntry.leaving || wasLeaving;
   if (upstream.entry.leaving && !wasLeaving) {
@@ -210,6 +260,7 @@
   }
   upstream.coldUntil = aNow + aEntry.coldRemaining;
   upstream.removeAt.reset();
+  this->expiring.erase(aEntry.id);
   this->removed.erase(aEntry.id);
   return newLife ? EntryChange::kNewIncarnation : EntryChange::kUpdated;
 }
@@ -227,17 +278,17 @@
   }
   if (!found->second.removeAt) {
     found->second.removeAt = aNow + aGrace;
+    this->expiring.insert(aId);
   }
 }
 
 void Upstreams::RemoveExpired(TimePoint aNow)
 {
   std::vector<state::UpstreamId> expired;
-  for (const auto& [id, upstream] : this->upstreams) {
-    if (upstream.removeAt && *upstream.removeAt <= aNow) {
-      expired.push_back(id);
-    }
-  }
+  std::ranges::copy_if(this->expiring, std::back_inserter(expired),
+                       [&](const state::UpstreamId& aId) {
+                         return *this->upstreams.at(aId).removeAt <= aNow;
+                       });
   std::ranges::for_each(
     expired, [&](const state::UpstreamId& aId) { this->RemoveNow(aId, aNow); });
   std::erase_if(this->removed, [aNow](const auto& aItem) {
@@ -245,16 +296,23 @@
   });
 }
 
+bool Upstreams::HasExpiring() const
+{
+  return !this->expiring.empty();
+}
+
 void Upstreams::SetOutOfService(std::set<state::DataCentre> aOut)
 {
-  this->outOfService = std::move(aOut);
-  this->isIndexed = false;
+  if (aOut != this->outOfService) {
+    this->outOfService = std::move(aOut);
+    this->DivideAllAgain();
+  }
 }
 
 void Upstreams::SetCellRange(const FractionRange& aRange)
 {
   this->cellRange = aRange;
-  this->isIndexed = false;
+  this->DivideAllAgain();
 }
 
 UpstreamState* Upstreams::Find(const state::UpstreamId& aId)
@@ -269,68 +327,96 @@
   return found == this->upstreams.end() ? nullptr : &found->second;
 }
 
+// --- Index
+
+namespace {
+
+bool IsBefore(const UpstreamState* aOne, const UpstreamState* aOther)
+{
+  const int centres =
+    aOne->entry.dataCentre.value.compare(aOther->entry.dataCentre.value);
+  return centres != 0                   ? centres < 0
+         : aOne->order != aOther->order ? aOne->order < aOther->order
+                                        : aOne->entry.id < aOther->entry.id;
+}
+
+} // namespace
+
+// With thousands of upstreams, sorting all of them after each change took a
+// small host a third of its processor.
+void Upstreams::AddToIndex(UpstreamState& aUpstream)
+{
+  auto& all = this->byService[aUpstream.entry.service].lists.all;
+  all.insert(std::ranges::upper_bound(all, &aUpstream, IsBefore), &aUpstream);
+}
+
+void Upstreams::RemoveFromIndex(const UpstreamState& aUpstream)
+{
+  ServiceIndex& index = this->byService[aUpstream.entry.service];
+  std::erase(index.lists.all, &aUpstream);
+  index.isDivided = false;
+}
+
+void Upstreams::DivideAllAgain()
+{
+  for (auto& [name, index] : this->byService) {
+    index.isDivided = false;
+  }
+}
+
 const ServiceUpstreams& Upstreams::ForService(
   const state::ServiceName& aService)
 {
-  if (!this->isIndexed) {
-    this->RebuildIndex();
-  }
-  return this->byService[aService];
-}
-
-void Upstreams::RebuildIndex()
-{
-  this->isIndexed = true;
-  this->byService.clear();
-  for (auto& [id, upstream] : this->upstreams) {
-    this->byService[upstream.entry.service].all.push_back(&upstream);
-  }
-  for (auto& [name, service] : this->byService) {
-    std::ranges::sort(service.all, {}, [](const UpstreamState* aOne) {
-      return std::make_pair(aOne->entry.dataCentre,
-                            RendezvousScore(aOne->entry.id.value, "cell"));
-    });
-    std::vector<UpstreamState*> usable;
-    std::ranges::copy_if(
-      service.all, std::back_inserter(usable),
-      [this](const UpstreamState* aOne) { return this->IsUsable(*aOne); });
-    for (std::size_t i = 0; i < usable.size(); ++i) {
-      UpstreamState* one = usable[i];
-      one->isInCell = OverlapsRange(this->cellRange, i, usable.size());
-      one->cellPart = PartInRange(this->cellRange, i, usable.size());
-      (one->isInCell ? service.inCell : service.inOtherCells).push_back(one);
+  ServiceIndex& index = this->byService[aService];
+  if (!index.isDivided) {
+    this->Divide(index.lists);
+    index.isDivided = true;
+  }
+  return index.lists;
+}
+
+void Upstreams::Divide(ServiceUpstreams& aLists) const
+{
+  aLists.inCell.clear();
+  aLists.inOtherCells.clear();
+  const auto isUsable = [this](const UpstreamState* aOne) {
+    return this->IsUsable(*aOne);
+  };
+  const auto count =
+    static_cast<std::size_t>(std::ranges::count_if(aLists.all, isUsable));
+  std::size_t place = 0;
+  for (UpstreamState* one : aLists.all) {
+    if (!isUsable(one)) {
+      continue;
     }
+    one->isInCell = OverlapsRange(this->cellRange, place, count);
+    one->cellPart = PartInRange(this->cellRange, place, count);
+    (one->isInCell ? aLists.inCell : aLists.inOtherCells).push_back(one);
+    ++place;
   }
 }
 
+// The mean changes slowly, and of a service with many upstreams it would take
+// most of a request's time.
 double Upstreams::TypicalServiceMs(const state::ServiceName& aService,
                                    TimePoint aNow)
 {
-  const auto meanOf = [](const std::vector<UpstreamState*>& aSome) {
-    const double sum =
-      std::accumulate(aSome.begin(), aSome.end(), 0.0,
-                      [](double aSum, const UpstreamState* aOne) {
-                        return aSum + aOne->serviceMs;
-                      });
-    return aSome.empty() ? 0 : sum / static_cast<double>(aSome.size());
-  };
-  std::vector<UpstreamState*> known;
-  std::ranges::copy_if(
-    this->ForService(aService).all, std::back_inserter(known),
-    [](const UpstreamState* aOne) { return aOne->serviceMs > 0; });
-  std::vector<UpstreamState*> fresh;
-  std::ranges::copy_if(known, std::back_inserter(fresh),
-                       [aNow](const UpstreamState* aOne) {
-                         return !aOne->measuredWhileCold &&
-                                aNow - aOne->measuredAt < 2 * kSlowPeriodDecay;
-                       });
-  return meanOf(fresh.empty() ? known : fresh);
+  constexpr std::size_t kFewUpstreams = 500;
+  constexpr milliseconds kKeptFor{ 50 };
+  ServiceIndex& index = this->byService[aService];
+  if (index.lists.all.size() <= kFewUpstreams ||
+      aNow - index.typicalMsAt >= kKeptFor) {
+    index.typicalMs = MeanServiceMs(index.lists.all, aNow);
+    index.typicalMsAt = aNow;
+  }
+  return index.typicalMs;
 }
 
 void Upstreams::OnSent(const state::UpstreamId& aId, TimePoint aNow)
 {
   if (UpstreamState* upstream = this->Find(aId)) {
     upstream->running.insert(aNow);
+    this->reportable.insert(aId);
   }
 }
 
@@ -357,6 +443,7 @@
       UpdateServiceTime(*upstream, OwnServiceMs(*upstream, tookMs, aAhead), 1,
                         aNow);
       ++upstream->unreportedAnswers;
+      this->reportable.insert(aId);
       upstream->unreportedSumMs += OwnServiceMs(*upstream, tookMs, aAhead);
       UpdateAverage(upstream->failureShare, 0, kFailureWeight);
       upstream->consecutiveFailures = 0;
@@ -426,16 +513,24 @@
 
 void Upstreams::SetWaiting(const std::map<state::UpstreamId, int>& aWaiting)
 {
-  for (auto& [id, upstream] : this->upstreams) {
-    const auto found = aWaiting.find(id);
-    upstream.waiting = found == aWaiting.end() ? 0 : found->second;
+  for (const state::UpstreamId& id : this->awaited) {
+    this->upstreams.at(id).waiting = 0;
+  }
+  this->awaited.clear();
+  for (const auto& [id, count] : aWaiting) {
+    if (UpstreamState* upstream = this->Find(id)) {
+      upstream->waiting = count;
+      this->awaited.insert(id);
+      this->reportable.insert(id);
+    }
   }
 }
 
 std::vector<UpstreamReport> Upstreams::TakeReports()
 {
   std::vector<UpstreamReport> reports;
-  for (auto& [id, upstream] : this->upstreams) {
+  for (const state::UpstreamId& id : this->reportable) {
+    UpstreamState& upstream = this->upstreams.at(id);
     const int own = static_cast<int>(upstream.running.size());
     if (own == 0 && upstream.unreportedAnswers == 0 && upstream.waiting == 0) {
       continue;
@@ -449,6 +544,10 @@
     upstream.unreportedAnswers = 0;
     upstream.unreportedSumMs = 0;
   }
+  std::erase_if(this->reportable, [this](const state::UpstreamId& aId) {
+    const UpstreamState& upstream = this->upstreams.at(aId);
+    return upstream.running.empty() && upstream.waiting == 0;
+  });
   return reports;
 }
 
--- a/src/routing/tests/upstreams_test.cpp
+++ b/src/routing/tests/upstreams_test.cpp
@@ -6,6 +6,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
 namespace kumquat::routing {
 
 using std::chrono::milliseconds;
@@ -26,9 +33,51 @@
   CPPUNIT_TEST(testUpstreamThatWasColdIsUsedOnceWarm);
   CPPUNIT_TEST(testUpstreamWhoseSlowPeriodEndedIsUsedAgain);
   CPPUNIT_TEST(testNewUpstreamIsUsedWhileFastOnesHaveCapacity);
+  CPPUNIT_TEST(testIndexFollowsEveryChange);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against an index that was changed step by step and differs from one
+  // that is made of the same upstreams at once.
+  void testIndexFollowsEveryChange()
+  {
+    constexpr int kUpstreams = 60;
+    constexpr FractionRange kRange{ 0.2, 0.5 };
+    std::mt19937 random(1);
+    std::map<int, UpstreamEntry> entries;
+    Upstreams changed;
+    changed.SetCellRange(kRange);
+    for (int i = 0; i < 2000; ++i) {
+      const int number = static_cast<int>(random() % kUpstreams);
+      UpstreamEntry entry;
+      entry.id = { "u" + std::to_string(number) };
+      entry.service = { random() % 2 == 0 ? "a" : "b" };
+      entry.dataCentre = { random() % 2 == 0 ? "x" : "y" };
+      entry.startedMs = i + 1;
+      entry.leaving = random() % 5 == 0;
+      if (random() % 4 == 0) {
+        changed.RemoveEntry(entry.id, this->now, milliseconds(0));
+        entries.erase(number);
+      } else {
+        changed.PutEntry(entry, this->now);
+        entries[number] = entry;
+      }
+      Upstreams made;
+      made.SetCellRange(kRange);
+      for (const auto& [key, one] : entries) {
+        made.PutEntry(one, this->now);
+      }
+      for (const char* service : { "a", "b" }) {
+        const ServiceUpstreams& lists = changed.ForService({ service });
+        const ServiceUpstreams& expected = made.ForService({ service });
+        CPPUNIT_ASSERT(IdsOf(expected.all) == IdsOf(lists.all));
+        CPPUNIT_ASSERT(IdsOf(expected.inCell) == IdsOf(lists.inCell));
+        CPPUNIT_ASSERT(IdsOf(expected.inOtherCells) ==
+                       IdsOf(lists.inOtherCells));
+      }
+    }
+  }
+
   // A request goes to the route with the longest matching prefix. A prefix in
   // the query must not count.
   void testLongestPrefixWins()
@@ -217,6 +266,16 @@
   }
 
 private:
+  static std::vector<std::string> IdsOf(
+    const std::vector<UpstreamState*>& aUpstreams)
+  {
+    std::vector<std::string> ids;
+    std::ranges::transform(
+      aUpstreams, std::back_inserter(ids),
+      [](const UpstreamState* aOne) { return aOne->entry.id.value; });
+    return ids;
+  }
+
   void PutNamed(const std::string& aId, milliseconds aCold)
   {
     UpstreamEntry entry;
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -103,6 +103,8 @@
   bool isInCell = true;
   // The part of it that belongs to this host's cell; see PartInRange.
   double cellPart = 1;
+  // A hash of the id that orders the upstreams of a data centre.
+  std::uint64_t order = 0;
   // When each request of this host that still runs there was sent.
   std::multiset<TimePoint> running;
   // Requests of all reachable peers that run there.
@@ -186,6 +188,9 @@
   // Removes the upstreams whose grace period is over.
   void RemoveExpired(TimePoint aNow);
 
+  // Whether a removed upstream is still within its grace period.
+  bool HasExpiring() const;
+
   // Sets the data centres that operators took out of service.
   void SetOutOfService(std::set<state::DataCentre> aOut);
   // Sets the part of each service's upstreams that this host's cell uses first.
@@ -257,7 +262,23 @@
     TimePoint removedAt;
   };
 
-  void RebuildIndex();
+  // The index of a service. `all` is kept up to date; the other lists are made
+  // again on demand.
+  struct ServiceIndex
+  {
+    ServiceUpstreams lists;
+    bool isDivided = false;
+    // See TypicalServiceMs.
+    double typicalMs = 0;
+    TimePoint typicalMsAt;
+  };
+
+  void AddToIndex(UpstreamState& aUpstream);
+  void RemoveFromIndex(const UpstreamState& aUpstream);
+  void DivideAllAgain();
+  // Divides the usable upstreams of a service into those of this host's cell
+  // and of others.
+  void Divide(ServiceUpstreams& aLists) const;
   std::optional<LastEntry> LastEntryOf(const state::UpstreamId& aId) const;
   void RemoveNow(const state::UpstreamId& aId, TimePoint aNow);
 
@@ -265,9 +286,14 @@
   // An entry may be written once more after it was removed, since a write
   // without a response may be carried out late.
   std::map<state::UpstreamId, LastEntry> removed;
-  // Made again on demand after a change.
-  std::map<state::ServiceName, ServiceUpstreams> byService;
-  bool isIndexed = false;
+  std::map<state::ServiceName, ServiceIndex> byService;
+  // Upstreams that have removeAt set.
+  std::set<state::UpstreamId> expiring;
+  // Upstreams that the next report has something to say of, if anything has
+  // happened since the last one.
+  std::set<state::UpstreamId> reportable;
+  // Upstreams that requests of this host wait for.
+  std::set<state::UpstreamId> awaited;
   FractionRange cellRange;
   std::size_t hostCount = 1;
   std::set<state::DataCentre> outOfService;
