Bytes and frames exchanged with peers are counted by purpose

Counters kumquat_peer_frames_total and kumquat_peer_bytes_total by purpose and direction, and a log line each 10 s (6013): what control costs a hub, an assigner and an ordinary host could only be seen from outside.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -83,6 +83,7 @@
   kTableCaughtUp = 6010,
   kStoreCall = 6011,
   kWriteRefused = 6012,
+  kPeerTraffic = 6013,
 
   kAnswerCrossed = 7001,
   kAnswerTruncated = 7002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -147,6 +147,9 @@
               "a call to the store was started" },
   EventEntry{ Event::kWriteRefused, "write-refused", kError,
               "the store refused to write a row, and will refuse it again" },
+  EventEntry{ Event::kPeerTraffic, "peer-traffic", kInfo,
+              "bytes exchanged with peers since the last such line, by "
+              "purpose" },
 
   EventEntry{
     Event::kAnswerCrossed, "answer-crossed", kError,
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -70,6 +70,10 @@
           .host = aSettings.host.value,
           .toStandardOutput = true })
   , random(std::random_device{}())
+  , peerTraffic(this->metrics, BootTime,
+                [this](Event aEvent, EventFields aFields) {
+                  this->log.Write(aEvent, aFields);
+                })
   , heldBytes(
       transport::ByteAccount::Create(aSettings.memoryBytes / kHeldBytesPart))
   , serving(kRingSize)
@@ -240,6 +244,11 @@
                            const protocol::Frame& aFrame) {
     this->OnFrame(aFrom, aFrame);
   };
+  options.onTraffic = [this](const protocol::Frame& aFrame,
+                             transport::TrafficDirection aDirection,
+                             std::size_t aFrames, std::size_t aBytes) {
+    this->peerTraffic.OnFrame(aFrame, aDirection, aFrames, aBytes);
+  };
   options.onUp = [this](const protocol::HostRef& aPeer, bool aUp) {
     if (aUp) {
       this->connectedPeers.insert(aPeer.host);
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -15,6 +15,7 @@
 #include "node/internal/keyedservices.h"
 #include "node/internal/peers.h"
 #include "node/internal/peertopology.h"
+#include "node/internal/peertraffic.h"
 #include "node/internal/registration.h"
 #include "node/internal/storeclient.h"
 #include "node/internal/tablereplication.h"
@@ -167,6 +168,7 @@
   EventLog log;
   std::mt19937_64 random;
   std::map<std::string, Summary*> latencies;
+  PeerTraffic peerTraffic;
   const std::shared_ptr<transport::ByteAccount> heldBytes;
 
   transport::DutyThread serving;
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -315,6 +315,7 @@
     this->connectionsUpdatedAt = now;
     this->UpdateConnections();
     this->UpdateGauges();
+    this->peerTraffic.OnTimer();
   }
   this->dispatcher->OnTimer();
   this->ScheduleDispatcher();
--- a/src/transport/internal/peernetwork.cpp
+++ b/src/transport/internal/peernetwork.cpp
@@ -131,22 +131,41 @@
       this->Dial(aHost);
       return false;
     }
-    return this->Enqueue(found->second.front(), protocol::EncodeFrame(aFrame));
+    std::string bytes = protocol::EncodeFrame(aFrame);
+    const std::size_t size = bytes.size();
+    const bool isQueued =
+      this->Enqueue(found->second.front(), std::move(bytes));
+    if (isQueued) {
+      this->TellTraffic(aFrame, TrafficDirection::kSent, 1, size);
+    }
+    return isQueued;
   }
 
   void SendToAll(const std::vector<std::string>& aHosts,
                  const protocol::Frame& aFrame)
   {
     const std::string bytes = protocol::EncodeFrame(aFrame);
+    std::size_t count = 0;
     for (const std::string& host : aHosts) {
       const auto found = this->links.find(host);
-      if (found != this->links.end()) {
-        static_cast<void>(this->Enqueue(found->second.front(), bytes));
+      if (found != this->links.end() &&
+          this->Enqueue(found->second.front(), bytes)) {
+        ++count;
       }
     }
+    this->TellTraffic(aFrame, TrafficDirection::kSent, count,
+                      count * bytes.size());
   }
 
 private:
+  void TellTraffic(const protocol::Frame& aFrame, TrafficDirection aDirection,
+                   std::size_t aFrames, std::size_t aBytes) const
+  {
+    if (this->options.onTraffic) {
+      this->options.onTraffic(aFrame, aDirection, aFrames, aBytes);
+    }
+  }
+
   bool Enqueue(const LinkPtr& aLink, std::string aBytes)
   {
     if (aLink->queuedBytes > this->options.maxQueuedBytes) {
@@ -288,7 +307,12 @@
         break;
       }
       Result<protocol::Frame> frame = protocol::DecodeFrame(body);
-      if (!frame || !this->Take(aLink, std::move(*frame))) {
+      if (!frame) {
+        break;
+      }
+      this->TellTraffic(*frame, TrafficDirection::kReceived, 1,
+                        protocol::kLengthBytes + body.size());
+      if (!this->Take(aLink, std::move(*frame))) {
         break;
       }
     }
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -18,6 +18,12 @@
 
 namespace kumquat::transport {
 
+enum class TrafficDirection
+{
+  kSent,
+  kReceived,
+};
+
 class PeerNetwork
 {
 public:
@@ -35,6 +41,11 @@
     // All on the network's thread.
     std::function<void(const protocol::HostRef&, protocol::Frame)> onFrame;
     std::function<void(const protocol::HostRef&, bool)> onUp;
+    // Told of frames that were received or queued for sending, with their
+    // number and bytes; may be empty.
+    std::function<void(const protocol::Frame&, TrafficDirection,
+                       std::size_t aFrames, std::size_t aBytes)>
+      onTraffic;
     // Whether this peer may speak with us at all.
     std::function<bool(const protocol::Hello&)> accept;
   };
