--- a/src/node/tests/keyparts_test.cpp
+++ b/src/node/tests/keyparts_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(testNamesOfParts);
   CPPUNIT_TEST(testLayoutFollowsTheUpstreamsWithHysteresis);
   CPPUNIT_TEST(testPartThatWasTakenOverChangesNoMore);
+  CPPUNIT_TEST(testPartialDigestKeepsTheOtherMaps);
   CPPUNIT_TEST(testSmallServicesAreNotDivided);
   CPPUNIT_TEST(testServicesWithManyUpstreamsAreServed);
   CPPUNIT_TEST(testAssignersOfPartsAreOnSeveralHosts);
@@ -140,6 +141,30 @@
     CPPUNIT_ASSERT(write(change) == state::WriteOutcome::kConflict);
   }
 
+  void testPartialDigestKeepsTheOtherMaps()
+  {
+    Peers peers(
+      { { "h0" }, 1 }, [] { return TimePoint(std::chrono::hours(1)); },
+      [](const state::HostId&) { return true; });
+    const auto mark = [](const std::string& aPart, std::int64_t aVersion) {
+      return ToWire(aPart, { aVersion, 0, { { "h2" }, 1 } });
+    };
+    protocol::HostDigest digest;
+    digest.sender.__set_host("h1");
+    digest.__set_keyMaps({ mark("a", 5), mark("b", 5) });
+    peers.OnDigest(digest);
+    digest.__set_keyMapsPartial(true);
+    digest.__set_keyMaps({ mark("b", 6) });
+    peers.OnDigest(digest);
+    const KnownPeer& peer = peers.All().at({ "h1" });
+    CPPUNIT_ASSERT(peer.HasMap("a"));
+    CPPUNIT_ASSERT_EQUAL(state::Version{ 6 },
+                         peer.mapVersions.at("b").assignmentVersion);
+    digest.__set_keyMapsPartial(false);
+    peers.OnDigest(digest);
+    CPPUNIT_ASSERT(!peer.HasMap("a"));
+  }
+
   void testSmallServicesAreNotDivided()
   {
     KeyPartSimulation simulation(3, 190);
