--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -15,7 +15,6 @@
 
 namespace kumquat::node {
 
-using protocol::ErrorKind;
 using std::chrono::milliseconds;
 using transport::HttpRequest;
 
--- a/src/node/tests/keyparts_test.cpp
+++ b/src/node/tests/keyparts_test.cpp
@@ -296,7 +296,7 @@
   static void FailOneHost(KeyPartSimulation& aSimulation, std::mt19937& aRandom)
   {
     const auto hosts = aSimulation.Hosts();
-    const std::string name = hosts[aRandom() % hosts.size()];
+    const std::string& name = hosts[aRandom() % hosts.size()];
     switch (aRandom() % 3) {
       case 0:
         aSimulation.KillHost(name);
--- a/src/node/tests/keypartsimulation.h
+++ b/src/node/tests/keypartsimulation.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <random>
@@ -143,9 +144,8 @@
   std::vector<std::string> Hosts() const
   {
     std::vector<std::string> names;
-    for (const auto& [name, host] : this->hosts) {
-      names.push_back(name);
-    }
+    std::ranges::transform(this->hosts, std::back_inserter(names),
+                           [](const auto& aItem) { return aItem.first; });
     return names;
   }
 
--- a/src/ownership/internal/keyparts.cpp
+++ b/src/ownership/internal/keyparts.cpp
@@ -66,6 +66,7 @@
 std::vector<KeyPart> PartsOf(const KeyLayout& aLayout)
 {
   std::vector<KeyPart> parts;
+  parts.reserve(static_cast<std::size_t>(aLayout.parts));
   for (int i = 0; i < aLayout.parts; ++i) {
     parts.push_back({ aLayout, i });
   }
@@ -107,7 +108,7 @@
 
 NamedPart ParsePartName(std::string_view aName)
 {
-  const NamedPart undivided{ { std::string(aName) }, {} };
+  NamedPart undivided{ { std::string(aName) }, {} };
   const auto mark = aName.rfind(kPartMark);
   if (mark == std::string_view::npos) {
     return undivided;
--- a/src/protocol/internal/codec.cpp
+++ b/src/protocol/internal/codec.cpp
@@ -11,7 +11,6 @@
 #include <zlib.h>
 
 #include <memory>
-#include <utility>
 
 namespace kumquat::protocol {
 
@@ -99,7 +98,7 @@
   bytes.resize(size);
   Frame frame;
   CompressedFrame compressed;
-  compressed.__set_bytes(std::move(bytes));
+  compressed.__set_bytes(bytes);
   compressed.__set_plainSize(static_cast<std::int32_t>(plain.size()));
   frame.__set_compressed(compressed);
   return EncodeFrame(frame);
--- a/src/transport/tests/httpbodies_test.cpp
+++ b/src/transport/tests/httpbodies_test.cpp
@@ -267,8 +267,9 @@
     };
     std::unique_ptr<HttpServer> upstream;
     this->OnThread([&] {
-      upstream = std::move(
-        *HttpServer::Listen(this->thread->Context(), std::move(serverOptions)));
+      auto listening =
+        HttpServer::Listen(this->thread->Context(), std::move(serverOptions));
+      upstream = std::move(*listening);
     });
     std::promise<Result<HttpResponse>> promise;
     this->thread->Post([&] {
