At a start few hosts follow the store's tables while none has heard another

Cause: a host ranks itself among the members of its cell that it has heard, and when all start it has heard none.

Change: members that were never heard count as live, and as reaching the store, for the first two seconds of connecting to them.

--- a/src/node/internal/peertopology.cpp
+++ b/src/node/internal/peertopology.cpp
@@ -39,6 +39,8 @@
 // After this time without a digest a hub is not relied on to forward changes of
 // the tables. It sends a digest every 300 ms.
 constexpr milliseconds kHubUnreliableAfter{ 1000 };
+// So long a cell member is taken for live after the first connection attempt.
+constexpr milliseconds kFirstDigestWait{ 2000 };
 // Number of followers in each cell while no hub follows the store. There are
 // two, as one may be cut off or paused.
 constexpr std::ptrdiff_t kFollowersPerCell = 2;
@@ -181,14 +183,37 @@
   const auto ranksBefore = [&](const state::HostId& aMember) {
     return aMember != this->self.id && score(aMember) > ownScore;
   };
-  const auto ranked = std::ranges::count_if(aLiveMembers, ranksBefore);
+  std::set<state::HostId> awaited = this->AwaitedMembers();
+  std::ranges::for_each(aLiveMembers, [&awaited](const state::HostId& aMember) {
+    awaited.erase(aMember);
+  });
+  const auto expected = std::ranges::count_if(awaited, ranksBefore);
+  const auto ranked =
+    expected + std::ranges::count_if(aLiveMembers, ranksBefore);
   const auto following =
+    expected +
     std::ranges::count_if(aLiveMembers, [&](const state::HostId& aMember) {
       return ranksBefore(aMember) && aReachesStore(aMember);
     });
   return following < kFollowersPerCell && ranked < kMaxTryingPerCell;
 }
 
+// Cell members that were never heard, but may be as soon as they have started.
+// When all hosts start, none has heard any other: each followed the tables
+// itself, and 949 of 985 hosts read them from the store.
+std::set<state::HostId> PeerTopology::AwaitedMembers() const
+{
+  std::set<state::HostId> awaited;
+  std::ranges::copy_if(
+    this->cells.Members(), std::inserter(awaited, awaited.end()),
+    [this](const state::HostId& aMember) {
+      return this->connectingSince.contains(aMember) &&
+             this->hooks.lastHeardAt(aMember) == TimePoint{} &&
+             this->SilenceDuration(aMember) < kFirstDigestWait;
+    });
+  return awaited;
+}
+
 bool PeerTopology::IsAnyHubFollowing(
   const std::function<bool(const state::HostId&)>& aReachesStore) const
 {
--- a/src/node/internal/peertopology.h
+++ b/src/node/internal/peertopology.h
@@ -110,6 +110,7 @@
   Duration SilenceDuration(const state::HostId& aHost) const;
   bool IsAnyHubFollowing(
     const std::function<bool(const state::HostId&)>& aReachesStore) const;
+  std::set<state::HostId> AwaitedMembers() const;
   state::HostId AssignedHub(const state::HostId& aHost) const;
   std::set<state::HostId> WantedConnections() const;
   bool IsFullDigestDue(std::int64_t aLoadChanges) const;
--- a/src/node/tests/peertopology_test.cpp
+++ b/src/node/tests/peertopology_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(testHubSendsToAllHosts);
   CPPUNIT_TEST(testUnreachableHubIsReplaced);
   CPPUNIT_TEST(testCellHasTwoFollowersThatReachStore);
+  CPPUNIT_TEST(testFewHostsFollowWhileNoneWasHeard);
   CPPUNIT_TEST(testOnlyHubsFollowWhileOneReachesStore);
   CPPUNIT_TEST(testEachHostIsAssignedToOneHub);
   CPPUNIT_TEST_SUITE_END();
@@ -105,6 +106,25 @@
     CPPUNIT_ASSERT(this->HubsOf(topology) == before);
   }
 
+  // Guards against all hosts of a start that follow the store's tables, as none
+  // of them has heard another yet.
+  void testFewHostsFollowWhileNoneWasHeard()
+  {
+    constexpr int kHosts = 60;
+    int followers = 0;
+    for (int i = 0; i < kHosts; ++i) {
+      PeerTopology topology = this->MakeTopology(i, kHosts);
+      topology.TakeConnectionChanges();
+      this->now += milliseconds(1500);
+      followers += topology.ShouldFollowTables(
+                     { topology.Self() },
+                     [](const state::HostId& /*aHost*/) { return false; })
+                     ? 1
+                     : 0;
+    }
+    CPPUNIT_ASSERT(followers <= kHosts / 3);
+  }
+
   // No hub is heard, so two members of each cell follow the store. If the store
   // rejects both, two others have to follow, while the first ones go on trying.
   void testCellHasTwoFollowersThatReachStore()
