--- a/src/protocol/tests/codec_test.cpp
+++ b/src/protocol/tests/codec_test.cpp
@@ -88,15 +88,15 @@
   static Frame MakeTableChange(int aRows)
   {
     TableChange change;
-    change.__set_table("servers");
+    change.__set_table("upstreams");
     for (int i = 0; i < aRows; ++i) {
       const std::string number = std::to_string(100'003 * (i + 1));
       TableRow row;
       row.__set_key("i-" + number);
       row.__set_value(
-        R"({"service":"stoc","address":"10.1.0.15:8641","zone":"caerdydd",)"
-        R"("version":"v1","slots":3,"state":"ready","warmupLeft":"0ms",)"
-        R"("seq":1,"born":17770346)" +
+        R"({"service":"stoc","address":"127.1.10.15:8641","centre":"caerdydd",)"
+        R"("release":"v1","slots":3,"leaving":false,"cold":0,"sequence":1,)"
+        R"("started":17770346)" +
         number + "}");
       row.__set_version(i + 1);
       change.rows.push_back(row);
