--- a/src/node/internal/peertopology.cpp
+++ b/src/node/internal/peertopology.cpp
@@ -199,8 +199,8 @@
 }
 
 // Cell members that were never heard, but may be as soon as they have started.
-// When all hosts start, none has heard any other: each followed the tables
-// itself, and 949 of 985 hosts read them from the store.
+// When all hosts start, none has heard any other, and each would follow the
+// tables itself.
 std::set<state::HostId> PeerTopology::AwaitedMembers() const
 {
   std::set<state::HostId> awaited;
