Hosts without links to upstreams connect to them through peers

Cause: a host reached upstreams by its own links only. It could not tell an upstream that is gone from a lost link, and had no other way for a request or a lease command. The assigner kept its claim, as it reached the store and its peers.

Change: where a direct connection fails or stays unanswered, the host asks a peer with HTTP's CONNECT for a connection to that upstream and uses the first that is there, as RFC 8305 does with addresses. If a peer gets through, the link is down: further connections go through peers, and a direct attempt each 500 ms finds out when it is back. All decisions about a request stay with the host that has it; the peer passes bytes. Two silent upstreams at a time put idle connections out of use on which nothing has come since. A host that has lost most links does not offer relays; after a failed near peer one in another data centre is asked, as a whole data centre may have lost its links. Relays are bounded in number (all and by peer), bytes and idle time; one behind another relay is refused; a suspended peer drops what waited in its relays.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -84,6 +84,8 @@
   kStoreCall = 6011,
   kWriteRefused = 6012,
   kPeerTraffic = 6013,
+  kLinksLost = 6014,
+  kLinksBack = 6015,
 
   kAnswerCrossed = 7001,
   kAnswerTruncated = 7002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -150,6 +150,10 @@
   EventEntry{ Event::kPeerTraffic, "peer-traffic", kInfo,
               "bytes exchanged with peers since the last such line, by "
               "purpose" },
+  EventEntry{ Event::kLinksLost, "links-lost", kWarn,
+              "links to upstreams are down; peers relay the connections" },
+  EventEntry{ Event::kLinksBack, "links-back", kInfo,
+              "all links to upstreams in use are up again" },
 
   EventEntry{
     Event::kAnswerCrossed, "answer-crossed", kError,
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -77,6 +77,12 @@
       transport::ByteAccount::Create(aSettings.memoryBytes / kHeldBytesPart))
   , serving(kRingSize)
   , storeThread(kRingSize)
+  , paths(Now)
+  , relayChoice(Now,
+                [this](std::size_t aBelow) {
+                  return std::uniform_int_distribution<std::size_t>(
+                    0, aBelow - 1)(this->random);
+                })
   , peers(this->self, BootTime,
           [this](const state::HostId& aHost) {
             return this->topology.IsCellMember(aHost);
@@ -105,6 +111,7 @@
   options.connectTimeout = kUpstreamConnectTimeout;
   options.unacknowledged = kUpstreamUnacknowledged;
   options.maxIdle = kMaxIdleConnections;
+  options.dial = this->DialHooks();
   this->leaseClient =
     std::make_unique<transport::HttpClient>(this->serving.Context(), options);
   options.echoHeader = platform::RequestIdHeader();
@@ -126,7 +133,8 @@
     this->settings.isFirstStart, this->TableReplicationHooks());
   this->registration = std::make_unique<Registration>(
     HostRow{ this->settings.host, this->settings.peerAddress,
-             this->settings.dataCentre, this->settings.processors },
+             this->settings.dataCentre, this->settings.processors,
+             this->settings.relayAddress },
     this->settings.isFirstStart, this->RegistrationHooks());
   this->quotas = std::make_unique<TeamQuotas>(
     this->self, this->settings.quotaWindow,
@@ -168,8 +176,9 @@
         this->OnStoreCall(aCall, aTable);
       } });
   for (const std::error_code error :
-       { this->ListenForPeers(), this->ListenForReadinessChecks(),
-         this->ListenForMetrics(), this->ListenForCallers() }) {
+       { this->ListenForPeers(), this->ListenForRelays(),
+         this->ListenForReadinessChecks(), this->ListenForMetrics(),
+         this->ListenForCallers() }) {
     if (error) {
       return error;
     }
@@ -338,6 +347,9 @@
   this->log.Write(Event::kStopping);
   this->serving.Hand([this] {
     this->isLeaving = true;
+    if (this->relayServer) {
+      this->relayServer->StopAccepting();
+    }
     this->keyedServices->Leave();
     this->SendDigest(
       { this->connectedPeers.begin(), this->connectedPeers.end() },
@@ -349,8 +361,12 @@
   this->serving.Hand([this] { this->dispatcher->StopAccepting(); });
   std::this_thread::sleep_until(start + kCloseAfter);
   this->callerServer->StopAccepting();
-  const auto waitUntil = [this](TimePoint aLatest) {
-    while (this->callerServer->Connections() > 0 && Now() < aLatest) {
+  const auto isBusy = [this] {
+    return this->callerServer->Connections() > 0 ||
+           (this->relayServer && this->relayServer->Busy() > 0);
+  };
+  const auto waitUntil = [&isBusy](TimePoint aLatest) {
+    while (isBusy() && Now() < aLatest) {
       std::this_thread::sleep_for(kStopCheckInterval);
     }
   };
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -17,16 +17,19 @@
 #include "node/internal/peertopology.h"
 #include "node/internal/peertraffic.h"
 #include "node/internal/registration.h"
+#include "node/internal/relaychoice.h"
 #include "node/internal/storeclient.h"
 #include "node/internal/tablereplication.h"
 #include "node/internal/teamquotas.h"
 #include "protocol/errorcounters.h"
 #include "routing/dispatcher.h"
+#include "routing/upstreampaths.h"
 #include "routing/upstreams.h"
 #include "transport/dutythread.h"
 #include "transport/httpclient.h"
 #include "transport/httpserver.h"
 #include "transport/peernetwork.h"
+#include "transport/relayserver.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -72,8 +75,10 @@
   std::error_code ListenForPeers();
   std::error_code ListenForReadinessChecks();
   std::error_code ListenForMetrics();
+  std::error_code ListenForRelays();
   routing::Dispatcher::Hooks DispatcherHooks();
   KeyedServices::Hooks KeyedServicesHooks();
+  std::shared_ptr<const transport::DialHooks> DialHooks();
 
   // On the serving thread.
   void OnCallerRequest(transport::HttpRequest&& aRequest,
@@ -158,6 +163,15 @@
   void ScheduleDispatcher();
   void UpdateGauges();
   bool IsReady() const;
+  // Whether this host can connect peers to upstreams.
+  bool OffersRelays() const;
+  RelayCandidates FindRelayCandidates();
+  std::optional<transport::RelayPeer> ChooseRelay(
+    const std::set<std::string>& aTried);
+  // Whether a connection through the peer may carry another request.
+  bool IsRelayUsable(const state::HostId& aHost) const;
+  void UpdateRelays();
+  void CountRelay(std::string_view aResult);
 
   state::GatewaySettings settings;
   const state::HostRef self;
@@ -176,6 +190,10 @@
 
   // Used on the serving thread only.
   routing::Upstreams upstreams;
+  routing::UpstreamPaths paths;
+  RelayChoice relayChoice;
+  // Number of upstreams reached through peers, as it was logged last.
+  std::size_t loggedRelayed = 0;
   Peers peers;
   PeerTopology topology;
   std::unique_ptr<KeyedServices> keyedServices;
@@ -194,6 +212,8 @@
   std::unique_ptr<transport::HttpClient> upstreamClient;
   std::unique_ptr<transport::HttpClient> leaseClient;
   std::unique_ptr<transport::PeerNetwork> peerNetwork;
+  // Null if this host relays nothing.
+  std::unique_ptr<transport::RelayServer> relayServer;
   std::unordered_map<routing::RequestNumber, transport::HttpClient::CallId>
     upstreamCalls;
   boost::asio::steady_timer tick;
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -294,6 +294,7 @@
 {
   const TimePoint now = BootTime();
   this->upstreams.RemoveExpired(now);
+  this->UpdateRelays();
   for (const state::HostId& silent : this->peers.TakeNewlySilent()) {
     this->upstreams.ForgetPeer(silent);
     // A connection on which nothing arrives any more does not recover; a new
@@ -375,6 +376,7 @@
   this->replication->AddVersionsTo(digest);
   digest.__set_keyMaps(this->keyedServices->MapVersions());
   digest.__set_lendsQuotas(this->quotas->Lender().IsLending());
+  digest.__set_offersRelays(this->OffersRelays());
   return digest;
 }
 
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -276,6 +276,12 @@
   set("kumquat_peers",
       "Members of this host's cell heard within the last second.",
       static_cast<std::int64_t>(this->peers.LiveCellMembers().size()));
+  set("kumquat_relayed_upstreams",
+      "Upstreams that this host reaches through peers only.",
+      static_cast<std::int64_t>(this->paths.RelayedCount()));
+  set("kumquat_relays", "Connections of peers that this host relays.",
+      this->relayServer ? static_cast<std::int64_t>(this->relayServer->Relays())
+                        : 0);
   set("kumquat_store_well", "1 if the store is available.",
       this->isStoreAvailable ? 1 : 0);
   set("kumquat_assigner", "1 if this host assigns the keys of a service.",
--- a/src/node/internal/hostrows.cpp
+++ b/src/node/internal/hostrows.cpp
@@ -17,7 +17,8 @@
     return std::nullopt;
   }
   return HostAddress{ { host->host, host->dataCentre, host->processors },
-                      host->address };
+                      host->address,
+                      host->relayAddress };
 }
 
 } // namespace
--- a/src/node/internal/peers.cpp
+++ b/src/node/internal/peers.cpp
@@ -48,6 +48,7 @@
   peer.leaving = aDigest.leaving;
   peer.reachesStore = aDigest.reachesStore;
   peer.lendsQuotas = aDigest.lendsQuotas;
+  peer.offersRelays = aDigest.offersRelays;
   peer.operatorVersion = aDigest.operatorVersion;
   peer.upstreamVersion = aDigest.upstreamVersion;
   peer.hostsVersion = aDigest.hostsVersion;
--- a/src/node/internal/peers.h
+++ b/src/node/internal/peers.h
@@ -26,6 +26,7 @@
   bool leaving = false;
   bool reachesStore = true;
   bool lendsQuotas = false;
+  bool offersRelays = false;
   state::Version operatorVersion = 0;
   state::Version upstreamVersion = 0;
   state::Version hostsVersion = 0;
--- a/src/node/internal/peertopology.cpp
+++ b/src/node/internal/peertopology.cpp
@@ -90,6 +90,12 @@
   return aHost == this->self.id || this->hosts.contains(aHost);
 }
 
+const HostAddress* PeerTopology::Find(const state::HostId& aHost) const
+{
+  const auto found = this->hosts.find(aHost);
+  return found == this->hosts.end() ? nullptr : &found->second;
+}
+
 bool PeerTopology::IsCellMember(const state::HostId& aHost) const
 {
   return !this->cells.IsDivided() || this->cells.Members().contains(aHost);
--- a/src/node/internal/peertopology.h
+++ b/src/node/internal/peertopology.h
@@ -28,6 +28,8 @@
   routing::CellHost host;
   // Where peers connect to, as "ip:port".
   std::string address;
+  // See HostRow.
+  std::string relayAddress;
 };
 
 class PeerTopology
@@ -54,6 +56,8 @@
     return this->hubs.contains(aHost);
   }
   bool IsKnown(const state::HostId& aHost) const;
+  // Null if the host is unknown, or this one.
+  const HostAddress* Find(const state::HostId& aHost) const;
   // Whether the host is a member of this host's cell. Every host is while the
   // hosts are not divided into cells.
   bool IsCellMember(const state::HostId& aHost) const;
--- a/src/node/internal/registration.cpp
+++ b/src/node/internal/registration.cpp
@@ -49,7 +49,8 @@
   const nlohmann::json text = { { "host", aHost.host.value },
                                 { "address", aHost.address },
                                 { "data_centre", aHost.dataCentre.value },
-                                { "processors", aHost.processors } };
+                                { "processors", aHost.processors },
+                                { "relay_address", aHost.relayAddress } };
   state::StoredRow row;
   row.table = kHostTable;
   row.key = fmt::format("{:07}-{:04x}-{}", kMaxMilliprocessors - size,
@@ -70,6 +71,7 @@
   host.address = text.value("address", "");
   host.dataCentre.value = text.value("data_centre", "");
   host.processors = text.value("processors", host.processors);
+  host.relayAddress = text.value("relay_address", "");
   return host;
 }
 
--- a/src/node/internal/registration.h
+++ b/src/node/internal/registration.h
@@ -32,6 +32,8 @@
   std::string address;
   state::DataCentre dataCentre;
   double processors = 1;
+  // Where peers ask for relays to upstreams; empty if the host relays nothing.
+  std::string relayAddress;
 };
 
 // Larger hosts have lower row keys, so that reads return them first. Hosts of
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -288,6 +288,8 @@
   // keyMaps has only the parts that the sender or the receiver assigns; for the
   // others the previous digests hold.
   12: bool keyMapsPartial
+  // The sender has its links to upstreams, and relays connections to them.
+  13: bool offersRelays
 }
 
 struct KeyRange {
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -202,6 +202,7 @@
   const auto found = this->upstreams.find(aId);
   if (found != this->upstreams.end()) {
     this->RemoveFromIndex(found->second);
+    this->RemoveAddress(found->second.entry.address);
     this->upstreams.erase(found);
   }
   this->expiring.erase(aId);
@@ -209,6 +210,14 @@
   this->awaited.erase(aId);
 }
 
+void Upstreams::RemoveAddress(const std::string& aAddress)
+{
+  const auto known = this->addresses.find(aAddress);
+  if (known != this->addresses.end()) {
+    this->addresses.erase(known);
+  }
+}
+
 EntryChange Upstreams::PutEntry(const UpstreamEntry& aEntry, TimePoint aNow)
 {
   const auto found = this->upstreams.find(aEntry.id);
@@ -227,6 +236,8 @@
   if (isMoved && found != this->upstreams.end()) {
     this->RemoveFromIndex(found->second);
   }
+  const std::string previousAddress =
+    found == this->upstreams.end() ? "" : found->second.entry.address;
   if (newLife) {
     UpstreamState fresh;
     if (found != this->upstreams.end()) {
@@ -247,6 +258,10 @@
     this->upstreams[aEntry.id] = std::move(fresh);
   }
   UpstreamState& upstream = this->upstreams[aEntry.id];
+  if (found != this->upstreams.end()) {
+    this->RemoveAddress(previousAddress);
+  }
+  this->addresses.insert(aEntry.address);
   upstream.entry = aEntry;
   upstream.order = RendezvousScore(aEntry.id.value, "cell");
   if (isMoved) {
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace kumquat::routing {
@@ -202,6 +203,11 @@
     return this->outOfService.contains(aCentre);
   }
 
+  // Whether any known upstream has the address.
+  bool HasAddress(const std::string& aAddress) const
+  {
+    return this->addresses.contains(aAddress);
+  }
   UpstreamState* Find(const state::UpstreamId& aId);
   const UpstreamState* Find(const state::UpstreamId& aId) const;
   // Valid until the next change of entries, data centres or range.
@@ -279,6 +285,7 @@
   // Divides the usable upstreams of a service into those of this host's cell
   // and of others.
   void Divide(ServiceUpstreams& aLists) const;
+  void RemoveAddress(const std::string& aAddress);
   std::optional<LastEntry> LastEntryOf(const state::UpstreamId& aId) const;
   void RemoveNow(const state::UpstreamId& aId, TimePoint aNow);
 
@@ -287,6 +294,8 @@
   // without a response may be carried out late.
   std::map<state::UpstreamId, LastEntry> removed;
   std::map<state::ServiceName, ServiceIndex> byService;
+  // Of all entries in `upstreams`.
+  std::unordered_multiset<std::string> addresses;
   // Upstreams that have removeAt set.
   std::set<state::UpstreamId> expiring;
   // Upstreams that the next report has something to say of, if anything has
--- a/src/state/internal/settings.cpp
+++ b/src/state/internal/settings.cpp
@@ -173,6 +173,7 @@
   settings.callerAddress = ReadAddress(fields, "caller_address");
   settings.readyAddress = ReadAddress(fields, "ready_address");
   settings.peerAddress = ReadAddress(fields, "peer_address");
+  settings.relayAddress = ReadOptionalAddress(fields, "relay_address");
   settings.metricsAddress = ReadAddress(fields, "metrics_address");
   settings.storeAddress = ReadAddress(fields, "store_address");
   settings.maxLease = fields.Time("most_hold").value_or(settings.maxLease);
@@ -209,6 +210,7 @@
     { "caller_address", aSettings.callerAddress },
     { "ready_address", aSettings.readyAddress },
     { "peer_address", aSettings.peerAddress },
+    { "relay_address", aSettings.relayAddress },
     { "metrics_address", aSettings.metricsAddress },
     { "store_address", aSettings.storeAddress },
     { "most_hold", FormatDuration(aSettings.maxLease) },
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -48,6 +48,8 @@
   // Answers whether this host takes callers.
   std::string readyAddress;
   std::string peerAddress;
+  // Where peers ask for relays to upstreams. Empty: this host relays nothing.
+  std::string relayAddress;
   std::string metricsAddress;
   std::string storeAddress;
   // The longest that upstreams hold keys without a renewal.
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "framework/result.h"
+#include "transport/dial.h"
 #include "transport/http.h"
 
 #include <boost/asio/io_context.hpp>
@@ -59,6 +60,8 @@
     std::string echoHeader;
     // Whether an error without that header is taken as the request's own.
     bool errorsNeedEcho = true;
+    // How connections are made; null: directly.
+    std::shared_ptr<const DialHooks> dial;
   };
 
   HttpClient(boost::asio::io_context& aContext, Options aOptions);
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -3,8 +3,9 @@
 #include "transport/httpclient.h"
 
 #include "framework/clock.h"
-#include "transport/address.h"
 #include "transport/httpstatus.h"
+#include "transport/internal/connection.h"
+#include "transport/internal/dialer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -16,8 +17,6 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <charconv>
 #include <limits>
@@ -36,20 +35,6 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-struct Connection
-{
-  explicit Connection(asio::io_context& aContext)
-    : stream(aContext)
-  {
-  }
-
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer;
-  // The server closes it when it was idle until then.
-  TimePoint usableUntil = TimePoint::max();
-};
-
-using ConnectionPtr = std::shared_ptr<Connection>;
 using ResponseParser = http::response_parser<http::buffer_body>;
 
 using RequestMessage = http::request<http::span_body<const char>>;
@@ -120,21 +105,11 @@
                              now + std::chrono::seconds(seconds) - kClosing);
 }
 
-// A dead peer shows after this option's time; see Options::unacknowledged.
-void SetUnacknowledged(tcp::socket& aSocket, std::chrono::milliseconds aTime)
+// A host behind a cut link acknowledges nothing; see
+// SetUnacknowledgedTimeout.
+void NoteError(Connection& aConnection, const beast::error_code& aError)
 {
-  if (aTime.count() == 0) {
-    return;
-  }
-  const auto timeout = static_cast<unsigned>(aTime.count());
-  const int on = 1;
-  const int seconds = 1;
-  const int native = aSocket.native_handle();
-  setsockopt(native, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-  // While nothing is sent only probes show it.
-  setsockopt(native, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-  setsockopt(native, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
-  setsockopt(native, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+  aConnection.isSilent |= aError == asio::error::timed_out;
 }
 
 // Requests with longer bodies watch for a response while they are sent. Shorter
@@ -169,6 +144,24 @@
   {
   }
 
+  // The dialer is made here, as it refers to this object.
+  void Init()
+  {
+    Dialer::Options dialing;
+    dialing.connectTimeout = this->options.connectTimeout;
+    dialing.unacknowledged = this->options.unacknowledged;
+    dialing.localAddress = this->options.localAddress;
+    dialing.hooks = this->options.dial;
+    dialing.onSpare = [state =
+                         this->weak_from_this()](const std::string& aAddress,
+                                                 ConnectionPtr aConnection) {
+      if (const auto self = state.lock()) {
+        self->PutIdle(aAddress, std::move(aConnection));
+      }
+    };
+    this->dialer = std::make_shared<Dialer>(this->context, std::move(dialing));
+  }
+
   CallId Start(const std::string& aAddress, HttpRequest aRequest,
                std::chrono::milliseconds aTimeout, Done aDone)
   {
@@ -260,7 +253,7 @@
   {
     ConnectionPtr connection = this->TakeIdle(aAddress);
     if (!connection) {
-      auto connected = co_await this->Connect(aAddress, aDeadline);
+      auto connected = co_await this->dialer->Dial(aAddress, aDeadline);
       if (!connected) {
         co_return connected.error();
       }
@@ -284,16 +277,34 @@
     }
     found->second = connection;
     connection->stream.expires_at(aDeadline);
+    connection->sentAt = std::chrono::steady_clock::now();
     const std::string echo(aRequest.Header(this->options.echoHeader));
     const SendResult sent = co_await SendRequest(
       *connection, MakeMessage(aAddress, aRequest), aRequest.Body().size());
     if (sent == SendResult::kFailed || sent == SendResult::kTimedOut) {
+      this->ReportSilence(aAddress, *connection);
       co_return make_error_code(sent == SendResult::kTimedOut
                                   ? TransportError::kTimeout
                                   : TransportError::kBroken);
     }
-    co_return co_await this->ReadAnswer(aAddress, connection, echo,
-                                        sent == SendResult::kSent);
+    Result<HttpResponse> response = co_await this->ReadAnswer(
+      aAddress, connection, echo, sent == SendResult::kSent);
+    this->ReportSilence(aAddress, *connection);
+    co_return response;
+  }
+
+  void ReportSilence(const std::string& aAddress,
+                     const Connection& aConnection) const
+  {
+    if (!this->options.dial || !aConnection.isSilent) {
+      return;
+    }
+    if (aConnection.relay.empty()) {
+      this->options.dial->onOutcome(aAddress, DialOutcome::kDirectSilent,
+                                    aConnection.sentAt);
+    } else {
+      this->options.dial->onRelayLost(aConnection.relay);
+    }
   }
 
   // Stops sending a long body when the response begins before its end: a server
@@ -316,6 +327,7 @@
     const auto [error, bytes] =
       co_await http::async_write(aConnection.stream, aMessage, kAwait);
     state->isSending = false;
+    NoteError(aConnection, error);
     if (state->isAnsweredEarly) {
       co_return error ? SendResult::kAnsweredEarly : SendResult::kSent;
     }
@@ -325,51 +337,6 @@
     co_return SendResult::kSent;
   }
 
-  asio::awaitable<Result<ConnectionPtr>> Connect(
-    const std::string& aAddress,
-    std::chrono::steady_clock::time_point aDeadline)
-  {
-    const auto endpoint = ParseAddress(aAddress);
-    if (!endpoint) {
-      co_return make_error_code(TransportError::kUnreachable);
-    }
-    auto connection = std::make_shared<Connection>(this->context);
-    if (!this->BindLocal(*connection, *endpoint)) {
-      co_return make_error_code(TransportError::kUnreachable);
-    }
-    connection->stream.expires_at(
-      std::min(aDeadline, std::chrono::steady_clock::now() +
-                            this->options.connectTimeout));
-    const auto [error] =
-      co_await connection->stream.async_connect(*endpoint, kAwait);
-    if (error) {
-      co_return make_error_code(TransportError::kUnreachable);
-    }
-    beast::error_code ignored;
-    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-    SetUnacknowledged(connection->stream.socket(),
-                      this->options.unacknowledged);
-    co_return connection;
-  }
-
-  bool BindLocal(Connection& aConnection, const tcp::endpoint& aTarget)
-  {
-    if (this->options.localAddress.empty()) {
-      return true;
-    }
-    beast::error_code error;
-    const auto address =
-      asio::ip::make_address(this->options.localAddress, error);
-    tcp::socket& socket = aConnection.stream.socket();
-    if (!error) {
-      socket.open(aTarget.protocol(), error);
-    }
-    if (!error) {
-      socket.bind(tcp::endpoint(address, 0), error);
-    }
-    return !error;
-  }
-
   asio::awaitable<Result<HttpResponse>> ReadAnswer(std::string aAddress,
                                                    ConnectionPtr aConnection,
                                                    std::string aEcho,
@@ -423,9 +390,11 @@
     const auto [error, bytes] = co_await http::async_read_header(
       aConnection->stream, aConnection->buffer, aParser, kAwait);
     if (error) {
+      NoteError(*aConnection, error);
       co_return make_error_code(IsTimeout(error) ? TransportError::kTimeout
                                                  : TransportError::kBroken);
     }
+    aConnection->heardAt = std::chrono::steady_clock::now();
     this->TellProgress();
     HttpResponse response;
     response.status = static_cast<int>(aParser.get().result_int());
@@ -514,13 +483,27 @@
     while (!idle.empty()) {
       ConnectionPtr connection = std::move(idle.back());
       idle.pop_back();
-      if (IsUsable(*connection)) {
+      if (IsUsable(*connection) && this->MayReuse(aAddress, *connection)) {
         return connection;
       }
     }
     return nullptr;
   }
 
+  bool MayReuse(const std::string& aAddress, const Connection& aConnection)
+  {
+    if (!this->options.dial) {
+      return true;
+    }
+    const bool isUsable = this->options.dial->mayReuse(
+      aAddress, aConnection.relay, aConnection.heardAt);
+    if (isUsable && !aConnection.relay.empty() &&
+        this->options.dial->takeProbe(aAddress)) {
+      this->dialer->Probe(aAddress);
+    }
+    return isUsable;
+  }
+
   void PutIdle(const std::string& aAddress, ConnectionPtr aConnection)
   {
     std::vector<ConnectionPtr>& idle = this->idleByAddress[aAddress];
@@ -533,6 +516,7 @@
 
   asio::io_context& context;
   const Options options;
+  std::shared_ptr<Dialer> dialer;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> idleByAddress;
   // Calls whose aDone has not run; null until there is a connection.
   std::unordered_map<CallId, ConnectionPtr> running;
@@ -542,6 +526,7 @@
 HttpClient::HttpClient(asio::io_context& aContext, Options aOptions)
   : state(std::make_shared<State>(aContext, std::move(aOptions)))
 {
+  this->state->Init();
 }
 
 HttpClient::~HttpClient() = default;
