--- a/src/routing/upstreampaths.h
+++ b/src/routing/upstreampaths.h
@@ -35,8 +35,8 @@
   bool TakeProbe(const std::string& aAddress);
   // Whether the address is reached through peers only.
   bool IsRelayed(const std::string& aAddress) const;
-  // Whether this host has no direct connection to at least half of the upstreams
-  // that it uses. Such a host cannot help others.
+  // Whether this host has no direct connection to at least half of the
+  // upstreams that it uses. Such a host cannot help others.
   bool IsCutOff() const;
   std::size_t RelayedCount() const { return this->relayedCount; }
   // Forgets addresses that were not used for a while.
--- a/src/transport/tests/relay_test.cpp
+++ b/src/transport/tests/relay_test.cpp
@@ -70,11 +70,11 @@
       aRequest.link->onGone = [this] { this->isGone = true; };
       this->answer(aRequest, aRespond);
     };
-    this->server = std::move(
-      HttpServer::Listen(this->thread->Context(), std::move(options)).value());
-    this->relay = std::move(
+    this->server =
+      HttpServer::Listen(this->thread->Context(), std::move(options)).value();
+    this->relay =
       RelayServer::Listen(this->thread->Context(), this->RelayOptions())
-        .value());
+        .value();
     HttpClient::Options clientOptions;
     clientOptions.dial = this->MakeDialHooks();
     this->client = std::make_unique<HttpClient>(this->thread->Context(),
@@ -154,6 +154,7 @@
   {
     this->answer = [](const HttpRequest&, const HttpServer::Respond&) {};
     std::vector<std::future<Result<HttpResponse>>> calls;
+    calls.reserve(3);
     for (int i = 0; i < 3; ++i) {
       calls.push_back(this->StartCall("wait", kServerAddress));
     }
