--- a/src/transport/internal/relayserver.cpp
+++ b/src/transport/internal/relayserver.cpp
@@ -19,6 +19,7 @@
 #include <array>
 #include <atomic>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
--- a/src/transport/relayserver.h
+++ b/src/transport/relayserver.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace kumquat::transport {
 
@@ -65,8 +66,8 @@
   RelayServer& operator=(const RelayServer&) = delete;
 
   // Must be called several times a second. After a longer pause of the host,
-  // the relays end with what waits in them: a request or a lease command that
-  // is minutes old must not go out.
+  // the relays end with what waits in them, as a request or a lease command
+  // from before must not go out.
   void OnTimer();
   // Opens no more relays. Those that are open go on.
   void StopAccepting();
