Requests under which upstreams end are quarantined, at all hosts

What callers saw: a request that ends the upstreams that run it was sent on, two attempts at each host, for every repeat of its caller, and upstreams ended one after the other.

Cause: nothing remembered a request beyond one attempt of its caller, and the limit of attempts leaves out nothing that a repeat could be recognised by.

Change: a host remembers by content (host name, method, target, key, team and body, as a keyed hash) under which requests upstreams have ended. After three ends and no response the request is refused as request-quarantined, 503 with the time that is left. Hosts tell each other before the caller gets its response, through hubs where they are divided into cells; a response served to anyone ends the suspicion everywhere. A host that does not hear all peers stops after two ends, in a minority after one, so that the sum holds while hosts are cut apart. After 60 s one host, drawn by rendezvous hashing, tries once more.

--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -52,6 +52,13 @@
 // Part of that reserve in which the last responses are sent.
 constexpr milliseconds kLastResponsesTime{ 400 };
 constexpr milliseconds kStopCheckInterval{ 20 };
+
+std::uint64_t RandomKey()
+{
+  std::random_device device;
+  return std::uniform_int_distribution<std::uint64_t>()(device);
+}
+
 } // namespace
 
 Gateway::Impl::Impl(const state::GatewaySettings& aSettings)
@@ -95,6 +102,7 @@
   , routes(std::make_shared<routing::RouteTable>())
   , tick(this->serving.Context())
   , dispatchTimer(this->serving.Context())
+  , forwardTimer(this->serving.Context())
 {
 }
 
@@ -126,7 +134,7 @@
   this->dispatcher = std::make_unique<routing::Dispatcher>(
     routing::DispatcherOptions{ this->settings.host, this->settings.dataCentre,
                                 this->settings.resendShare,
-                                this->settings.resendExtra },
+                                this->settings.resendExtra, RandomKey() },
     this->upstreams, this->DispatcherHooks());
   this->replication = std::make_unique<TableReplication>(
     this->topology, this->peers, this->connectedPeers,
@@ -261,6 +269,7 @@
     if (aUp) {
       this->connectedPeers.insert(aPeer.host);
       this->replication->OnPeerUp({ aPeer.host });
+      this->SendAllCrashReports(aPeer.host);
     } else {
       this->connectedPeers.erase(aPeer.host);
     }
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -112,6 +112,13 @@
   void OnRequestEnded(const routing::RequestTrace& aTrace);
   void OnFrame(const protocol::HostRef& aFrom, const protocol::Frame& aFrame);
   void OnDigest(const protocol::HostDigest& aDigest);
+  // See CrashSuspects.
+  void SendCrashReports(const std::vector<routing::CrashReport>& aReports);
+  void SendAllCrashReports(const std::string& aPeer);
+  void OnCrashReports(const protocol::CrashReports& aReports);
+  void ForwardCrashReports();
+  // Tells the dispatcher how many of the hosts this one hears.
+  void UpdateReach();
   // aGrace: how long removed rows may still be used; see TableUpdate::grace.
   void OnTableChanged(const std::string& aTable,
                       const std::vector<state::StoredRow>& aChanged,
@@ -230,6 +237,9 @@
   // A host that claimed keys and from which no digest was ever received; see
   // Assigner::Hooks::requestConnection.
   state::HostId unknownClaimant;
+  // What this hub is about to forward, without the sender's own key.
+  protocol::CrashReports crashReportsToForward;
+  boost::asio::steady_timer forwardTimer;
   bool isStoreAvailable = true;
   bool isLeaving = false;
 
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -249,6 +249,8 @@
     this->quotas->OnAsk({ aFrom.host }, aFrame.quotaAsk);
   } else if (aFrame.__isset.quotaReply) {
     this->quotas->OnReply({ aFrom.host }, aFrame.quotaReply);
+  } else if (aFrame.__isset.crashReports) {
+    this->OnCrashReports(aFrame.crashReports);
   }
 }
 
@@ -303,6 +305,7 @@
   }
   const std::vector<state::HostId> live = this->LiveCellMembers();
   this->UpdateDispatcherHosts(live);
+  this->UpdateReach();
   this->registration->OnTimer();
   this->UpdateFollowedTables(live);
   this->quotas->OnTimer();
@@ -317,6 +320,7 @@
     this->UpdateConnections();
     this->UpdateGauges();
     this->peerTraffic.OnTimer();
+    this->dispatcher->Suspects().RemoveOld();
   }
   this->dispatcher->OnTimer();
   this->ScheduleDispatcher();
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -69,6 +69,9 @@
     return this->quotas->Borrower().TryTake(aTeam);
   };
   hooks.onRetry = [this](ErrorKind aReason) { this->retries.Add(aReason); };
+  hooks.reportCrashes = [this](const std::vector<routing::CrashReport>& aOnes) {
+    this->SendCrashReports(aOnes);
+  };
   return hooks;
 }
 
@@ -366,6 +369,7 @@
              { "reason", info.name },
              { "status", static_cast<std::int64_t>(aTrace.status) },
              { "sends", aTrace.attempts },
+             { "suspect", aTrace.suspect },
              { "waited_ms", static_cast<std::int64_t>(aTrace.waited.count()) },
              { "took_ms", static_cast<std::int64_t>(aTrace.took.count()) },
              { "queued", static_cast<std::int64_t>(aTrace.queued) },
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -273,6 +273,9 @@
       static_cast<std::int64_t>(this->dispatcher->WaitingCount()));
   set("kumquat_running", "Requests that run at upstreams.",
       static_cast<std::int64_t>(this->dispatcher->RunningCount()));
+  set("kumquat_request_suspects",
+      "Requests under which upstreams have ended, and that none has served.",
+      static_cast<std::int64_t>(this->dispatcher->Suspects().Count()));
   set("kumquat_peers",
       "Members of this host's cell heard within the last second.",
       static_cast<std::int64_t>(this->peers.LiveCellMembers().size()));
--- a/src/node/internal/peertopology.h
+++ b/src/node/internal/peertopology.h
@@ -55,6 +55,7 @@
   {
     return this->hubs.contains(aHost);
   }
+  const std::set<state::HostId>& Hubs() const { return this->hubs; }
   bool IsKnown(const state::HostId& aHost) const;
   // Null if the host is unknown, or this one.
   const HostAddress* Find(const state::HostId& aHost) const;
--- a/src/node/internal/peertraffic.h
+++ b/src/node/internal/peertraffic.h
@@ -25,6 +25,7 @@
   kTableCopy,
   kTableChange,
   kQuota,
+  kCrashReports,
   kOther,
 };
 
@@ -45,7 +46,7 @@
   void OnTimer();
 
 private:
-  static constexpr std::size_t kPurposes = 7;
+  static constexpr std::size_t kPurposes = 8;
   static constexpr std::size_t kDirections = 2;
 
   struct Totals
--- a/src/protocol/errorkind.h
+++ b/src/protocol/errorkind.h
@@ -58,6 +58,7 @@
   kTeamOverLimit,
   kTeamLimitUnknown,
   kTooManyBytes,
+  kRequestQuarantined,
 };
 
 // Whether the caller's request was run by an upstream.
--- a/src/protocol/internal/errorkind.cpp
+++ b/src/protocol/internal/errorkind.cpp
@@ -135,9 +135,11 @@
              false, seconds(1) },
   ErrorInfo{ ErrorKind::kTooManyBytes, "too-many-bytes", 503, kNotRun, false,
              seconds(1) },
+  ErrorInfo{ ErrorKind::kRequestQuarantined, "request-quarantined", 503,
+             kNotRun, false, seconds(60) },
 };
 
-constexpr ErrorKind kLastKind = ErrorKind::kTooManyBytes;
+constexpr ErrorKind kLastKind = ErrorKind::kRequestQuarantined;
 
 constexpr bool IsInOrder()
 {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -375,6 +375,29 @@
   3: list<QuotaGrant> grants
 }
 
+struct UpstreamEnd {
+  1: string upstream
+  2: i32 agoMs
+}
+
+// A request under which upstreams have ended: see CrashReport in src/routing.
+struct CrashReport {
+  1: i64 key
+  2: i64 hashHigh
+  3: i64 hashLow
+  4: list<UpstreamEnd> ends
+}
+
+// Sent to all connected hosts when a request ends unserved, and to a host that
+// has just connected.
+struct CrashReports {
+  // The key of the sender's reports.
+  1: i64 key
+  2: list<CrashReport> reports
+  // A hub that receives it forwards it to the hosts that are assigned to it.
+  3: bool forward
+}
+
 // Another frame, as zlib compresses its bytes.
 struct CompressedFrame {
   1: binary bytes
@@ -416,4 +439,5 @@
   37: optional TableChange tableChange
   38: optional QuotaAsk quotaAsk
   39: optional QuotaReply quotaReply
+  40: optional CrashReports crashReports
 }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -14,6 +14,7 @@
 #include "protocol/errorkind.h"
 #include "routing/coldratelimiter.h"
 #include "routing/configuration.h"
+#include "routing/crashsuspects.h"
 #include "routing/placement.h"
 #include "routing/upstreams.h"
 #include "routing/waiting.h"
@@ -110,6 +111,9 @@
   std::string attempts;
   protocol::ErrorKind error = protocol::ErrorKind::kNone;
   int status = 0;
+  // The request's fingerprint, the same for each repeat, if upstreams have
+  // ended under it; see CrashSuspects.
+  std::string suspect;
   std::chrono::milliseconds waited{ 0 };
   std::chrono::milliseconds took{ 0 };
   std::size_t queued = 0;
@@ -133,6 +137,8 @@
   double resendShare = 0.1;
   // Retries beside that share in any period, over all hosts.
   double resendExtra = 20;
+  // Random; see RequestFingerprint.
+  std::uint64_t fingerprintKey = 0;
 };
 
 class Dispatcher
@@ -160,6 +166,9 @@
     // Asks whether the limit of a team allows one more run of a request that
     // may have run already. If it does, the run is counted.
     std::function<bool(const admission::TeamName&)> allowsAnotherRun;
+    // Tells the peers of requests under which upstreams have ended, before the
+    // caller gets its response. May be empty.
+    std::function<void(const std::vector<CrashReport>&)> reportCrashes;
   };
 
   using Respond = std::function<void(CallerResponse)>;
@@ -177,6 +186,10 @@
                 const std::vector<state::HostId>& aAll,
                 bool aAreAllKnown = true);
 
+  // Requests under which upstreams have ended. The owner of the dispatcher
+  // passes on what peers say of them, and sets how many peers are heard.
+  CrashSuspects& Suspects() { return this->suspects; }
+
   // Refuses requests that arrive from now on. The host is about to stop, and
   // such a request could be cut off halfway; refused now, it has certainly not
   // run.
@@ -246,6 +259,11 @@
   void WithdrawAttempt(const RequestPtr& aRequest);
   bool MayRetry(const Request& aRequest, protocol::ErrorKind aWhy);
   bool IsAnotherRunAllowed(Request& aRequest);
+  static const ContentHash& ContentOf(Request& aRequest);
+  // Whether upstreams have ended under the request, so that it is not sent now.
+  bool IsQuarantined(Request& aRequest) const;
+  void RefuseQuarantined(const RequestPtr& aRequest);
+  void ReportCrashes(const std::vector<CrashReport>& aReports) const;
   void Retry(const RequestPtr& aRequest, protocol::ErrorKind aWhy);
   void EndAttempt(Request& aRequest, AttemptResult aResult,
                   const std::optional<UpstreamLoad>& aLoad,
@@ -264,6 +282,7 @@
   ColdRateLimiter cellRateLimiter;
   // A cold owner of keys gets requests from all cells.
   ColdRateLimiter ownerRateLimiter;
+  CrashSuspects suspects;
   // Reachable hosts of this host's cell, and of all cells; itself included.
   std::size_t cellHostCount = 1;
   std::size_t hostCount = 1;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -72,6 +72,15 @@
   }
 }
 
+// Whether an upstream that ends shows itself in this way. A broken connection
+// looks the same, but an innocent request is soon served.
+bool IsLikeACrash(TransportError aError)
+{
+  return aError == TransportError::kBroken ||
+         aError == TransportError::kTruncated ||
+         aError == TransportError::kTimeout;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions aOptions, Upstreams& aUpstreams,
@@ -82,6 +91,7 @@
   , routes(std::make_shared<RouteTable>())
   , cellRateLimiter(this->options.host)
   , ownerRateLimiter(this->options.host)
+  , suspects(this->options.host, this->hooks.now, this->options.fingerprintKey)
 {
 }
 
@@ -107,6 +117,7 @@
   this->upstreams.SetHostCount(this->hostCount);
   this->cellRateLimiter.SetHosts(aCell);
   this->ownerRateLimiter.SetHosts(aAll);
+  this->suspects.SetHosts(aAll);
   for (const auto& [name, service] : this->services) {
     service->budget.SetMostTokens(this->MaxExtraRetries());
   }
@@ -204,6 +215,10 @@
   request->deadline =
     this->deadlines.emplace(request->waiting.deadline, request->number);
   this->StateOf(request->service).budget.OnRequest();
+  if (this->IsQuarantined(*request)) {
+    this->RefuseQuarantined(request);
+    return request->number;
+  }
   // Requests that wait already go first where they may use the same upstreams.
   if (this->StateOf(request->service).waiting.empty() &&
       this->TrySend(request)) {
@@ -286,6 +301,9 @@
   upstreamRequest.timeout =
     std::max(milliseconds(1), ToMs(aRequest->waiting.deadline - now));
   this->upstreams.OnSent(aUpstream.entry.id, now);
+  if (!this->suspects.IsEmpty()) {
+    this->suspects.OnSent(ContentOf(*aRequest));
+  }
   this->hooks.send(upstreamRequest);
 }
 
@@ -319,6 +337,11 @@
       this->Fail(request, ErrorKind::kApiKeyUnknown);
       continue;
     }
+    if (this->IsQuarantined(*request)) {
+      service.waiting.remove(request);
+      this->RefuseQuarantined(request);
+      continue;
+    }
     if (!IsWorthWaiting(request->waiting, now, typicalMs)) {
       service.waiting.remove(request);
       this->Refuse(request, ErrorKind::kNoUpstream);
@@ -440,6 +463,10 @@
   } else {
     this->EndAttempt(*request, AttemptResult::kServed, aResponse.load,
                      "served");
+    if (!this->suspects.IsEmpty()) {
+      request->hasEndedUpstream = false;
+      this->ReportCrashes(this->suspects.OnServed(ContentOf(*request)));
+    }
     this->UpdateRouteBytes(*request, aResponse.message.length.value_or(
                                        aResponse.message.body.size()));
     this->Finish(request, { std::move(aResponse.message), {}, {} });
@@ -494,14 +521,53 @@
                    sent ? AttemptResult::kFailed : AttemptResult::kUnreachable,
                    {}, protocol::ErrorInfoFor(kind).name);
   request->mayHaveRunAt += sent ? 1 : 0;
+  if (IsLikeACrash(aError)) {
+    request->hasEndedUpstream = true;
+    this->suspects.OnEnded(ContentOf(*request), request->upstream);
+  }
   this->Retry(request, kind);
   this->SendWaiting(service);
 }
 
+const ContentHash& Dispatcher::ContentOf(Request& aRequest)
+{
+  if (!aRequest.content) {
+    aRequest.content = HashContent(aRequest.caller);
+  }
+  return *aRequest.content;
+}
+
+bool Dispatcher::IsQuarantined(Request& aRequest) const
+{
+  return !this->suspects.IsEmpty() &&
+         !this->suspects.MaySend(ContentOf(aRequest));
+}
+
+// "Not run" is said of this attempt of the caller, and is true of it.
+void Dispatcher::RefuseQuarantined(const RequestPtr& aRequest)
+{
+  if (aRequest->mayHaveRunAt > 0) {
+    this->Finish(aRequest, { {}, ErrorKind::kUpstreamBroken, {} });
+    return;
+  }
+  this->Finish(aRequest,
+               { {},
+                 ErrorKind::kRequestQuarantined,
+                 this->suspects.QuarantineLeft(ContentOf(*aRequest)) });
+}
+
+void Dispatcher::ReportCrashes(const std::vector<CrashReport>& aReports) const
+{
+  if (!aReports.empty() && this->hooks.reportCrashes) {
+    this->hooks.reportCrashes(aReports);
+  }
+}
+
 bool Dispatcher::IsTargetStillValid(RequestNumber aNumber) const
 {
   const auto found = this->requests.find(aNumber);
-  if (found == this->requests.end() || !found->second->isRunning) {
+  if (found == this->requests.end() || !found->second->isRunning ||
+      this->IsQuarantined(*found->second)) {
     return false;
   }
   const Request& request = *found->second;
@@ -527,6 +593,8 @@
   --aRequest->attemptCount;
   if (this->HasLostAccess(*aRequest)) {
     this->Fail(aRequest, ErrorKind::kApiKeyUnknown);
+  } else if (this->IsQuarantined(*aRequest)) {
+    this->RefuseQuarantined(aRequest);
   } else if (!this->TrySend(aRequest)) {
     this->Enqueue(aRequest);
   }
@@ -571,6 +639,10 @@
     this->Fail(aRequest, ErrorKind::kApiKeyUnknown);
     return;
   }
+  if (this->IsQuarantined(*aRequest)) {
+    this->RefuseQuarantined(aRequest);
+    return;
+  }
   if (!this->MayRetry(*aRequest, aWhy) ||
       !this->IsAnotherRunAllowed(*aRequest)) {
     this->Fail(aRequest, aWhy);
@@ -640,6 +712,12 @@
                                      : aRequest->waited);
   trace.took = ToMs(now - aRequest->caller.arrived);
   trace.configuration = aRequest->routes->CurrentConfiguration().version;
+  if (aRequest->hasEndedUpstream ||
+      aResponse.error == ErrorKind::kRequestQuarantined) {
+    const ContentHash& content = ContentOf(*aRequest);
+    trace.suspect = LogText(this->suspects.NameOf(content));
+    this->ReportCrashes(this->suspects.TakeReports(content));
+  }
   this->hooks.onRequestEnded(trace);
   if (aRequest->respond) {
     const Respond respond = std::move(aRequest->respond);
--- a/src/routing/internal/dispatcherparts.h
+++ b/src/routing/internal/dispatcherparts.h
@@ -26,6 +26,10 @@
   // The upstream that has just refused it: full now, but perhaps not for long.
   state::UpstreamId refusedBy;
   std::size_t attemptCount = 0;
+  // Set on demand.
+  std::optional<ContentHash> content;
+  // An upstream has ended while it ran the request here, or so it seems.
+  bool hasEndedUpstream = false;
   // The request is not checked before; for keys that are being handed over.
   TimePoint notBefore;
 
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -5,6 +5,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <random>
@@ -62,6 +64,9 @@
   CPPUNIT_TEST(testIdempotentIsRetriedAtAnotherUpstream);
   CPPUNIT_TEST(testUnsignedSuccessIsNotAccepted);
   CPPUNIT_TEST(testAttemptsAreLimited);
+  CPPUNIT_TEST(testRequestThatEndsUpstreamsIsQuarantined);
+  CPPUNIT_TEST(testReportOfPeersEndsWaitingRequest);
+  CPPUNIT_TEST(testServedRequestIsReportedAsInnocent);
   CPPUNIT_TEST(testRetriesKeepToTheirBudget);
   CPPUNIT_TEST(testNewHostUsesOnlyItsPartOfTheBudget);
   CPPUNIT_TEST(testCallerGoneCancelsIdempotentRequests);
@@ -96,6 +101,7 @@
     this->attempts.clear();
     this->retryCount = 0;
     this->cancelled.clear();
+    this->crashReports.clear();
     this->responses.clear();
     this->owner = KeyOwner{ { "s0" }, milliseconds(0) };
     this->upstreams = Upstreams();
@@ -203,6 +209,68 @@
     CPPUNIT_ASSERT(this->responses.contains(number));
   }
 
+  // Guards against ending one upstream after the other under a request that its
+  // caller repeats.
+  void testRequestThatEndsUpstreamsIsQuarantined()
+  {
+    const auto first = this->StartRequest("/look/1");
+    this->dispatcher->OnSendFailed(first, TransportError::kBroken);
+    this->now += milliseconds(10);
+    this->dispatcher->OnSendFailed(first, TransportError::kBroken);
+    CPPUNIT_ASSERT(this->OutcomeOf(first) == Outcome::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->crashReports.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->crashReports[0].ends.size());
+    const auto second = this->StartRequest("/look/1");
+    this->now += milliseconds(10);
+    this->dispatcher->OnSendFailed(second, TransportError::kBroken);
+    CPPUNIT_ASSERT(this->OutcomeOf(second) == Outcome::kUnknown);
+    const auto third = this->StartRequest("/look/1");
+    CPPUNIT_ASSERT(this->responses.at(third).error ==
+                   ErrorKind::kRequestQuarantined);
+    CPPUNIT_ASSERT(this->responses.at(third).retryAfter >
+                   std::chrono::seconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, this->attempts.size());
+    this->StartRequest("/look/2");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, this->attempts.size());
+  }
+
+  // Guards against sending a request that waits here while peers see it end one
+  // upstream after the other.
+  void testReportOfPeersEndsWaitingRequest()
+  {
+    this->SetServiceMs("archeb", 100);
+    const auto waiting = [this] { return this->dispatcher->WaitingCount(); };
+    RequestNumber number = 0;
+    for (int i = 0; waiting() == 0; ++i) {
+      number = this->StartRequest("/look/" + std::to_string(i));
+    }
+    CallerRequest request;
+    request.message.target = "/look/" + std::to_string(this->attempts.size());
+    request.hostName = "tents";
+    this->dispatcher->Suspects().OnReport(
+      { FingerprintOf(HashContent(request), 3),
+        { { { "x" }, this->now },
+          { { "y" }, this->now },
+          { { "z" }, this->now } } });
+    this->dispatcher->RecheckWaitingRequests();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, waiting());
+    CPPUNIT_ASSERT(this->responses.at(number).error ==
+                   ErrorKind::kRequestQuarantined);
+  }
+
+  // Guards against a quarantine at the peers of a request that is served.
+  void testServedRequestIsReportedAsInnocent()
+  {
+    const auto first = this->StartRequest("/look/1");
+    this->dispatcher->OnSendFailed(first, TransportError::kBroken);
+    this->now += milliseconds(10);
+    this->dispatcher->OnSendFailed(first, TransportError::kBroken);
+    this->Respond(this->StartRequest("/look/1"), 200);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->crashReports.size());
+    CPPUNIT_ASSERT(this->crashReports.back().ends.empty());
+    CPPUNIT_ASSERT(this->dispatcher->Suspects().IsEmpty());
+  }
+
   // Every second request fails at its upstream. With unlimited retries, a
   // failing service would get half as many requests again.
   void testRetriesKeepToTheirBudget()
@@ -771,6 +839,9 @@
                               const state::UpstreamId&) {};
     hooks.onRequestEnded = [](const RequestTrace&) {};
     hooks.onRetry = [this](ErrorKind) { ++this->retryCount; };
+    hooks.reportCrashes = [this](const std::vector<CrashReport>& aReports) {
+      std::ranges::copy(aReports, std::back_inserter(this->crashReports));
+    };
     this->dispatcher.emplace(
       DispatcherOptions{ { "h0" }, { "caerdydd" }, 0.1, 20 }, this->upstreams,
       hooks);
@@ -874,6 +945,7 @@
   KeyOwner owner;
   std::vector<UpstreamRequest> attempts;
   std::vector<RequestNumber> cancelled;
+  std::vector<CrashReport> crashReports;
   std::map<RequestNumber, CallerResponse> responses;
 };
 
