--- a/src/routing/tests/crashsimulation.h
+++ b/src/routing/tests/crashsimulation.h
@@ -29,6 +29,7 @@
                                           : std::pair{ 0.5, 4.0 })
   {
     std::vector<state::HostId> ids;
+    ids.reserve(static_cast<std::size_t>(aHosts));
     for (int i = 0; i < aHosts; ++i) {
       ids.push_back({ "h" + std::to_string(i) });
     }
