Limits that upstreams name are read and logged

Event 3015 when a limit is first named, changes or ends, 3016 for one that cannot be read; a gauge of limited upstreams. Nothing is decided by it yet.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -53,6 +53,8 @@
   kUpstreamReadmitted = 3012,
   kUpstreamSeen = 3013,
   kUpstreamsChanged = 3014,
+  kUpstreamLimited = 3015,
+  kUpstreamLimitMalformed = 3016,
 
   kSliceMoved = 4001,
   kGrantLapsed = 4002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -83,6 +83,10 @@
               "an upstream's entry was added or changed" },
   EventEntry{ Event::kUpstreamsChanged, "upstreams-changed", kInfo,
               "the entries of many upstreams were added, changed or removed" },
+  EventEntry{ Event::kUpstreamLimited, "upstream-limited", kWarn,
+              "an upstream has named a limit, changed it or ended it" },
+  EventEntry{ Event::kUpstreamLimitMalformed, "upstream-limit-malformed", kWarn,
+              "an upstream names a limit that cannot be read; it is ignored" },
 
   EventEntry{ Event::kSliceMoved, "slice-moved", kInfo,
               "the owner of a slice has changed" },
--- a/src/node/internal/gatewaycrashreports.cpp
+++ b/src/node/internal/gatewaycrashreports.cpp
@@ -10,6 +10,7 @@
 #include "node/internal/clocks.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -22,6 +23,8 @@
 
 // When many upstreams end at once, the reports of many hosts go into one frame.
 constexpr milliseconds kForwardDelay{ 3 };
+// Logged for an upstream that names no limit any more.
+constexpr std::int64_t kNoLimit = -1;
 
 protocol::CrashReport ToWire(const routing::CrashReport& aReport)
 {
@@ -133,6 +136,17 @@
   this->peerNetwork->SendToAll(recipients, frame);
 }
 
+void Gateway::Impl::OnLimitChanged(const routing::UpstreamLimit& aLimit)
+{
+  constexpr double kMillis = 1000;
+  this->log.Write(
+    Event::kUpstreamLimited,
+    { { "upstream", aLimit.upstream.value },
+      { "per_1000_s", aLimit.perSecond ? static_cast<std::int64_t>(std::llround(
+                                           *aLimit.perSecond * kMillis))
+                                       : kNoLimit } });
+}
+
 // Hosts that are connected and heard get every report. Where the hosts are
 // divided into cells, the hubs stand for those that this host does not hear.
 void Gateway::Impl::UpdateReach()
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -117,6 +117,7 @@
   void SendAllCrashReports(const std::string& aPeer);
   void OnCrashReports(const protocol::CrashReports& aReports);
   void ForwardCrashReports();
+  void OnLimitChanged(const routing::UpstreamLimit& aLimit);
   // Tells the dispatcher how many of the hosts this one hears.
   void UpdateReach();
   // aGrace: how long removed rows may still be used; see TableUpdate::grace.
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -321,6 +321,7 @@
     this->UpdateGauges();
     this->peerTraffic.OnTimer();
     this->dispatcher->Suspects().RemoveOld();
+    this->dispatcher->Limits().RemoveOld();
   }
   this->dispatcher->OnTimer();
   this->ScheduleDispatcher();
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -69,6 +69,13 @@
     return this->quotas->Borrower().TryTake(aTeam);
   };
   hooks.onRetry = [this](ErrorKind aReason) { this->retries.Add(aReason); };
+  hooks.onLimitChanged = [this](const routing::UpstreamLimit& aLimit) {
+    this->OnLimitChanged(aLimit);
+  };
+  hooks.onMalformedLimit = [this](const state::UpstreamId& aId) {
+    this->log.Write(Event::kUpstreamLimitMalformed,
+                    { { "upstream", aId.value } });
+  };
   hooks.reportCrashes = [this](const std::vector<routing::CrashReport>& aOnes) {
     this->SendCrashReports(aOnes);
   };
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -276,6 +276,8 @@
   set("kumquat_request_suspects",
       "Requests under which upstreams have ended, and that none has served.",
       static_cast<std::int64_t>(this->dispatcher->Suspects().Count()));
+  set("kumquat_limited_upstreams", "Upstreams that name a limit.",
+      static_cast<std::int64_t>(this->dispatcher->Limits().Count()));
   set("kumquat_peers",
       "Members of this host's cell heard within the last second.",
       static_cast<std::int64_t>(this->peers.LiveCellMembers().size()));
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -16,6 +16,7 @@
 #include "routing/configuration.h"
 #include "routing/crashsuspects.h"
 #include "routing/placement.h"
+#include "routing/upstreamlimits.h"
 #include "routing/upstreams.h"
 #include "routing/waiting.h"
 #include "transport/http.h"
@@ -51,6 +52,15 @@
   std::optional<int> teamPriority;
 };
 
+// The limit that comes with a response, if any.
+struct NamedLimit
+{
+  // Requests per second that the upstream takes from all hosts together.
+  std::optional<double> perSecond;
+  // It names one that cannot be read.
+  bool isMalformed = false;
+};
+
 // An upstream's response, with what the dispatcher needs to know of it.
 struct UpstreamResponse
 {
@@ -65,6 +75,7 @@
   // is not accepted.
   bool isSigned = false;
   std::optional<UpstreamLoad> load;
+  NamedLimit limit;
 };
 
 // What the caller gets: an upstream's response, or an error of this host.
@@ -169,6 +180,12 @@
     // Tells the peers of requests under which upstreams have ended, before the
     // caller gets its response. May be empty.
     std::function<void(const std::vector<CrashReport>&)> reportCrashes;
+    // Called when an upstream names a limit, changes it or names none any more.
+    // May be empty.
+    std::function<void(const UpstreamLimit&)> onLimitChanged;
+    // Called when an upstream names a limit that cannot be read, which is
+    // ignored. May be empty.
+    std::function<void(const state::UpstreamId&)> onMalformedLimit;
   };
 
   using Respond = std::function<void(CallerResponse)>;
@@ -190,6 +207,9 @@
   // passes on what peers say of them, and sets how many peers are heard.
   CrashSuspects& Suspects() { return this->suspects; }
 
+  // What the upstreams name as their limits.
+  UpstreamLimits& Limits() { return this->limits; }
+
   // Refuses requests that arrive from now on. The host is about to stop, and
   // such a request could be cut off halfway; refused now, it has certainly not
   // run.
@@ -259,6 +279,8 @@
   void WithdrawAttempt(const RequestPtr& aRequest);
   bool MayRetry(const Request& aRequest, protocol::ErrorKind aWhy);
   bool IsAnotherRunAllowed(Request& aRequest);
+  void UpdateLimit(const state::UpstreamId& aUpstream,
+                   const NamedLimit& aLimit);
   static const ContentHash& ContentOf(Request& aRequest);
   // Whether upstreams have ended under the request, so that it is not sent now.
   bool IsQuarantined(Request& aRequest) const;
@@ -283,6 +305,7 @@
   // A cold owner of keys gets requests from all cells.
   ColdRateLimiter ownerRateLimiter;
   CrashSuspects suspects;
+  UpstreamLimits limits;
   // Reachable hosts of this host's cell, and of all cells; itself included.
   std::size_t cellHostCount = 1;
   std::size_t hostCount = 1;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -92,6 +92,7 @@
   , cellRateLimiter(this->options.host)
   , ownerRateLimiter(this->options.host)
   , suspects(this->options.host, this->hooks.now, this->options.fingerprintKey)
+  , limits(this->hooks.now)
 {
 }
 
@@ -419,6 +420,9 @@
   const RequestPtr request = found->second;
   const state::ServiceName service = request->service;
   const int status = aResponse.message.status;
+  if (!aResponse.wrongUpstream || aResponse.respondedBy == request->upstream) {
+    this->UpdateLimit(request->upstream, aResponse.limit);
+  }
   if (aResponse.wrongUpstream) {
     this->EndAttempt(*request, AttemptResult::kRefused, aResponse.load,
                      "wrong-upstream");
@@ -474,6 +478,21 @@
   this->SendWaiting(service);
 }
 
+void Dispatcher::UpdateLimit(const state::UpstreamId& aUpstream,
+                             const NamedLimit& aLimit)
+{
+  if (aLimit.isMalformed && !aLimit.perSecond) {
+    if (this->hooks.onMalformedLimit) {
+      this->hooks.onMalformedLimit(aUpstream);
+    }
+    return;
+  }
+  const auto change = this->limits.OnResponse(aUpstream, aLimit.perSecond);
+  if (change && this->hooks.onLimitChanged) {
+    this->hooks.onLimitChanged(*change);
+  }
+}
+
 // Whether the owner of the request's key has refused this host as full several
 // times: others send it many requests too, and a retry would most likely be
 // refused as well.
