One limiter of upstreams' rates, and one frame for what hosts learn from upstreams

No change of behaviour: the limiter of cold upstreams takes its rate and number of senders from the caller, and the frame of crash reports becomes one of notices, so that both can serve limits that upstreams name.

--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -269,7 +269,7 @@
     if (aUp) {
       this->connectedPeers.insert(aPeer.host);
       this->replication->OnPeerUp({ aPeer.host });
-      this->SendAllCrashReports(aPeer.host);
+      this->SendAllNotices(aPeer.host);
     } else {
       this->connectedPeers.erase(aPeer.host);
     }
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -112,11 +112,13 @@
   void OnRequestEnded(const routing::RequestTrace& aTrace);
   void OnFrame(const protocol::HostRef& aFrom, const protocol::Frame& aFrame);
   void OnDigest(const protocol::HostDigest& aDigest);
-  // See CrashSuspects.
+  protocol::Notices MakeNotices() const;
+  void SendNotices(protocol::Notices aNotices);
   void SendCrashReports(const std::vector<routing::CrashReport>& aReports);
-  void SendAllCrashReports(const std::string& aPeer);
-  void OnCrashReports(const protocol::CrashReports& aReports);
-  void ForwardCrashReports();
+  void SendAllNotices(const std::string& aPeer);
+  void OnNotices(const protocol::Notices& aNotices);
+  void ScheduleForwarding(const protocol::Notices& aNotices);
+  void ForwardNotices();
   void OnLimitChanged(const routing::UpstreamLimit& aLimit);
   // Tells the dispatcher how many of the hosts this one hears.
   void UpdateReach();
@@ -239,7 +241,8 @@
   // Assigner::Hooks::requestConnection.
   state::HostId unknownClaimant;
   // What this hub is about to forward, without the sender's own key.
-  protocol::CrashReports crashReportsToForward;
+  protocol::Notices noticesToForward;
+  bool isForwardingScheduled = false;
   boost::asio::steady_timer forwardTimer;
   bool isStoreAvailable = true;
   bool isLeaving = false;
--- a/src/node/internal/gatewaycrashreports.cpp
+++ b/src/node/internal/gatewaynotices.cpp
@@ -1,9 +1,10 @@
-// The part of a gateway that exchanges reports of requests under which
-// upstreams have ended.
+// The part of a gateway that exchanges notices with peers: what a host has
+// learned from an upstream, and all hosts have to know at once.
 //
-// A report goes to all connected peers before the caller gets its response, as
-// the caller may repeat the request at any of them. Where the hosts are divided
-// into cells, hubs forward it to the hosts that are assigned to them.
+// A notice goes to all connected peers before the caller gets its response, as
+// the caller may come back at any of them. Where the hosts are divided into
+// cells, hubs forward it to the hosts that are assigned to them. A host that
+// has just connected gets all that is known.
 
 #include "node/internal/gatewayimpl.h"
 
@@ -21,7 +22,7 @@
 
 namespace {
 
-// When many upstreams end at once, the reports of many hosts go into one frame.
+// When many hosts have something to tell at once, it goes into one frame.
 constexpr milliseconds kForwardDelay{ 3 };
 // Logged for an upstream that names no limit any more.
 constexpr std::int64_t kNoLimit = -1;
@@ -43,6 +44,16 @@
   return report;
 }
 
+std::vector<protocol::CrashReport> ToWire(
+  const std::vector<routing::CrashReport>& aReports)
+{
+  std::vector<protocol::CrashReport> reports;
+  std::ranges::transform(
+    aReports, std::back_inserter(reports),
+    [](const routing::CrashReport& aReport) { return ToWire(aReport); });
+  return reports;
+}
+
 routing::CrashReport FromWire(const protocol::CrashReport& aReport)
 {
   routing::CrashReport report;
@@ -60,80 +71,88 @@
   return report;
 }
 
-protocol::Frame MakeFrame(std::uint64_t aKey,
-                          const std::vector<routing::CrashReport>& aReports,
-                          bool aForward)
+protocol::Frame MakeFrame(const protocol::Notices& aNotices)
 {
-  protocol::CrashReports reports;
-  reports.__set_key(static_cast<std::int64_t>(aKey));
-  std::ranges::transform(
-    aReports, std::back_inserter(reports.reports),
-    [](const routing::CrashReport& aReport) { return ToWire(aReport); });
-  reports.__set_forward(aForward);
   protocol::Frame frame;
-  frame.__set_crashReports(reports);
+  frame.__set_notices(aNotices);
   return frame;
 }
 
 } // namespace
 
-void Gateway::Impl::SendCrashReports(
-  const std::vector<routing::CrashReport>& aReports)
+protocol::Notices Gateway::Impl::MakeNotices() const
 {
+  protocol::Notices notices;
+  notices.__set_key(
+    static_cast<std::int64_t>(this->dispatcher->Suspects().Key()));
+  return notices;
+}
+
+void Gateway::Impl::SendNotices(protocol::Notices aNotices)
+{
+  aNotices.__set_forward(this->topology.Cells().IsDivided());
   this->peerNetwork->SendToAll(
     { this->connectedPeers.begin(), this->connectedPeers.end() },
-    MakeFrame(this->dispatcher->Suspects().Key(), aReports,
-              this->topology.Cells().IsDivided()));
+    MakeFrame(aNotices));
+}
+
+void Gateway::Impl::SendCrashReports(
+  const std::vector<routing::CrashReport>& aReports)
+{
+  protocol::Notices notices = this->MakeNotices();
+  notices.__set_crashes(ToWire(aReports));
+  this->SendNotices(std::move(notices));
 }
 
 // The key goes out even without reports, so that hosts use the same one before
 // they need it.
-void Gateway::Impl::SendAllCrashReports(const std::string& aPeer)
+void Gateway::Impl::SendAllNotices(const std::string& aPeer)
 {
-  const routing::CrashSuspects& suspects = this->dispatcher->Suspects();
-  static_cast<void>(this->peerNetwork->Send(
-    aPeer, MakeFrame(suspects.Key(), suspects.AllReports(), false)));
+  protocol::Notices notices = this->MakeNotices();
+  notices.__set_crashes(ToWire(this->dispatcher->Suspects().AllReports()));
+  static_cast<void>(this->peerNetwork->Send(aPeer, MakeFrame(notices)));
 }
 
-void Gateway::Impl::OnCrashReports(const protocol::CrashReports& aReports)
+void Gateway::Impl::OnNotices(const protocol::Notices& aNotices)
 {
   routing::CrashSuspects& suspects = this->dispatcher->Suspects();
-  suspects.OnPeerKey(static_cast<std::uint64_t>(aReports.key));
-  for (const protocol::CrashReport& report : aReports.reports) {
+  suspects.OnPeerKey(static_cast<std::uint64_t>(aNotices.key));
+  for (const protocol::CrashReport& report : aNotices.crashes) {
     suspects.OnReport(FromWire(report));
   }
-  if (!aReports.forward || !this->topology.IsHub(this->self.host)) {
-    return;
+  if (aNotices.forward && this->topology.IsHub(this->self.host)) {
+    this->ScheduleForwarding(aNotices);
   }
-  const bool isFirst = this->crashReportsToForward.reports.empty();
-  std::ranges::copy(aReports.reports,
-                    std::back_inserter(this->crashReportsToForward.reports));
-  if (!isFirst) {
+}
+
+void Gateway::Impl::ScheduleForwarding(const protocol::Notices& aNotices)
+{
+  std::ranges::copy(aNotices.crashes,
+                    std::back_inserter(this->noticesToForward.crashes));
+  if (std::exchange(this->isForwardingScheduled, true)) {
     return;
   }
   this->forwardTimer.expires_after(kForwardDelay);
   this->forwardTimer.async_wait(
     [this](const boost::system::error_code& aError) {
       if (!aError) {
-        this->ForwardCrashReports();
+        this->ForwardNotices();
       }
     });
 }
 
-void Gateway::Impl::ForwardCrashReports()
+void Gateway::Impl::ForwardNotices()
 {
+  this->isForwardingScheduled = false;
   std::vector<std::string> recipients;
   std::ranges::copy_if(this->connectedPeers, std::back_inserter(recipients),
                        [this](const std::string& aHost) {
                          return this->topology.ForwardsChangesTo({ aHost });
                        });
-  protocol::CrashReports reports;
-  std::swap(reports, this->crashReportsToForward);
-  reports.__set_key(
-    static_cast<std::int64_t>(this->dispatcher->Suspects().Key()));
-  protocol::Frame frame;
-  frame.__set_crashReports(reports);
-  this->peerNetwork->SendToAll(recipients, frame);
+  protocol::Notices notices =
+    std::exchange(this->noticesToForward, protocol::Notices{});
+  notices.__set_key(this->MakeNotices().key);
+  this->peerNetwork->SendToAll(recipients, MakeFrame(notices));
 }
 
 void Gateway::Impl::OnLimitChanged(const routing::UpstreamLimit& aLimit)
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -249,8 +249,8 @@
     this->quotas->OnAsk({ aFrom.host }, aFrame.quotaAsk);
   } else if (aFrame.__isset.quotaReply) {
     this->quotas->OnReply({ aFrom.host }, aFrame.quotaReply);
-  } else if (aFrame.__isset.crashReports) {
-    this->OnCrashReports(aFrame.crashReports);
+  } else if (aFrame.__isset.notices) {
+    this->OnNotices(aFrame.notices);
   }
 }
 
--- a/src/node/internal/peertraffic.cpp
+++ b/src/node/internal/peertraffic.cpp
@@ -20,7 +20,7 @@
   std::pair{ FramePurpose::kTableCopy, std::string_view("table_copy") },
   std::pair{ FramePurpose::kTableChange, std::string_view("table_change") },
   std::pair{ FramePurpose::kQuota, std::string_view("quota") },
-  std::pair{ FramePurpose::kCrashReports, std::string_view("crash_reports") },
+  std::pair{ FramePurpose::kNotices, std::string_view("notices") },
   std::pair{ FramePurpose::kOther, std::string_view("other") },
 };
 
@@ -53,8 +53,8 @@
   if (aFrame.__isset.tableChange) {
     return FramePurpose::kTableChange;
   }
-  if (aFrame.__isset.crashReports) {
-    return FramePurpose::kCrashReports;
+  if (aFrame.__isset.notices) {
+    return FramePurpose::kNotices;
   }
   return aFrame.__isset.quotaAsk || aFrame.__isset.quotaReply
            ? FramePurpose::kQuota
--- a/src/node/internal/peertraffic.h
+++ b/src/node/internal/peertraffic.h
@@ -25,7 +25,7 @@
   kTableCopy,
   kTableChange,
   kQuota,
-  kCrashReports,
+  kNotices,
   kOther,
 };
 
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -388,12 +388,13 @@
   4: list<UpstreamEnd> ends
 }
 
-// Sent to all connected hosts when a request ends unserved, and to a host that
-// has just connected.
-struct CrashReports {
-  // The key of the sender's reports.
+// What a host has learned from an upstream and all hosts have to know at once.
+// Sent to all connected hosts, and all that is known to one that has just
+// connected.
+struct Notices {
+  // The key of the sender's crash reports.
   1: i64 key
-  2: list<CrashReport> reports
+  2: list<CrashReport> crashes
   // A hub that receives it forwards it to the hosts that are assigned to it.
   3: bool forward
 }
@@ -439,5 +440,5 @@
   37: optional TableChange tableChange
   38: optional QuotaAsk quotaAsk
   39: optional QuotaReply quotaReply
-  40: optional CrashReports crashReports
+  40: optional Notices notices
 }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -12,11 +12,11 @@
 #include "coordination/retrybudget.h"
 #include "framework/clock.h"
 #include "protocol/errorkind.h"
-#include "routing/coldratelimiter.h"
 #include "routing/configuration.h"
 #include "routing/crashsuspects.h"
 #include "routing/placement.h"
 #include "routing/upstreamlimits.h"
+#include "routing/upstreamratelimiter.h"
 #include "routing/upstreams.h"
 #include "routing/waiting.h"
 #include "transport/http.h"
@@ -301,9 +301,9 @@
   Upstreams& upstreams;
   const Hooks hooks;
   std::shared_ptr<const RouteTable> routes;
-  ColdRateLimiter cellRateLimiter;
+  UpstreamRateLimiter cellRateLimiter;
   // A cold owner of keys gets requests from all cells.
-  ColdRateLimiter ownerRateLimiter;
+  UpstreamRateLimiter ownerRateLimiter;
   CrashSuspects suspects;
   UpstreamLimits limits;
   // Reachable hosts of this host's cell, and of all cells; itself included.
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -287,7 +287,7 @@
   ++this->runningCount;
   ++this->loadChangeCount;
   if (aUpstream.coldUntil > now) {
-    ColdRateLimiter& limiter =
+    UpstreamRateLimiter& limiter =
       this->IsKeyed(*aRequest) ? this->ownerRateLimiter : this->cellRateLimiter;
     limiter.OnSent(aUpstream.entry.id, now);
   }
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -145,10 +145,11 @@
     return true;
   }
   return this->IsKeyed(aRequest)
-           ? this->ownerRateLimiter.MaySend(aOne.entry.id,
-                                            service->coldPerSecond, now)
+           ? this->ownerRateLimiter.MaySend(
+               aOne.entry.id, ColdRate(service->coldPerSecond), now)
            : this->cellRateLimiter.MaySend(
-               aOne.entry.id, service->coldPerSecond * aOne.cellPart, now);
+               aOne.entry.id, ColdRate(service->coldPerSecond * aOne.cellPart),
+               now);
 }
 
 const UpstreamState* Dispatcher::Choose(const Request& aRequest)
--- a/src/routing/tests/cells_test.cpp
+++ b/src/routing/tests/cells_test.cpp
@@ -2,8 +2,8 @@
 // upstreams of others.
 
 #include "routing/cells.h"
-#include "routing/coldratelimiter.h"
 #include "routing/spilloverwindow.h"
+#include "routing/upstreamratelimiter.h"
 #include "routing/upstreams.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -104,7 +104,7 @@
     constexpr std::size_t kMostInOneSecond = 14;
     const auto hosts = Hosts(82);
     std::vector<Cells> cells;
-    std::vector<ColdRateLimiter> limiters;
+    std::vector<UpstreamRateLimiter> limiters;
     for (const CellHost& host : hosts) {
       cells.push_back(CellsOf(host, hosts));
       limiters.emplace_back(host.id);
@@ -120,7 +120,8 @@
         for (std::size_t i = 0; i < hosts.size(); ++i) {
           const double part =
             PartInRange(cells[i].OwnRange(), place, kUpstreams);
-          if (part > 0 && limiters[i].MaySend(id, kPerSecond * part, now)) {
+          if (part > 0 &&
+              limiters[i].MaySend(id, ColdRate(kPerSecond * part), now)) {
             limiters[i].OnSent(id, now);
             sent.push_back(now);
           }
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -677,13 +677,13 @@
     for (int i = 0; i < kHosts; ++i) {
       hosts.push_back({ "h" + std::to_string(i) });
     }
-    std::vector<ColdRateLimiter> limiters(hosts.begin(), hosts.end());
+    std::vector<UpstreamRateLimiter> limiters(hosts.begin(), hosts.end());
     int sent = 0;
     for (int ms = 0; ms < 4000; ms += 10) {
-      for (ColdRateLimiter& limiter : limiters) {
+      for (UpstreamRateLimiter& limiter : limiters) {
         limiter.SetHosts(hosts);
         const TimePoint at = this->now + milliseconds(ms);
-        if (limiter.MaySend({ "u" }, kPerSecond, at)) {
+        if (limiter.MaySend({ "u" }, ColdRate(kPerSecond), at)) {
           limiter.OnSent({ "u" }, at);
           ++sent;
         }
--- /dev/null
+++ b/src/routing/upstreamratelimiter.h
@@ -0,0 +1,56 @@
+// Limits the rate of requests to an upstream, over all hosts together: a cold
+// one (slow start) fails under its full load. Each host keeps to a share of the
+// rate without messages: rendezvous hashing selects a few of the reachable
+// hosts as senders of an upstream, and each sender keeps an interval between
+// its requests, so that together they come to the upstream's rate.
+//
+// In any span of time, the senders together send at most the rate times the
+// span and one request each.
+
+#pragma once
+
+#include "framework/clock.h"
+#include "state/types.h"
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace kumquat::routing {
+
+// A rate that all hosts share.
+struct SharedRate
+{
+  // From all hosts together; 0 means that there is no limit.
+  double perSecond = 0;
+  // Number of hosts that may send, at most.
+  std::size_t senders = 1;
+};
+
+// What a cold upstream can handle: as many senders as can each send one request
+// within a second without exceeding the rate, at least one.
+SharedRate ColdRate(double aPerSecond);
+
+class UpstreamRateLimiter
+{
+public:
+  explicit UpstreamRateLimiter(state::HostId aSelf);
+
+  // aHosts are the reachable hosts, this one included.
+  void SetHosts(std::vector<state::HostId> aHosts);
+
+  // Whether this host may send the upstream a request now.
+  bool MaySend(const state::UpstreamId& aId, const SharedRate& aRate,
+               TimePoint aNow) const;
+  // Records that this host has sent the upstream a request.
+  void OnSent(const state::UpstreamId& aId, TimePoint aNow);
+
+private:
+  bool IsSender(const state::UpstreamId& aId, std::size_t aSenders) const;
+
+  const state::HostId self;
+  std::vector<state::HostId> hosts;
+  std::map<state::UpstreamId, TimePoint> lastSent;
+};
+
+} // namespace kumquat::routing
