Limits that upstreams name hold for all hosts together

Cause: hosts passed the header over; each sent what it had callers for.

Change: hosts learn the limit from responses and tell each other of changes, by the notices that crash reports use. The limiter of cold upstreams keeps to it: a few senders, drawn by rendezvous hashing, each with an interval. An upstream that belongs to several cells gets requests from the one in which it begins. What exceeds the limit goes to other upstreams, or is refused at once where there is none. The assigner gives most keys of a limited owner to upstreams with room. The draw of senders is kept until the hosts change.

--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -304,6 +304,9 @@
                              ownership::Assigner::CommandDone aDone) {
     this->SendLeaseCommand(aCommand, std::move(aDone));
   };
+  hooks.limitOf = [this](const state::UpstreamId& aId) {
+    return this->dispatcher->Limits().RateOf(aId);
+  };
   hooks.preference = [this](const state::HostId& aHost) {
     return this->topology.DutyPreference(aHost);
   };
--- a/src/node/internal/gatewaynotices.cpp
+++ b/src/node/internal/gatewaynotices.cpp
@@ -24,21 +24,31 @@
 
 // When many hosts have something to tell at once, it goes into one frame.
 constexpr milliseconds kForwardDelay{ 3 };
+constexpr double kKilo = 1000;
 // Logged for an upstream that names no limit any more.
 constexpr std::int64_t kNoLimit = -1;
 
+std::int32_t AgeMs(TimePoint aTime)
+{
+  return static_cast<std::int32_t>(
+    std::chrono::duration_cast<milliseconds>(BootTime() - aTime).count());
+}
+
+TimePoint TimeFromAge(std::int32_t aAgeMs)
+{
+  return BootTime() - milliseconds(std::max(0, aAgeMs));
+}
+
 protocol::CrashReport ToWire(const routing::CrashReport& aReport)
 {
   protocol::CrashReport report;
   report.__set_key(static_cast<std::int64_t>(aReport.request.key));
   report.__set_hashHigh(static_cast<std::int64_t>(aReport.request.high));
   report.__set_hashLow(static_cast<std::int64_t>(aReport.request.low));
-  const TimePoint now = BootTime();
   for (const routing::UpstreamEnd& one : aReport.ends) {
     protocol::UpstreamEnd end;
     end.__set_upstream(one.upstream.value);
-    end.__set_agoMs(static_cast<std::int32_t>(
-      std::chrono::duration_cast<milliseconds>(now - one.at).count()));
+    end.__set_agoMs(AgeMs(one.at));
     report.ends.push_back(std::move(end));
   }
   return report;
@@ -60,17 +70,48 @@
   report.request = { static_cast<std::uint64_t>(aReport.key),
                      static_cast<std::uint64_t>(aReport.hashHigh),
                      static_cast<std::uint64_t>(aReport.hashLow) };
-  const TimePoint now = BootTime();
-  std::ranges::transform(aReport.ends, std::back_inserter(report.ends),
-                         [now](const protocol::UpstreamEnd& aEnd) {
-                           return routing::UpstreamEnd{
-                             { aEnd.upstream },
-                             now - milliseconds(std::max(0, aEnd.agoMs))
-                           };
-                         });
+  std::ranges::transform(
+    aReport.ends, std::back_inserter(report.ends),
+    [](const protocol::UpstreamEnd& aEnd) {
+      return routing::UpstreamEnd{ { aEnd.upstream }, TimeFromAge(aEnd.agoMs) };
+    });
   return report;
 }
 
+protocol::UpstreamLimit ToWire(const routing::UpstreamLimit& aLimit)
+{
+  protocol::UpstreamLimit limit;
+  limit.__set_upstream(aLimit.upstream.value);
+  if (aLimit.perSecond) {
+    limit.__set_perKilosecond(std::llround(*aLimit.perSecond * kKilo));
+  }
+  limit.__set_saidAgoMs(AgeMs(aLimit.saidAt));
+  return limit;
+}
+
+routing::UpstreamLimit FromWire(const protocol::UpstreamLimit& aLimit)
+{
+  routing::UpstreamLimit limit{ { aLimit.upstream },
+                                {},
+                                TimeFromAge(aLimit.saidAgoMs) };
+  if (aLimit.__isset.perKilosecond) {
+    limit.perSecond =
+      static_cast<double>(std::max<std::int64_t>(0, aLimit.perKilosecond)) /
+      kKilo;
+  }
+  return limit;
+}
+
+std::vector<protocol::UpstreamLimit> ToWire(
+  const std::vector<routing::UpstreamLimit>& aLimits)
+{
+  std::vector<protocol::UpstreamLimit> limits;
+  std::ranges::transform(
+    aLimits, std::back_inserter(limits),
+    [](const routing::UpstreamLimit& aLimit) { return ToWire(aLimit); });
+  return limits;
+}
+
 protocol::Frame MakeFrame(const protocol::Notices& aNotices)
 {
   protocol::Frame frame;
@@ -110,6 +151,7 @@
 {
   protocol::Notices notices = this->MakeNotices();
   notices.__set_crashes(ToWire(this->dispatcher->Suspects().AllReports()));
+  notices.__set_limits(ToWire(this->dispatcher->Limits().All()));
   static_cast<void>(this->peerNetwork->Send(aPeer, MakeFrame(notices)));
 }
 
@@ -120,6 +162,9 @@
   for (const protocol::CrashReport& report : aNotices.crashes) {
     suspects.OnReport(FromWire(report));
   }
+  for (const protocol::UpstreamLimit& limit : aNotices.limits) {
+    this->dispatcher->Limits().OnReport(FromWire(limit));
+  }
   if (aNotices.forward && this->topology.IsHub(this->self.host)) {
     this->ScheduleForwarding(aNotices);
   }
@@ -129,6 +174,8 @@
 {
   std::ranges::copy(aNotices.crashes,
                     std::back_inserter(this->noticesToForward.crashes));
+  std::ranges::copy(aNotices.limits,
+                    std::back_inserter(this->noticesToForward.limits));
   if (std::exchange(this->isForwardingScheduled, true)) {
     return;
   }
@@ -157,13 +204,15 @@
 
 void Gateway::Impl::OnLimitChanged(const routing::UpstreamLimit& aLimit)
 {
-  constexpr double kMillis = 1000;
   this->log.Write(
     Event::kUpstreamLimited,
     { { "upstream", aLimit.upstream.value },
       { "per_1000_s", aLimit.perSecond ? static_cast<std::int64_t>(std::llround(
-                                           *aLimit.perSecond * kMillis))
+                                           *aLimit.perSecond * kKilo))
                                        : kNoLimit } });
+  protocol::Notices notices = this->MakeNotices();
+  notices.__set_limits({ ToWire(aLimit) });
+  this->SendNotices(std::move(notices));
 }
 
 // Hosts that are connected and heard get every report. Where the hosts are
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -215,6 +215,9 @@
                          : platform::ParseUpstreamEntry(row.key, row.value);
     if (entry) {
       const routing::EntryChange change = this->upstreams.PutEntry(*entry, now);
+      if (change == routing::EntryChange::kNewIncarnation) {
+        this->dispatcher->Limits().Forget(entry->id);
+      }
       leavingCount += entry->leaving ? 1 : 0;
       if (logsEach) {
         this->LogUpstreamSeen(*entry, change, row.version);
--- a/src/node/internal/keyedservices.cpp
+++ b/src/node/internal/keyedservices.cpp
@@ -282,6 +282,14 @@
         typicalMs / routing::EstimatedServiceMs(*upstream, typicalMs, now), 0.4,
         2.0);
     }
+    // Its keys go to upstreams that have room for their requests.
+    if (const auto limit = this->hooks.limitOf(upstream->entry.id)) {
+      constexpr double kMsPerSecond = 1000;
+      constexpr double kMinCapacity = 0.01;
+      candidate.cold = true;
+      candidate.capacity = std::clamp(*limit * typicalMs / kMsPerSecond,
+                                      kMinCapacity, candidate.capacity);
+    }
     candidates.push_back(std::move(candidate));
   }
   return candidates;
--- a/src/node/internal/keyedservices.h
+++ b/src/node/internal/keyedservices.h
@@ -40,6 +40,9 @@
     std::function<void(const ownership::LeaseCommand&,
                        ownership::Assigner::CommandDone)>
       sendCommand;
+    // Requests per second that the upstream takes from all hosts together, if
+    // it names a limit.
+    std::function<std::optional<double>(const state::UpstreamId&)> limitOf;
     // See Assigner::Hooks.
     std::function<double(const state::HostId&)> preference;
     std::function<void(const state::HostRef&)> requestConnection;
--- a/src/node/tests/keyedservices_test.cpp
+++ b/src/node/tests/keyedservices_test.cpp
@@ -142,6 +142,9 @@
   KeyedServices::Hooks MakeHooks()
   {
     KeyedServices::Hooks hooks;
+    hooks.limitOf = [](const state::UpstreamId&) {
+      return std::optional<double>();
+    };
     hooks.now = [this] { return this->now; };
     hooks.store.read = [this](const std::string&, const std::string&,
                               const state::RowStore::ReadDone& aDone) {
--- a/src/node/tests/keypartsimulation.h
+++ b/src/node/tests/keypartsimulation.h
@@ -278,6 +278,9 @@
   {
     const std::weak_ptr<Host> weak = aHost;
     KeyedServices::Hooks hooks;
+    hooks.limitOf = [](const state::UpstreamId&) {
+      return std::optional<double>();
+    };
     hooks.now = [this] { return this->now; };
     hooks.store.read = [this, weak](const std::string&,
                                     const std::string& aPartition,
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -131,7 +131,8 @@
   std::string address;
   // False if the upstream is leaving or its data centre is out of service.
   bool mayOwn = false;
-  // In slow start: keys are moved to it only if all candidates are cold.
+  // In slow start, or it names a limit: keys are moved to it only if all
+  // candidates are so.
   bool cold = false;
   // Requests that it can run in a given time, relative to other candidates.
   double capacity = 1;
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -388,6 +388,14 @@
   4: list<UpstreamEnd> ends
 }
 
+// What an upstream said last about its limit: see UpstreamLimit in src/routing.
+struct UpstreamLimit {
+  1: string upstream
+  // Requests per 1000 seconds; not set if it names no limit any more.
+  2: optional i64 perKilosecond
+  3: i32 saidAgoMs
+}
+
 // What a host has learned from an upstream and all hosts have to know at once.
 // Sent to all connected hosts, and all that is known to one that has just
 // connected.
@@ -397,6 +405,7 @@
   2: list<CrashReport> crashes
   // A hub that receives it forwards it to the hosts that are assigned to it.
   3: bool forward
+  4: list<UpstreamLimit> limits
 }
 
 // Another frame, as zlib compresses its bytes.
--- a/src/routing/cells.h
+++ b/src/routing/cells.h
@@ -89,6 +89,11 @@
 bool OverlapsRange(const FractionRange& aRange, std::size_t aPlace,
                    std::size_t aCount);
 
+// Whether element aPlace of aCount elements begins in aRange. Of all cells this
+// holds for exactly one.
+bool BeginsInRange(const FractionRange& aRange, std::size_t aPlace,
+                   std::size_t aCount);
+
 // The part of element aPlace of aCount elements that lies in aRange. Over all
 // cells it adds up to 1, so cells can divide what an upstream can take.
 double PartInRange(const FractionRange& aRange, std::size_t aPlace,
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -207,7 +207,8 @@
   // passes on what peers say of them, and sets how many peers are heard.
   CrashSuspects& Suspects() { return this->suspects; }
 
-  // What the upstreams name as their limits.
+  // What the upstreams name as their limits. The owner of the dispatcher passes
+  // on what peers have heard.
   UpstreamLimits& Limits() { return this->limits; }
 
   // Refuses requests that arrive from now on. The host is about to stop, and
@@ -271,14 +272,24 @@
   const UpstreamState* ChooseAmongDrawn(
     const std::vector<UpstreamState*>& aFrom, const PlacementContext& aContext);
   PlacementContext MakeContext(const Request& aRequest);
+  bool IsWithinRate(const Request& aRequest, const UpstreamState& aOne) const;
   bool IsWithinColdRate(const Request& aRequest,
                         const UpstreamState& aOne) const;
+  bool IsWithinLimit(const Request& aRequest, const UpstreamState& aOne) const;
+  // The rate that the upstream names, if any.
+  std::optional<SharedRate> LimitOf(const UpstreamState& aOne) const;
+  // What this host may send of it per second.
+  double OwnShareOfLimit(const UpstreamState& aOne, const SharedRate& aLimit,
+                         bool aIsKeyed) const;
   void Send(const RequestPtr& aRequest, const UpstreamState& aUpstream);
   void Enqueue(const RequestPtr& aRequest);
   void SendWaiting(const state::ServiceName& aName);
   void WithdrawAttempt(const RequestPtr& aRequest);
   bool MayRetry(const Request& aRequest, protocol::ErrorKind aWhy);
   bool IsAnotherRunAllowed(Request& aRequest);
+  // Makes the forecast fit what this host may send to the owner of the key.
+  void ApplyOwnersLimit(const UpstreamState& aOwner, TimePoint aNow,
+                        QueueForecast& aForecast) const;
   void UpdateLimit(const state::UpstreamId& aUpstream,
                    const NamedLimit& aLimit);
   static const ContentHash& ContentOf(Request& aRequest);
--- a/src/routing/internal/cells.cpp
+++ b/src/routing/internal/cells.cpp
@@ -54,11 +54,24 @@
 
 } // namespace
 
+namespace {
+
+// Ranges that only touch do not overlap, also where their ends were rounded.
+constexpr double kRounding = 1e-9;
+
+} // namespace
+
+bool BeginsInRange(const FractionRange& aRange, std::size_t aPlace,
+                   std::size_t aCount)
+{
+  const double begin =
+    static_cast<double>(aPlace) / static_cast<double>(aCount);
+  return begin >= aRange.begin - kRounding && begin < aRange.end - kRounding;
+}
+
 bool OverlapsRange(const FractionRange& aRange, std::size_t aPlace,
                    std::size_t aCount)
 {
-  // Ranges that only touch do not overlap, also where their ends were rounded.
-  constexpr double kRounding = 1e-9;
   const double count = static_cast<double>(aCount);
   const double begin = static_cast<double>(aPlace) / count;
   const double end = static_cast<double>(aPlace + 1) / count;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -286,7 +286,7 @@
   }
   ++this->runningCount;
   ++this->loadChangeCount;
-  if (aUpstream.coldUntil > now) {
+  if (aUpstream.coldUntil > now || this->LimitOf(aUpstream)) {
     UpstreamRateLimiter& limiter =
       this->IsKeyed(*aRequest) ? this->ownerRateLimiter : this->cellRateLimiter;
     limiter.OnSent(aUpstream.entry.id, now);
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -66,8 +66,14 @@
     this->upstreams.ForService(aRequest.service);
   for (const UpstreamState* one : upstreamsOf.inCell) {
     if (one->ejectedUntil <= now) {
-      forecast.perSecond += 1000.0 * one->entry.slots /
-                            EstimatedServiceMs(*one, forecast.typicalMs, now);
+      const double perSecond =
+        1000.0 * one->entry.slots /
+        EstimatedServiceMs(*one, forecast.typicalMs, now);
+      const std::optional<SharedRate> limit = this->LimitOf(*one);
+      forecast.perSecond +=
+        limit ? std::min(perSecond, this->OwnShareOfLimit(*one, *limit, false) *
+                                      static_cast<double>(this->cellHostCount))
+              : perSecond;
     }
   }
   forecast.perSecond /= static_cast<double>(this->cellHostCount);
@@ -117,9 +123,33 @@
     forecast.pause =
       std::chrono::duration_cast<milliseconds>(one->fullUntil - now);
   }
+  this->ApplyOwnersLimit(*one, now, forecast);
   return forecast;
 }
 
+void Dispatcher::ApplyOwnersLimit(const UpstreamState& aOwner, TimePoint aNow,
+                                  QueueForecast& aForecast) const
+{
+  const std::optional<SharedRate> limit = this->LimitOf(aOwner);
+  if (!limit) {
+    return;
+  }
+  const double share = this->OwnShareOfLimit(aOwner, *limit, true);
+  if (share < aForecast.perSecond) {
+    aForecast.perSecond = share;
+    aForecast.nextMs = 0;
+  }
+  if (share <= 0) {
+    // The request cannot be sent from this host.
+    aForecast.queued = std::max<std::size_t>(1, aForecast.queued);
+    return;
+  }
+  aForecast.pause =
+    std::max(aForecast.pause,
+             std::chrono::ceil<milliseconds>(
+               this->ownerRateLimiter.WaitTime(aOwner.entry.id, *limit, aNow)));
+}
+
 std::map<state::UpstreamId, int> Dispatcher::WaitingByOwner() const
 {
   std::map<state::UpstreamId, int> counts;
@@ -152,6 +182,49 @@
                now);
 }
 
+std::optional<SharedRate> Dispatcher::LimitOf(const UpstreamState& aOne) const
+{
+  const std::optional<double> perSecond =
+    this->limits.IsEmpty() ? std::nullopt : this->limits.RateOf(aOne.entry.id);
+  return perSecond ? std::optional(LimitRate(*perSecond)) : std::nullopt;
+}
+
+// All hosts send to the owner of a key. Any other upstream that names a limit
+// gets requests from one cell alone, which keeps the sum exact.
+double Dispatcher::OwnShareOfLimit(const UpstreamState& aOne,
+                                   const SharedRate& aLimit,
+                                   bool aIsKeyed) const
+{
+  if (aIsKeyed) {
+    return this->ownerRateLimiter.OwnShare(aOne.entry.id, aLimit);
+  }
+  return aOne.isInCell && aOne.isInPrimaryCell
+           ? this->cellRateLimiter.OwnShare(aOne.entry.id, aLimit)
+           : 0;
+}
+
+bool Dispatcher::IsWithinLimit(const Request& aRequest,
+                               const UpstreamState& aOne) const
+{
+  const std::optional<SharedRate> limit = this->LimitOf(aOne);
+  if (!limit) {
+    return true;
+  }
+  const bool isKeyed = this->IsKeyed(aRequest);
+  const UpstreamRateLimiter& limiter =
+    isKeyed ? this->ownerRateLimiter : this->cellRateLimiter;
+  return this->OwnShareOfLimit(aOne, *limit, isKeyed) > 0 &&
+         limiter.WaitTime(aOne.entry.id, *limit, this->hooks.now()) <=
+           Duration(0);
+}
+
+bool Dispatcher::IsWithinRate(const Request& aRequest,
+                              const UpstreamState& aOne) const
+{
+  return this->IsWithinColdRate(aRequest, aOne) &&
+         this->IsWithinLimit(aRequest, aOne);
+}
+
 const UpstreamState* Dispatcher::Choose(const Request& aRequest)
 {
   if (this->IsKeyed(aRequest)) {
@@ -160,7 +233,7 @@
   std::vector<UpstreamState*> candidates =
     this->upstreams.ForService(aRequest.service).inCell;
   std::erase_if(candidates, [&](const UpstreamState* aOne) {
-    return !this->IsWithinColdRate(aRequest, *aOne);
+    return !this->IsWithinRate(aRequest, *aOne);
   });
   const PlacementContext context = this->MakeContext(aRequest);
   if (this->ShouldStayLocal(aRequest, context)) {
@@ -178,7 +251,7 @@
     this->hooks.findOwner(aRequest.service, *aRequest.caller.key).upstream);
   return one != nullptr && this->upstreams.IsUsable(*one) &&
              HasCapacity(*one, this->hooks.now()) &&
-             this->IsWithinColdRate(aRequest, *one)
+             this->IsWithinRate(aRequest, *one)
            ? one
            : nullptr;
 }
@@ -198,8 +271,8 @@
 
 // Chooses among a few upstreams of other cells, drawn at random: this host
 // knows little of any of them, and would otherwise go through hundreds for each
-// waiting request. Cold upstreams get requests from their own cell alone, which
-// keeps their rate exact.
+// waiting request. Cold upstreams, and those that name a limit, get requests
+// from their own cell alone, which keeps their rate exact.
 const UpstreamState* Dispatcher::ChooseInOtherCells(
   const Request& aRequest, const PlacementContext& aContext)
 {
@@ -228,7 +301,7 @@
   std::vector<UpstreamState*> candidates;
   for (std::size_t i = 0; i < std::min(kDrawn, aFrom.size()); ++i) {
     UpstreamState* one = aFrom[this->hooks.random(aFrom.size())];
-    if (one->coldUntil <= aContext.now) {
+    if (one->coldUntil <= aContext.now && !this->LimitOf(*one)) {
       candidates.push_back(one);
     }
   }
--- a/src/routing/internal/upstreamratelimiter.cpp
+++ b/src/routing/internal/upstreamratelimiter.cpp
@@ -19,6 +19,7 @@
 void UpstreamRateLimiter::SetHosts(std::vector<state::HostId> aHosts)
 {
   this->hosts = std::move(aHosts);
+  this->ranks.clear();
 }
 
 SharedRate ColdRate(double aPerSecond)
@@ -26,21 +27,51 @@
   return { aPerSecond, static_cast<std::size_t>(std::max(1.0, aPerSecond)) };
 }
 
+SharedRate LimitRate(double aPerSecond)
+{
+  constexpr std::size_t kExtraSenders = 3;
+  // More than any host can send.
+  constexpr double kMaxPerSecond = 1e6;
+  const double perSecond = std::min(aPerSecond, kMaxPerSecond);
+  return { perSecond, static_cast<std::size_t>(perSecond) + kExtraSenders };
+}
+
+std::size_t UpstreamRateLimiter::SenderCount(const SharedRate& aRate) const
+{
+  return std::max<std::size_t>(1, std::min(aRate.senders, this->hosts.size()));
+}
+
+Duration UpstreamRateLimiter::Gap(const SharedRate& aRate) const
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+    static_cast<double>(this->SenderCount(aRate)) / aRate.perSecond));
+}
+
 bool UpstreamRateLimiter::MaySend(const state::UpstreamId& aId,
                                   const SharedRate& aRate, TimePoint aNow) const
 {
-  if (aRate.perSecond <= 0) {
-    return true;
-  }
-  const std::size_t senders =
-    std::max<std::size_t>(1, std::min(aRate.senders, this->hosts.size()));
-  if (!this->IsSender(aId, senders)) {
-    return false;
-  }
+  return aRate.perSecond <= 0 ||
+         (this->OwnShare(aId, aRate) > 0 &&
+          this->WaitTime(aId, aRate, aNow) <= Duration(0));
+}
+
+double UpstreamRateLimiter::OwnShare(const state::UpstreamId& aId,
+                                     const SharedRate& aRate) const
+{
+  const std::size_t senders = this->SenderCount(aRate);
+  return this->IsSender(aId, senders)
+           ? aRate.perSecond / static_cast<double>(senders)
+           : 0;
+}
+
+Duration UpstreamRateLimiter::WaitTime(const state::UpstreamId& aId,
+                                       const SharedRate& aRate,
+                                       TimePoint aNow) const
+{
   const auto sent = this->lastSent.find(aId);
-  const std::chrono::duration<double> gap(static_cast<double>(senders) /
-                                          aRate.perSecond);
-  return sent == this->lastSent.end() || aNow - sent->second >= gap;
+  return sent == this->lastSent.end()
+           ? Duration(0)
+           : std::max(Duration(0), sent->second + this->Gap(aRate) - aNow);
 }
 
 void UpstreamRateLimiter::OnSent(const state::UpstreamId& aId, TimePoint aNow)
@@ -48,16 +79,25 @@
   this->lastSent[aId] = aNow;
 }
 
-bool UpstreamRateLimiter::IsSender(const state::UpstreamId& aId,
-                                   std::size_t aSenders) const
+std::size_t UpstreamRateLimiter::Rank(const state::UpstreamId& aId) const
 {
+  const auto known = this->ranks.find(aId);
+  if (known != this->ranks.end()) {
+    return known->second;
+  }
   const std::uint64_t own = RendezvousScore(this->self.value, aId.value);
   const auto higher =
     std::ranges::count_if(this->hosts, [&](const state::HostId& aHost) {
       return aHost != this->self &&
              RendezvousScore(aHost.value, aId.value) > own;
     });
-  return static_cast<std::size_t>(higher) < aSenders;
+  return this->ranks.emplace(aId, higher).first->second;
+}
+
+bool UpstreamRateLimiter::IsSender(const state::UpstreamId& aId,
+                                   std::size_t aSenders) const
+{
+  return this->Rank(aId) < aSenders;
 }
 
 } // namespace kumquat::routing
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -405,6 +405,7 @@
       continue;
     }
     one->isInCell = OverlapsRange(this->cellRange, place, count);
+    one->isInPrimaryCell = BeginsInRange(this->cellRange, place, count);
     one->cellPart = PartInRange(this->cellRange, place, count);
     (one->isInCell ? aLists.inCell : aLists.inOtherCells).push_back(one);
     ++place;
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -90,6 +90,9 @@
   CPPUNIT_TEST(testDownloadWaitsForLocalSlot);
   CPPUNIT_TEST(testLocalUpstreamIsAlwaysConsidered);
   CPPUNIT_TEST(testColdUpstreamIsRateLimited);
+  CPPUNIT_TEST(testLimitedUpstreamGetsItsRateAndOthersTheRest);
+  CPPUNIT_TEST(testRequestIsRefusedAtOnceWhereAllUpstreamsAreLimited);
+  CPPUNIT_TEST(testRequestForLimitedOwnerIsRefusedAtOnce);
   CPPUNIT_TEST(testFullCellUsesOtherCells);
   CPPUNIT_TEST(testLargeResponseFromOtherCellIsLocal);
   CPPUNIT_TEST_SUITE_END();
@@ -693,6 +696,76 @@
     CPPUNIT_ASSERT(sent >= 4 * kPerSecond - 5);
   }
 
+  // Guards against sending an upstream more than it says it takes, while others
+  // have room.
+  void testLimitedUpstreamGetsItsRateAndOthersTheRest()
+  {
+    this->NameLimit("a0", 1.4);
+    const auto before = this->attempts.size();
+    for (int i = 0; i < 40; ++i) {
+      const auto number = this->StartRequest("/look/1");
+      this->now += milliseconds(50);
+      if (this->attempts.back().upstream.value == "a0") {
+        this->RespondWithLimit(number, 1.4);
+      } else {
+        this->Respond(number, 200);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(before + 40, this->attempts.size());
+    const auto toLimited = std::ranges::count_if(
+      this->attempts.begin() + static_cast<std::ptrdiff_t>(before),
+      this->attempts.end(), [](const UpstreamRequest& aRequest) {
+        return aRequest.upstream.value == "a0";
+      });
+    CPPUNIT_ASSERT(toLimited >= 1);
+    CPPUNIT_ASSERT(toLimited <= 3);
+  }
+
+  // Guards against letting callers wait for their deadline where no upstream
+  // takes their request.
+  void testRequestIsRefusedAtOnceWhereAllUpstreamsAreLimited()
+  {
+    this->SetServiceMs("archeb", 100);
+    for (const char* upstream : { "a0", "a1", "a2" }) {
+      this->NameLimit(upstream, 1);
+    }
+    int refused = 0;
+    for (int i = 0; i < 10; ++i) {
+      const auto number = this->StartRequest("/look/" + std::to_string(i));
+      const auto found = this->responses.find(number);
+      refused +=
+        found != this->responses.end() && found->second.retryAfter.has_value()
+          ? 1
+          : 0;
+    }
+    // Three go at once, and one and a half in the half second in which a
+    // response is in time.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(refused), refused >= 5);
+  }
+
+  // Guards against the same for the owner of a key, at hosts that may not send
+  // to it.
+  void testRequestForLimitedOwnerIsRefusedAtOnce()
+  {
+    this->SetServiceMs("stoc", 100);
+    this->dispatcher->SetHosts(Hosts(12), Hosts(12));
+    const std::size_t before = this->attempts.size();
+    int refused = 0;
+    for (int i = 0; i < 30; ++i) {
+      const std::string id = "s" + std::to_string(i);
+      this->AddUpstream(id, "stoc");
+      this->dispatcher->Limits().OnReport({ { id }, 1.4, this->now });
+      this->owner = KeyOwner{ { id }, std::chrono::hours(1) };
+      const auto number = this->StartRequest("/stock/1", milliseconds(1200), 5);
+      refused += this->responses.contains(number) ? 1 : 0;
+    }
+    // Four of twelve hosts may send to each.
+    const auto sent = static_cast<int>(this->attempts.size() - before);
+    CPPUNIT_ASSERT_EQUAL(30, sent + refused);
+    CPPUNIT_ASSERT(sent >= 3);
+    CPPUNIT_ASSERT(sent <= 20);
+  }
+
   // This host's cell has one of three upstreams, and it is full. Requests that
   // would wait go to another cell's upstreams, one at first; the response shows
   // that one idle, and the next two may go.
@@ -925,6 +998,20 @@
     this->dispatcher->OnUpstreamResponse(aNumber, std::move(response));
   }
 
+  void RespondWithLimit(RequestNumber aNumber, double aPerSecond)
+  {
+    UpstreamResponse response;
+    response.isSigned = true;
+    response.limit.perSecond = aPerSecond;
+    this->dispatcher->OnUpstreamResponse(aNumber, std::move(response));
+  }
+
+  void NameLimit(const std::string& aUpstream, double aPerSecond)
+  {
+    this->dispatcher->Limits().OnReport(
+      { { aUpstream }, aPerSecond, this->now });
+  }
+
   // Lets the pause after a refusal as full pass.
   void PassFullPause()
   {
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -102,6 +102,9 @@
   // Whether the upstream belongs to this host's cell; see ServiceUpstreams. Set
   // by the index.
   bool isInCell = true;
+  // Whether this host's cell is the one in which the upstream begins: it is so
+  // in exactly one of the cells that share an upstream.
+  bool isInPrimaryCell = true;
   // The part of it that belongs to this host's cell; see PartInRange.
   double cellPart = 1;
   // A hash of the id that orders the upstreams of a data centre.
