--- a/src/node/internal/gatewaynotices.cpp
+++ b/src/node/internal/gatewaynotices.cpp
@@ -54,16 +54,6 @@
   return report;
 }
 
-std::vector<protocol::CrashReport> ToWire(
-  const std::vector<routing::CrashReport>& aReports)
-{
-  std::vector<protocol::CrashReport> reports;
-  std::ranges::transform(
-    aReports, std::back_inserter(reports),
-    [](const routing::CrashReport& aReport) { return ToWire(aReport); });
-  return reports;
-}
-
 routing::CrashReport FromWire(const protocol::CrashReport& aReport)
 {
   routing::CrashReport report;
@@ -102,14 +92,13 @@
   return limit;
 }
 
-std::vector<protocol::UpstreamLimit> ToWire(
-  const std::vector<routing::UpstreamLimit>& aLimits)
+template<typename To, typename From>
+std::vector<To> ToWire(const std::vector<From>& aItems)
 {
-  std::vector<protocol::UpstreamLimit> limits;
-  std::ranges::transform(
-    aLimits, std::back_inserter(limits),
-    [](const routing::UpstreamLimit& aLimit) { return ToWire(aLimit); });
-  return limits;
+  std::vector<To> converted;
+  std::ranges::transform(aItems, std::back_inserter(converted),
+                         [](const From& aItem) { return ToWire(aItem); });
+  return converted;
 }
 
 protocol::Frame MakeFrame(const protocol::Notices& aNotices)
@@ -141,7 +130,7 @@
   const std::vector<routing::CrashReport>& aReports)
 {
   protocol::Notices notices = this->MakeNotices();
-  notices.__set_crashes(ToWire(aReports));
+  notices.__set_crashes(ToWire<protocol::CrashReport>(aReports));
   this->SendNotices(std::move(notices));
 }
 
@@ -150,8 +139,10 @@
 void Gateway::Impl::SendAllNotices(const std::string& aPeer)
 {
   protocol::Notices notices = this->MakeNotices();
-  notices.__set_crashes(ToWire(this->dispatcher->Suspects().AllReports()));
-  notices.__set_limits(ToWire(this->dispatcher->Limits().All()));
+  notices.__set_crashes(
+    ToWire<protocol::CrashReport>(this->dispatcher->Suspects().AllReports()));
+  notices.__set_limits(
+    ToWire<protocol::UpstreamLimit>(this->dispatcher->Limits().All()));
   static_cast<void>(this->peerNetwork->Send(aPeer, MakeFrame(notices)));
 }
 
--- a/src/routing/internal/upstreamlimits.cpp
+++ b/src/routing/internal/upstreamlimits.cpp
@@ -41,7 +41,8 @@
   if (found == this->limits.end() || !found->second.perSecond) {
     return std::nullopt;
   }
-  return std::max(kMinUpstreamLimit, *found->second.perSecond);
+  return std::clamp(*found->second.perSecond, kMinUpstreamLimit,
+                    kMaxUpstreamLimit);
 }
 
 std::optional<UpstreamLimit> UpstreamLimits::OnResponse(
@@ -51,6 +52,9 @@
   if (found == this->limits.end() && !aPerSecond) {
     return std::nullopt;
   }
+  if (aPerSecond) {
+    aPerSecond = std::min(*aPerSecond, kMaxUpstreamLimit);
+  }
   const TimePoint now = this->clock();
   const bool isNew = found == this->limits.end();
   Known& known = this->limits[aId];
--- a/src/routing/internal/upstreamratelimiter.cpp
+++ b/src/routing/internal/upstreamratelimiter.cpp
@@ -30,10 +30,7 @@
 SharedRate LimitRate(double aPerSecond)
 {
   constexpr std::size_t kExtraSenders = 3;
-  // More than any host can send.
-  constexpr double kMaxPerSecond = 1e6;
-  const double perSecond = std::min(aPerSecond, kMaxPerSecond);
-  return { perSecond, static_cast<std::size_t>(perSecond) + kExtraSenders };
+  return { aPerSecond, static_cast<std::size_t>(aPerSecond) + kExtraSenders };
 }
 
 std::size_t UpstreamRateLimiter::SenderCount(const SharedRate& aRate) const
--- a/src/routing/tests/upstreamlimits_test.cpp
+++ b/src/routing/tests/upstreamlimits_test.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(testNewestWordCounts);
   CPPUNIT_TEST(testLimitInSomeResponsesOnlyHolds);
   CPPUNIT_TEST(testLimitOfZeroLeavesAProbe);
+  CPPUNIT_TEST(testHugeLimitIsCut);
   CPPUNIT_TEST(testRestartedUpstreamHasNoLimit);
   CPPUNIT_TEST(testHostsTogetherKeepToTheLimit);
   CPPUNIT_TEST(testOneCellAloneUsesALimitedUpstream);
@@ -138,6 +139,15 @@
     CPPUNIT_ASSERT(4 * kMinUpstreamLimit + 3 <= Allowed(0));
   }
 
+  void testHugeLimitIsCut()
+  {
+    constexpr double kHuge = 1e300;
+    const auto told = this->limits->OnResponse(kUpstream, kHuge);
+    CPPUNIT_ASSERT_EQUAL(kMaxUpstreamLimit, *told->perSecond);
+    this->limits->OnReport({ kUpstream, kHuge, this->now });
+    CPPUNIT_ASSERT_EQUAL(kMaxUpstreamLimit, *this->limits->RateOf(kUpstream));
+  }
+
   void testRestartedUpstreamHasNoLimit()
   {
     static_cast<void>(this->limits->OnResponse(kUpstream, 2.0));
--- a/src/routing/upstreamlimits.h
+++ b/src/routing/upstreamlimits.h
@@ -67,5 +67,7 @@
 // What the limit is taken for where it is so low that hardly any request could
 // show that it has ended, per second.
 inline constexpr double kMinUpstreamLimit = 0.25;
+// Higher ones are cut to it. No host sends as much.
+inline constexpr double kMaxUpstreamLimit = 1e6;
 
 } // namespace kumquat::routing
