Quarantine: the trial after it is sent, and every end of one's own is told

The one request that is sent after a quarantine was withdrawn before its first byte, as it counted as quarantined again, so a quarantine never ended but by its memory. And a host that had seen an end kept it to itself if a peer reported another end of the same request, or connected with a lower key, before the request was over.

--- a/src/routing/crashsuspects.h
+++ b/src/routing/crashsuspects.h
@@ -70,8 +70,9 @@
   // How long the request is still quarantined.
   std::chrono::milliseconds QuarantineLeft(const ContentHash& aContent) const;
 
-  // The request is sent to an upstream.
-  void OnSent(const ContentHash& aContent);
+  // The request is sent to an upstream. Returns whether it is a suspect that is
+  // sent once more after its quarantine.
+  bool OnSent(const ContentHash& aContent);
   // An upstream has ended while it ran the request, or so it seems.
   void OnEnded(const ContentHash& aContent, const state::UpstreamId& aUpstream);
   // An upstream has served the request. Returns what peers are to be told, if
@@ -104,6 +105,8 @@
     std::vector<UpstreamEnd> ends;
     // The last time at which it was sent after a quarantine.
     TimePoint trialAt;
+    // This host has seen an end that it has not told its peers of.
+    bool isToBeTold = false;
     bool isKnownToPeers = false;
   };
 
--- a/src/routing/internal/crashsuspects.cpp
+++ b/src/routing/internal/crashsuspects.cpp
@@ -128,10 +128,10 @@
   return std::max(kShortest, std::chrono::ceil<milliseconds>(left));
 }
 
-void CrashSuspects::OnSent(const ContentHash& aContent)
+bool CrashSuspects::OnSent(const ContentHash& aContent)
 {
   if (this->CountEnds(aContent) < this->Limit()) {
-    return;
+    return false;
   }
   for (const auto& [oneKey, count] : this->keysInUse) {
     const auto one = this->suspects.find(FingerprintOf(aContent, oneKey));
@@ -139,6 +139,7 @@
       one->second.trialAt = this->clock();
     }
   }
+  return true;
 }
 
 void CrashSuspects::OnEnded(const ContentHash& aContent,
@@ -146,7 +147,7 @@
 {
   const RequestFingerprint request = this->NameOf(aContent);
   this->AddEnd(request, { aUpstream, this->clock() });
-  this->suspects.at(request).isKnownToPeers = false;
+  this->suspects.at(request).isToBeTold = true;
 }
 
 std::vector<CrashReport> CrashSuspects::OnServed(const ContentHash& aContent)
@@ -172,12 +173,16 @@
 
 std::vector<CrashReport> CrashSuspects::TakeReports(const ContentHash& aContent)
 {
-  const auto own = this->suspects.find(this->NameOf(aContent));
-  if (own == this->suspects.end() || own->second.isKnownToPeers) {
-    return {};
+  std::vector<CrashReport> reports;
+  for (const auto& [oneKey, count] : this->keysInUse) {
+    const auto one = this->suspects.find(FingerprintOf(aContent, oneKey));
+    if (one != this->suspects.end() && one->second.isToBeTold) {
+      one->second.isToBeTold = false;
+      one->second.isKnownToPeers = true;
+      reports.push_back({ one->first, one->second.ends });
+    }
   }
-  own->second.isKnownToPeers = true;
-  return { { own->first, own->second.ends } };
+  return reports;
 }
 
 std::vector<CrashReport> CrashSuspects::AllReports() const
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -302,9 +302,8 @@
   upstreamRequest.timeout =
     std::max(milliseconds(1), ToMs(aRequest->waiting.deadline - now));
   this->upstreams.OnSent(aUpstream.entry.id, now);
-  if (!this->suspects.IsEmpty()) {
-    this->suspects.OnSent(ContentOf(*aRequest));
-  }
+  aRequest->isSuspectOnTrial =
+    !this->suspects.IsEmpty() && this->suspects.OnSent(ContentOf(*aRequest));
   this->hooks.send(upstreamRequest);
 }
 
@@ -585,11 +584,13 @@
 bool Dispatcher::IsTargetStillValid(RequestNumber aNumber) const
 {
   const auto found = this->requests.find(aNumber);
-  if (found == this->requests.end() || !found->second->isRunning ||
-      this->IsQuarantined(*found->second)) {
+  if (found == this->requests.end() || !found->second->isRunning) {
+    return false;
+  }
+  Request& request = *found->second;
+  if (!request.isSuspectOnTrial && this->IsQuarantined(request)) {
     return false;
   }
-  const Request& request = *found->second;
   const UpstreamState* one = this->upstreams.Find(request.upstream);
   if (one == nullptr || !this->upstreams.IsUsable(*one) ||
       one->entry.address != request.address) {
--- a/src/routing/internal/dispatcherparts.h
+++ b/src/routing/internal/dispatcherparts.h
@@ -28,6 +28,8 @@
   std::size_t attemptCount = 0;
   // Set on demand.
   std::optional<ContentHash> content;
+  // It was a suspect when it was sent last; see CrashSuspects::OnSent.
+  bool isSuspectOnTrial = false;
   // An upstream has ended while it ran the request here, or so it seems.
   bool hasEndedUpstream = false;
   // The request is not checked before; for keys that are being handed over.
--- a/src/routing/tests/crashsuspects_test.cpp
+++ b/src/routing/tests/crashsuspects_test.cpp
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(testServedRequestIsInnocent);
   CPPUNIT_TEST(testOneEndSeenByTwoHostsCountsOnce);
   CPPUNIT_TEST(testRepeatedReportsCountOnce);
+  CPPUNIT_TEST(testOwnEndIsToldAfterAReportOfAPeer);
+  CPPUNIT_TEST(testOwnEndIsToldAfterAChangeOfKeys);
   CPPUNIT_TEST(testHostThatHearsFewPeersStopsEarlier);
   CPPUNIT_TEST(testOneHostTriesAgainAfterTheQuarantine);
   CPPUNIT_TEST(testHostsAgreeOnAKey);
@@ -128,6 +130,30 @@
     CPPUNIT_ASSERT(this->one.TakeReports(request).empty());
   }
 
+  // Guards against keeping an end to itself when a peer reports another one
+  // before the request is over.
+  void testOwnEndIsToldAfterAReportOfAPeer()
+  {
+    const ContentHash request = ContentOf("/look/1");
+    this->ExchangeKeys();
+    this->one.OnEnded(request, { "a" });
+    this->other.OnEnded(request, { "b" });
+    this->Tell(this->other.TakeReports(request), this->one);
+    const auto reports = this->one.TakeReports(request);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, reports.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, reports.front().ends.size());
+  }
+
+  // Guards against the same when a peer with a lower key connects meanwhile.
+  void testOwnEndIsToldAfterAChangeOfKeys()
+  {
+    const ContentHash request = ContentOf("/look/1");
+    this->one.OnEnded(request, { "a" });
+    this->one.OnPeerKey(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         this->one.TakeReports(request).size());
+  }
+
   // Guards against a request that ends three upstreams for each group of hosts
   // while these do not hear each other.
   void testHostThatHearsFewPeersStopsEarlier()
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(testRequestThatEndsUpstreamsIsQuarantined);
   CPPUNIT_TEST(testReportOfPeersEndsWaitingRequest);
   CPPUNIT_TEST(testServedRequestIsReportedAsInnocent);
+  CPPUNIT_TEST(testRequestIsSentAgainAfterItsQuarantine);
   CPPUNIT_TEST(testRetriesKeepToTheirBudget);
   CPPUNIT_TEST(testNewHostUsesOnlyItsPartOfTheBudget);
   CPPUNIT_TEST(testCallerGoneCancelsIdempotentRequests);
@@ -274,6 +275,32 @@
     CPPUNIT_ASSERT(this->dispatcher->Suspects().IsEmpty());
   }
 
+  // Guards against a quarantine that never ends, as the attempt after it is
+  // withdrawn before its first byte.
+  void testRequestIsSentAgainAfterItsQuarantine()
+  {
+    CallerRequest request;
+    request.message.target = "/look/1";
+    request.hostName = "tents";
+    const CrashReport report{
+      FingerprintOf(HashContent(request), 3),
+      { { { "x" }, this->now }, { { "y" }, this->now }, { { "z" }, this->now } }
+    };
+    this->dispatcher->Suspects().OnReport(report);
+    this->StartRequest("/look/1");
+    CPPUNIT_ASSERT(this->attempts.empty());
+    this->now += std::chrono::seconds(61);
+    const auto number = this->StartRequest("/look/1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->attempts.size());
+    CPPUNIT_ASSERT(this->dispatcher->IsTargetStillValid(number));
+    // Only one at a time.
+    this->StartRequest("/look/1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->attempts.size());
+    this->Respond(number, 200);
+    this->StartRequest("/look/1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->attempts.size());
+  }
+
   // Every second request fails at its upstream. With unlimited retries, a
   // failing service would get half as many requests again.
   void testRetriesKeepToTheirBudget()
