Pieces that stood twice: rendezvous rank, random seed, recipients, reachability

The rank of a host by rendezvous hashing was computed in the rate limiter and in CrashSuspects, the seed in admission and in the gateway, the recipients of what hubs forward in table replication and in notices, and whether a peer is heard in two places with a constant each: one piece of code serves both now. CrashSuspects finds a request's entries in one way, and its count of ends follows from the end of the quarantine. Keeping to a limit calls the limiter's own check. The reach is counted without copying the cell's members at each tick.

--- a/src/admission/internal/teamdirectory.cpp
+++ b/src/admission/internal/teamdirectory.cpp
@@ -2,11 +2,12 @@
 
 #include "admission/teamdirectory.h"
 
+#include "framework/randomseed.h"
+
 #include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
-#include <random>
 #include <unordered_set>
 #include <utility>
 
@@ -14,16 +15,6 @@
 
 using protocol::ErrorKind;
 
-namespace {
-
-std::uint64_t RandomSeed()
-{
-  std::random_device device;
-  return std::uniform_int_distribution<std::uint64_t>()(device);
-}
-
-} // namespace
-
 KeyFingerprint FingerprintOf(std::string_view aApiKey)
 {
   static const std::uint64_t kSeed = RandomSeed();
--- a/src/framework/rendezvous.h
+++ b/src/framework/rendezvous.h
@@ -5,6 +5,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -22,4 +24,16 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+// Number of aMembers, a range of ids, that precede aMember for the subject.
+template<typename Members>
+std::size_t RendezvousRank(std::string_view aMember, const Members& aMembers,
+                           std::string_view aSubject)
+{
+  const std::uint64_t own = RendezvousScore(aMember, aSubject);
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aMembers, [&](const auto& aOther) {
+      return RendezvousScore(aOther.value, aSubject) > own;
+    }));
+}
+
 } // namespace kumquat
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -3,6 +3,7 @@
 
 #include "node/internal/gatewayimpl.h"
 
+#include "framework/randomseed.h"
 #include "node/callerhttp.h"
 #include "node/internal/clocks.h"
 #include "node/internal/listenerhelpers.h"
@@ -53,12 +54,6 @@
 constexpr milliseconds kLastResponsesTime{ 400 };
 constexpr milliseconds kStopCheckInterval{ 20 };
 
-std::uint64_t RandomKey()
-{
-  std::random_device device;
-  return std::uniform_int_distribution<std::uint64_t>()(device);
-}
-
 } // namespace
 
 Gateway::Impl::Impl(const state::GatewaySettings& aSettings)
@@ -134,7 +129,7 @@
   this->dispatcher = std::make_unique<routing::Dispatcher>(
     routing::DispatcherOptions{ this->settings.host, this->settings.dataCentre,
                                 this->settings.resendShare,
-                                this->settings.resendExtra, RandomKey() },
+                                this->settings.resendExtra, RandomSeed() },
     this->upstreams, this->DispatcherHooks());
   this->replication = std::make_unique<TableReplication>(
     this->topology, this->peers, this->connectedPeers,
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -105,6 +105,8 @@
                 const transport::HttpServer::Respond& aRespond);
   std::optional<state::HostId> FindQuotaLender() const;
   bool IsReachable(const state::HostId& aHost) const;
+  // Whether digests of the peer arrive in time.
+  bool IsHeard(const state::HostId& aHost) const;
   bool LendsQuotas(const state::HostId& aHost) const;
   void SendToUpstream(const routing::UpstreamRequest& aRequest);
   void SendLeaseCommand(const ownership::LeaseCommand& aCommand,
--- a/src/node/internal/gatewaynotices.cpp
+++ b/src/node/internal/gatewaynotices.cpp
@@ -182,15 +182,11 @@
 void Gateway::Impl::ForwardNotices()
 {
   this->isForwardingScheduled = false;
-  std::vector<std::string> recipients;
-  std::ranges::copy_if(this->connectedPeers, std::back_inserter(recipients),
-                       [this](const std::string& aHost) {
-                         return this->topology.ForwardsChangesTo({ aHost });
-                       });
   protocol::Notices notices =
     std::exchange(this->noticesToForward, protocol::Notices{});
   notices.__set_key(this->MakeNotices().key);
-  this->peerNetwork->SendToAll(recipients, MakeFrame(notices));
+  this->peerNetwork->SendToAll(
+    this->topology.ChangeRecipients(this->connectedPeers), MakeFrame(notices));
 }
 
 void Gateway::Impl::OnLimitChanged(const routing::UpstreamLimit& aLimit)
@@ -210,20 +206,21 @@
 // divided into cells, the hubs stand for those that this host does not hear.
 void Gateway::Impl::UpdateReach()
 {
-  constexpr milliseconds kMaxSilence{ 1500 };
-  const TimePoint now = BootTime();
-  std::set<state::HostId> known = this->topology.Cells().Members();
-  std::ranges::copy(this->topology.Hubs(), std::inserter(known, known.end()));
-  known.insert(this->self.host);
-  const auto heard =
-    std::ranges::count_if(known, [&](const state::HostId& aHost) {
-      return aHost == this->self.host ||
-             (this->connectedPeers.contains(aHost.value) &&
-              now - this->peers.LastHeardAt(aHost) <= kMaxSilence);
-    });
+  std::size_t known = 1;
+  std::size_t heard = 1;
+  const auto count = [&](const state::HostId& aHost) {
+    known += aHost == this->self.host ? 0 : 1;
+    heard += this->IsHeard(aHost) ? 1 : 0;
+  };
+  const std::set<state::HostId>& members = this->topology.Cells().Members();
+  std::ranges::for_each(members, count);
+  for (const state::HostId& hub : this->topology.Hubs()) {
+    if (!members.contains(hub)) {
+      count(hub);
+    }
+  }
   const bool areKnown = this->replication->Find(kHostTable).version > 0;
-  this->dispatcher->Suspects().SetReach(static_cast<std::size_t>(heard),
-                                        areKnown ? known.size() : 0);
+  this->dispatcher->Suspects().SetReach(heard, areKnown ? known : 0);
 }
 
 } // namespace kumquat::node
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -188,15 +188,19 @@
 // False for hosts that leave, or that were heard and are not any more.
 bool Gateway::Impl::IsReachable(const state::HostId& aHost) const
 {
-  constexpr milliseconds kMaxSilence{ 1500 };
   if (aHost == this->self.host) {
     return !this->isLeaving;
   }
   const auto peer = this->peers.All().find(aHost);
   return peer == this->peers.All().end() ||
-         (!peer->second.leaving &&
-          BootTime() - peer->second.lastHeardAt <= kMaxSilence &&
-          this->connectedPeers.contains(aHost.value));
+         (!peer->second.leaving && this->IsHeard(aHost));
+}
+
+bool Gateway::Impl::IsHeard(const state::HostId& aHost) const
+{
+  constexpr milliseconds kMaxSilence{ 1500 };
+  return this->connectedPeers.contains(aHost.value) &&
+         BootTime() - this->peers.LastHeardAt(aHost) <= kMaxSilence;
 }
 
 bool Gateway::Impl::LendsQuotas(const state::HostId& aHost) const
--- a/src/node/internal/peertopology.cpp
+++ b/src/node/internal/peertopology.cpp
@@ -262,6 +262,17 @@
   return this->IsCellMember(aHost);
 }
 
+std::vector<std::string> PeerTopology::ChangeRecipients(
+  const std::set<std::string>& aConnectedPeers) const
+{
+  std::vector<std::string> recipients;
+  std::ranges::copy_if(aConnectedPeers, std::back_inserter(recipients),
+                       [this](const std::string& aHost) {
+                         return this->ForwardsChangesTo({ aHost });
+                       });
+  return recipients;
+}
+
 bool PeerTopology::IsFullDigestDue(std::int64_t aLoadChanges) const
 {
   const bool divided = this->cells.IsDivided();
--- a/src/node/internal/peertopology.h
+++ b/src/node/internal/peertopology.h
@@ -100,6 +100,9 @@
   // forward to each other as well. A follower that is not a hub forwards to its
   // cell members.
   bool ForwardsChangesTo(const state::HostId& aHost) const;
+  // Those of the connected hosts to which it does.
+  std::vector<std::string> ChangeRecipients(
+    const std::set<std::string>& aConnectedPeers) const;
 
   // Sends the next digest to every recipient, even if its interval has not
   // passed.
--- a/src/node/internal/tablereplication.cpp
+++ b/src/node/internal/tablereplication.cpp
@@ -193,11 +193,6 @@
     this->hooks.announceVersions();
     return;
   }
-  std::vector<std::string> recipients;
-  std::ranges::copy_if(this->connectedPeers, std::back_inserter(recipients),
-                       [this](const std::string& aHost) {
-                         return this->topology.ForwardsChangesTo({ aHost });
-                       });
   protocol::Frame frame;
   protocol::TableChange change;
   change.__set_table(aUpdate.table);
@@ -207,7 +202,8 @@
     aUpdate.rows, std::back_inserter(change.rows),
     [](const state::StoredRow& aRow) { return ToWire(aRow); });
   frame.__set_tableChange(change);
-  this->hooks.sendToAll(recipients, frame);
+  this->hooks.sendToAll(this->topology.ChangeRecipients(this->connectedPeers),
+                        frame);
 }
 
 void TableReplication::OnQuery(const std::string& aFrom,
--- a/src/routing/crashsuspects.h
+++ b/src/routing/crashsuspects.h
@@ -111,10 +111,11 @@
   };
 
   std::size_t Limit() const;
-  std::size_t CountEnds(const ContentHash& aContent) const;
-  // The entries of a request, one for each key that was used.
-  std::vector<const Suspect*> FindAll(const ContentHash& aContent) const;
-  TimePoint QuarantineEnd(const std::vector<const Suspect*>& aFound) const;
+  // The names under which a request is a suspect, one for each key that was
+  // used.
+  std::vector<RequestFingerprint> FindAll(const ContentHash& aContent) const;
+  // The epoch if the request is not in quarantine.
+  TimePoint QuarantineEnd(const ContentHash& aContent) const;
   bool MakesTrials(const ContentHash& aContent) const;
   static TimePoint LastEndAt(const Suspect& aSuspect);
   void AddEnd(const RequestFingerprint& aRequest, const UpstreamEnd& aEnd);
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -278,9 +278,9 @@
   bool IsWithinLimit(const Request& aRequest, const UpstreamState& aOne) const;
   // The rate that the upstream names, if any.
   std::optional<SharedRate> LimitOf(const UpstreamState& aOne) const;
-  // What this host may send of it per second.
-  double OwnShareOfLimit(const UpstreamState& aOne, const SharedRate& aLimit,
-                         bool aIsKeyed) const;
+  // Whether this host may send requests to an upstream that names a limit.
+  static bool MayUseLimited(const UpstreamState& aOne, bool aIsKeyed);
+  const UpstreamRateLimiter& LimiterFor(const Request& aRequest) const;
   void Send(const RequestPtr& aRequest, const UpstreamState& aUpstream);
   void Enqueue(const RequestPtr& aRequest);
   void SendWaiting(const state::ServiceName& aName);
--- a/src/routing/internal/cells.cpp
+++ b/src/routing/internal/cells.cpp
@@ -52,10 +52,6 @@
          aOne.processors == aOther.processors;
 }
 
-} // namespace
-
-namespace {
-
 // Ranges that only touch do not overlap, also where their ends were rounded.
 constexpr double kRounding = 1e-9;
 
--- a/src/routing/internal/crashsuspects.cpp
+++ b/src/routing/internal/crashsuspects.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <numeric>
 #include <utility>
 
 namespace kumquat::routing {
@@ -61,36 +60,27 @@
   return 2 * this->heardHosts > this->knownHosts ? kMaxEnds - 1 : 1;
 }
 
-std::vector<const CrashSuspects::Suspect*> CrashSuspects::FindAll(
+std::vector<RequestFingerprint> CrashSuspects::FindAll(
   const ContentHash& aContent) const
 {
-  std::vector<const Suspect*> found;
+  std::vector<RequestFingerprint> found;
   for (const auto& [oneKey, count] : this->keysInUse) {
-    const auto one = this->suspects.find(FingerprintOf(aContent, oneKey));
-    if (one != this->suspects.end()) {
-      found.push_back(&one->second);
+    const RequestFingerprint request = FingerprintOf(aContent, oneKey);
+    if (this->suspects.contains(request)) {
+      found.push_back(request);
     }
   }
   return found;
 }
 
-std::size_t CrashSuspects::CountEnds(const ContentHash& aContent) const
-{
-  const auto found = this->FindAll(aContent);
-  return std::accumulate(found.begin(), found.end(), std::size_t{ 0 },
-                         [](std::size_t aSum, const Suspect* aOne) {
-                           return aSum + aOne->ends.size();
-                         });
-}
-
-TimePoint CrashSuspects::QuarantineEnd(
-  const std::vector<const Suspect*>& aFound) const
+TimePoint CrashSuspects::QuarantineEnd(const ContentHash& aContent) const
 {
   TimePoint start;
   std::size_t ends = 0;
-  for (const Suspect* one : aFound) {
-    start = std::max({ start, LastEndAt(*one), one->trialAt });
-    ends += one->ends.size();
+  for (const RequestFingerprint& request : this->FindAll(aContent)) {
+    const Suspect& suspect = this->suspects.at(request);
+    start = std::max({ start, LastEndAt(suspect), suspect.trialAt });
+    ends += suspect.ends.size();
   }
   const std::size_t limit = this->Limit();
   if (ends < limit) {
@@ -102,11 +92,8 @@
 
 bool CrashSuspects::MakesTrials(const ContentHash& aContent) const
 {
-  const std::string subject = LogText(this->NameOf(aContent));
-  const std::uint64_t own = RendezvousScore(this->self.value, subject);
-  return std::ranges::none_of(this->hosts, [&](const state::HostId& aHost) {
-    return aHost != this->self && RendezvousScore(aHost.value, subject) > own;
-  });
+  return RendezvousRank(this->self.value, this->hosts,
+                        LogText(this->NameOf(aContent))) == 0;
 }
 
 bool CrashSuspects::MaySend(const ContentHash& aContent) const
@@ -114,15 +101,14 @@
   if (this->suspects.empty()) {
     return true;
   }
-  const TimePoint end = this->QuarantineEnd(this->FindAll(aContent));
+  const TimePoint end = this->QuarantineEnd(aContent);
   return end == TimePoint{} ||
          (this->clock() >= end && this->MakesTrials(aContent));
 }
 
 milliseconds CrashSuspects::QuarantineLeft(const ContentHash& aContent) const
 {
-  const Duration left =
-    this->QuarantineEnd(this->FindAll(aContent)) - this->clock();
+  const Duration left = this->QuarantineEnd(aContent) - this->clock();
   // Once it is over, the one host that may send the request has to succeed.
   constexpr milliseconds kShortest{ 1000 };
   return std::max(kShortest, std::chrono::ceil<milliseconds>(left));
@@ -130,14 +116,11 @@
 
 bool CrashSuspects::OnSent(const ContentHash& aContent)
 {
-  if (this->CountEnds(aContent) < this->Limit()) {
+  if (this->QuarantineEnd(aContent) == TimePoint{}) {
     return false;
   }
-  for (const auto& [oneKey, count] : this->keysInUse) {
-    const auto one = this->suspects.find(FingerprintOf(aContent, oneKey));
-    if (one != this->suspects.end()) {
-      one->second.trialAt = this->clock();
-    }
+  for (const RequestFingerprint& request : this->FindAll(aContent)) {
+    this->suspects.at(request).trialAt = this->clock();
   }
   return true;
 }
@@ -153,19 +136,10 @@
 std::vector<CrashReport> CrashSuspects::OnServed(const ContentHash& aContent)
 {
   std::vector<CrashReport> reports;
-  std::vector<RequestFingerprint> served;
-  for (const auto& [oneKey, count] : this->keysInUse) {
-    const RequestFingerprint request = FingerprintOf(aContent, oneKey);
-    const auto one = this->suspects.find(request);
-    if (one == this->suspects.end()) {
-      continue;
-    }
-    served.push_back(request);
-    if (one->second.isKnownToPeers) {
+  for (const RequestFingerprint& request : this->FindAll(aContent)) {
+    if (this->suspects.at(request).isKnownToPeers) {
       reports.push_back({ request, {} });
     }
-  }
-  for (const RequestFingerprint& request : served) {
     this->Erase(request);
   }
   return reports;
@@ -174,12 +148,12 @@
 std::vector<CrashReport> CrashSuspects::TakeReports(const ContentHash& aContent)
 {
   std::vector<CrashReport> reports;
-  for (const auto& [oneKey, count] : this->keysInUse) {
-    const auto one = this->suspects.find(FingerprintOf(aContent, oneKey));
-    if (one != this->suspects.end() && one->second.isToBeTold) {
-      one->second.isToBeTold = false;
-      one->second.isKnownToPeers = true;
-      reports.push_back({ one->first, one->second.ends });
+  for (const RequestFingerprint& request : this->FindAll(aContent)) {
+    Suspect& suspect = this->suspects.at(request);
+    if (suspect.isToBeTold) {
+      suspect.isToBeTold = false;
+      suspect.isKnownToPeers = true;
+      reports.push_back({ request, suspect.ends });
     }
   }
   return reports;
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -71,9 +71,13 @@
         EstimatedServiceMs(*one, forecast.typicalMs, now);
       const std::optional<SharedRate> limit = this->LimitOf(*one);
       forecast.perSecond +=
-        limit ? std::min(perSecond, this->OwnShareOfLimit(*one, *limit, false) *
-                                      static_cast<double>(this->cellHostCount))
-              : perSecond;
+        limit
+          ? std::min(perSecond,
+                     this->MayUseLimited(*one, false)
+                       ? this->cellRateLimiter.OwnShare(one->entry.id, *limit) *
+                           static_cast<double>(this->cellHostCount)
+                       : 0.0)
+          : perSecond;
     }
   }
   forecast.perSecond /= static_cast<double>(this->cellHostCount);
@@ -134,7 +138,7 @@
   if (!limit) {
     return;
   }
-  const double share = this->OwnShareOfLimit(aOwner, *limit, true);
+  const double share = this->ownerRateLimiter.OwnShare(aOwner.entry.id, *limit);
   if (share < aForecast.perSecond) {
     aForecast.perSecond = share;
     aForecast.nextMs = 0;
@@ -174,12 +178,9 @@
   if (service == nullptr) {
     return true;
   }
-  return this->IsKeyed(aRequest)
-           ? this->ownerRateLimiter.MaySend(
-               aOne.entry.id, ColdRate(service->coldPerSecond), now)
-           : this->cellRateLimiter.MaySend(
-               aOne.entry.id, ColdRate(service->coldPerSecond * aOne.cellPart),
-               now);
+  const double part = this->IsKeyed(aRequest) ? 1 : aOne.cellPart;
+  return this->LimiterFor(aRequest).MaySend(
+    aOne.entry.id, ColdRate(service->coldPerSecond * part), now);
 }
 
 std::optional<SharedRate> Dispatcher::LimitOf(const UpstreamState& aOne) const
@@ -189,18 +190,17 @@
   return perSecond ? std::optional(LimitRate(*perSecond)) : std::nullopt;
 }
 
+const UpstreamRateLimiter& Dispatcher::LimiterFor(const Request& aRequest) const
+{
+  return this->IsKeyed(aRequest) ? this->ownerRateLimiter
+                                 : this->cellRateLimiter;
+}
+
 // All hosts send to the owner of a key. Any other upstream that names a limit
 // gets requests from one cell alone, which keeps the sum exact.
-double Dispatcher::OwnShareOfLimit(const UpstreamState& aOne,
-                                   const SharedRate& aLimit,
-                                   bool aIsKeyed) const
+bool Dispatcher::MayUseLimited(const UpstreamState& aOne, bool aIsKeyed)
 {
-  if (aIsKeyed) {
-    return this->ownerRateLimiter.OwnShare(aOne.entry.id, aLimit);
-  }
-  return aOne.isInCell && aOne.isInPrimaryCell
-           ? this->cellRateLimiter.OwnShare(aOne.entry.id, aLimit)
-           : 0;
+  return aIsKeyed || (aOne.isInCell && aOne.isInPrimaryCell);
 }
 
 bool Dispatcher::IsWithinLimit(const Request& aRequest,
@@ -210,12 +210,9 @@
   if (!limit) {
     return true;
   }
-  const bool isKeyed = this->IsKeyed(aRequest);
-  const UpstreamRateLimiter& limiter =
-    isKeyed ? this->ownerRateLimiter : this->cellRateLimiter;
-  return this->OwnShareOfLimit(aOne, *limit, isKeyed) > 0 &&
-         limiter.WaitTime(aOne.entry.id, *limit, this->hooks.now()) <=
-           Duration(0);
+  return this->MayUseLimited(aOne, this->IsKeyed(aRequest)) &&
+         this->LimiterFor(aRequest).MaySend(aOne.entry.id, *limit,
+                                            this->hooks.now());
 }
 
 bool Dispatcher::IsWithinRate(const Request& aRequest,
--- a/src/routing/internal/upstreamratelimiter.cpp
+++ b/src/routing/internal/upstreamratelimiter.cpp
@@ -82,13 +82,9 @@
   if (known != this->ranks.end()) {
     return known->second;
   }
-  const std::uint64_t own = RendezvousScore(this->self.value, aId.value);
-  const auto higher =
-    std::ranges::count_if(this->hosts, [&](const state::HostId& aHost) {
-      return aHost != this->self &&
-             RendezvousScore(aHost.value, aId.value) > own;
-    });
-  return this->ranks.emplace(aId, higher).first->second;
+  const std::size_t rank =
+    RendezvousRank(this->self.value, this->hosts, aId.value);
+  return this->ranks.emplace(aId, rank).first->second;
 }
 
 bool UpstreamRateLimiter::IsSender(const state::UpstreamId& aId,
