--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -293,6 +293,8 @@
   void UpdateLimit(const state::UpstreamId& aUpstream,
                    const NamedLimit& aLimit);
   static const ContentHash& ContentOf(Request& aRequest);
+  // Records that the upstream may have ended under the request.
+  void RecordCrash(Request& aRequest, transport::TransportError aError);
   // Whether upstreams have ended under the request, so that it is not sent now.
   bool IsQuarantined(Request& aRequest) const;
   void RefuseQuarantined(const RequestPtr& aRequest);
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -72,15 +72,6 @@
   }
 }
 
-// Whether an upstream that ends shows itself in this way. A broken connection
-// looks the same, but an innocent request is soon served.
-bool IsLikeACrash(TransportError aError)
-{
-  return aError == TransportError::kBroken ||
-         aError == TransportError::kTruncated ||
-         aError == TransportError::kTimeout;
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions aOptions, Upstreams& aUpstreams,
@@ -477,21 +468,6 @@
   this->SendWaiting(service);
 }
 
-void Dispatcher::UpdateLimit(const state::UpstreamId& aUpstream,
-                             const NamedLimit& aLimit)
-{
-  if (aLimit.isMalformed && !aLimit.perSecond) {
-    if (this->hooks.onMalformedLimit) {
-      this->hooks.onMalformedLimit(aUpstream);
-    }
-    return;
-  }
-  const auto change = this->limits.OnResponse(aUpstream, aLimit.perSecond);
-  if (change && this->hooks.onLimitChanged) {
-    this->hooks.onLimitChanged(*change);
-  }
-}
-
 // Whether the owner of the request's key has refused this host as full several
 // times: others send it many requests too, and a retry would most likely be
 // refused as well.
@@ -539,48 +515,11 @@
                    sent ? AttemptResult::kFailed : AttemptResult::kUnreachable,
                    {}, protocol::ErrorInfoFor(kind).name);
   request->mayHaveRunAt += sent ? 1 : 0;
-  if (IsLikeACrash(aError)) {
-    request->hasEndedUpstream = true;
-    this->suspects.OnEnded(ContentOf(*request), request->upstream);
-  }
+  this->RecordCrash(*request, aError);
   this->Retry(request, kind);
   this->SendWaiting(service);
 }
 
-const ContentHash& Dispatcher::ContentOf(Request& aRequest)
-{
-  if (!aRequest.content) {
-    aRequest.content = HashContent(aRequest.caller);
-  }
-  return *aRequest.content;
-}
-
-bool Dispatcher::IsQuarantined(Request& aRequest) const
-{
-  return !this->suspects.IsEmpty() &&
-         !this->suspects.MaySend(ContentOf(aRequest));
-}
-
-// "Not run" is said of this attempt of the caller, and is true of it.
-void Dispatcher::RefuseQuarantined(const RequestPtr& aRequest)
-{
-  if (aRequest->mayHaveRunAt > 0) {
-    this->Finish(aRequest, { {}, ErrorKind::kUpstreamBroken, {} });
-    return;
-  }
-  this->Finish(aRequest,
-               { {},
-                 ErrorKind::kRequestQuarantined,
-                 this->suspects.QuarantineLeft(ContentOf(*aRequest)) });
-}
-
-void Dispatcher::ReportCrashes(const std::vector<CrashReport>& aReports) const
-{
-  if (!aReports.empty() && this->hooks.reportCrashes) {
-    this->hooks.reportCrashes(aReports);
-  }
-}
-
 bool Dispatcher::IsTargetStillValid(RequestNumber aNumber) const
 {
   const auto found = this->requests.find(aNumber);
--- a/src/routing/tests/crashsimulation.h
+++ b/src/routing/tests/crashsimulation.h
@@ -7,6 +7,7 @@
 
 #include "routing/crashsuspects.h"
 #include "routing/dispatcher.h"
+#include "routing/tests/hostnames.h"
 
 #include <algorithm>
 #include <chrono>
@@ -28,11 +29,7 @@
     , messageDelays(aHosts > kDividedFrom ? std::pair{ 2.0, 10.0 }
                                           : std::pair{ 0.5, 4.0 })
   {
-    std::vector<state::HostId> ids;
-    ids.reserve(static_cast<std::size_t>(aHosts));
-    for (int i = 0; i < aHosts; ++i) {
-      ids.push_back({ "h" + std::to_string(i) });
-    }
+    const std::vector<state::HostId> ids = HostNames(aHosts);
     for (const state::HostId& id : ids) {
       this->hosts.push_back(std::make_unique<CrashSuspects>(
         id, [this] { return this->now; }, this->random()));
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -3,6 +3,8 @@
 
 #include "routing/dispatcher.h"
 
+#include "routing/tests/hostnames.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -11,6 +13,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kumquat::routing {
@@ -92,6 +95,7 @@
   CPPUNIT_TEST(testLocalUpstreamIsAlwaysConsidered);
   CPPUNIT_TEST(testColdUpstreamIsRateLimited);
   CPPUNIT_TEST(testLimitedUpstreamGetsItsRateAndOthersTheRest);
+  CPPUNIT_TEST(testColdUpstreamWithALimitKeepsToBoth);
   CPPUNIT_TEST(testRequestIsRefusedAtOnceWhereAllUpstreamsAreLimited);
   CPPUNIT_TEST(testRequestForLimitedOwnerIsRefusedAtOnce);
   CPPUNIT_TEST(testFullCellUsesOtherCells);
@@ -702,11 +706,7 @@
   {
     constexpr double kPerSecond = 5;
     constexpr int kHosts = 12;
-    std::vector<state::HostId> hosts;
-    hosts.reserve(kHosts);
-    for (int i = 0; i < kHosts; ++i) {
-      hosts.push_back({ "h" + std::to_string(i) });
-    }
+    const std::vector<state::HostId> hosts = HostNames(kHosts);
     std::vector<UpstreamRateLimiter> limiters(hosts.begin(), hosts.end());
     int sent = 0;
     for (int ms = 0; ms < 4000; ms += 10) {
@@ -748,6 +748,36 @@
     CPPUNIT_ASSERT(toLimited <= 3);
   }
 
+  // Guards against a limit that takes the place of the rate of a cold upstream,
+  // or the other way round.
+  void testColdUpstreamWithALimitKeepsToBoth()
+  {
+    constexpr int kColdPerSecond = 5;
+    for (const auto& [limit, most] :
+         { std::pair{ 1.4, 5 }, std::pair{ 20.0, 2 * kColdPerSecond + 1 } }) {
+      this->setUp();
+      UpstreamEntry entry = this->upstreams.Find({ "a0" })->entry;
+      entry.coldRemaining = std::chrono::seconds(10);
+      ++entry.sequence;
+      this->upstreams.PutEntry(entry, this->now);
+      this->NameLimit("a0", limit);
+      int sent = 0;
+      for (int i = 0; i < 200; ++i) {
+        const auto number = this->StartRequest("/look/1");
+        const bool isLimited = this->attempts.back().upstream.value == "a0";
+        sent += isLimited ? 1 : 0;
+        this->now += milliseconds(10);
+        if (isLimited) {
+          this->RespondWithLimit(number, limit);
+        } else {
+          this->Respond(number, 200);
+        }
+      }
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent >= 1);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent <= most);
+    }
+  }
+
   // Guards against letting callers wait for their deadline where no upstream
   // takes their request.
   void testRequestIsRefusedAtOnceWhereAllUpstreamsAreLimited()
@@ -775,7 +805,7 @@
   void testRequestForLimitedOwnerIsRefusedAtOnce()
   {
     this->SetServiceMs("stoc", 100);
-    this->dispatcher->SetHosts(Hosts(12), Hosts(12));
+    this->dispatcher->SetHosts(HostNames(12), HostNames(12));
     const std::size_t before = this->attempts.size();
     int refused = 0;
     for (int i = 0; i < 30; ++i) {
@@ -952,22 +982,12 @@
   // A peer's requests take all slots of s0 and the one request ahead of them.
   void FillOwner()
   {
-    this->dispatcher->SetHosts(Hosts(12), Hosts(12));
+    this->dispatcher->SetHosts(HostNames(12), HostNames(12));
     this->SetServiceMs("stoc", 100);
     this->upstreams.OnPeerReports({ "h1" }, { { { "s0" }, 4, 0, 0 } },
                                   this->now);
   }
 
-  static std::vector<state::HostId> Hosts(int aCount)
-  {
-    std::vector<state::HostId> hosts;
-    hosts.reserve(static_cast<std::size_t>(aCount));
-    for (int i = 0; i < aCount; ++i) {
-      hosts.push_back({ "h" + std::to_string(i) });
-    }
-    return hosts;
-  }
-
   void AddUpstream(const std::string& aId, const std::string& aService,
                    const std::string& aCentre = "caerdydd")
   {
--- a/src/routing/tests/upstreamlimits_test.cpp
+++ b/src/routing/tests/upstreamlimits_test.cpp
@@ -3,7 +3,9 @@
 
 #include "routing/upstreamlimits.h"
 
+#include "framework/tests/mostinspan.h"
 #include "routing/cells.h"
+#include "routing/tests/hostnames.h"
 #include "routing/upstreamratelimiter.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -32,27 +34,6 @@
   return 1.5 * aPerSecond * 4 + 5;
 }
 
-// The most elements of aTimes, in ascending order, within kSpan.
-std::ptrdiff_t MostInSpan(const std::vector<TimePoint>& aTimes)
-{
-  std::ptrdiff_t most = 0;
-  for (auto first = aTimes.begin(); first != aTimes.end(); ++first) {
-    most = std::max(
-      most, std::lower_bound(first, aTimes.end(), *first + kSpan) - first);
-  }
-  return most;
-}
-
-std::vector<state::HostId> Hosts(int aCount)
-{
-  std::vector<state::HostId> hosts;
-  hosts.reserve(static_cast<std::size_t>(aCount));
-  for (int i = 0; i < aCount; ++i) {
-    hosts.push_back({ "h" + std::to_string(i) });
-  }
-  return hosts;
-}
-
 } // namespace
 
 class UpstreamLimitsTest : public CppUnit::TestFixture
@@ -175,7 +156,7 @@
     constexpr std::size_t kUpstreams = 6;
     for (const int count : { 12, 82, 300, 985 }) {
       std::vector<CellHost> all;
-      for (const state::HostId& id : Hosts(count)) {
+      for (const state::HostId& id : HostNames(count)) {
         all.push_back({ id, { "dc" + std::to_string(all.size() % 3) }, 1 });
       }
       std::vector<std::set<std::pair<double, double>>> cells(kUpstreams);
@@ -202,13 +183,16 @@
     constexpr int kSteps = 4000;
     constexpr int kStepsPerChange = 400;
     std::mt19937 random(aSeed);
-    std::vector<state::HostId> hosts = Hosts(aCount);
+    std::vector<state::HostId> hosts = HostNames(aCount);
     std::vector<UpstreamRateLimiter> limiters(hosts.begin(), hosts.end());
     const SharedRate rate = LimitRate(aPerSecond);
+    std::size_t frozen = 0;
     std::vector<TimePoint> sent;
     for (int step = 0; step < kSteps; ++step) {
       if (step % kStepsPerChange == 0) {
-        // One host is lost or comes back; not all hear of it.
+        // Another host stands still. One is lost or comes back; not all hear of
+        // it.
+        frozen = random() % hosts.size();
         std::vector<state::HostId> others = hosts;
         others.erase(others.begin() +
                      static_cast<std::ptrdiff_t>(random() % others.size()));
@@ -217,14 +201,16 @@
         }
       }
       const TimePoint at = this->now + step * kStep;
-      for (UpstreamRateLimiter& limiter : limiters) {
-        if (random() % 3 == 0 && limiter.MaySend(kUpstream, rate, at)) {
+      for (std::size_t i = 0; i < limiters.size(); ++i) {
+        UpstreamRateLimiter& limiter = limiters[i];
+        if (i != frozen && random() % 3 == 0 &&
+            limiter.MaySend(kUpstream, rate, at)) {
           limiter.OnSent(kUpstream, at);
           sent.push_back(at);
         }
       }
     }
-    const auto most = MostInSpan(sent);
+    const auto most = MostInSpan(sent, kSpan);
     const std::string message = std::to_string(most) + " at " +
                                 std::to_string(aCount) + " hosts, limit " +
                                 std::to_string(aPerSecond);
