Upstreams that say in responses that they leave get no more requests

Cause: what responses say of leaving was not read.

Change: a response that says so marks the incarnation that gave it as leaving, as its entry would; a later entry of that incarnation does not take it back, a new incarnation has said nothing. What waits for a connection is withdrawn, keys are handed over. Peers are told at once where it was not known, and hosts that connect get what is known, also without the store. Responses to lease commands count too.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -57,6 +57,7 @@
   kUpstreamLimitMalformed = 3016,
   kUpstreamResting = 3017,
   kUpstreamSignalMalformed = 3018,
+  kUpstreamSaysLeaving = 3019,
 
   kSliceMoved = 4001,
   kGrantLapsed = 4002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -92,6 +92,8 @@
   EventEntry{ Event::kUpstreamSignalMalformed, "upstream-signal-malformed",
               kWarn,
               "an upstream says something that cannot be read; it is ignored" },
+  EventEntry{ Event::kUpstreamSaysLeaving, "upstream-says-leaving", kInfo,
+              "an upstream says that it leaves, and its entry did not" },
 
   EventEntry{ Event::kSliceMoved, "slice-moved", kInfo,
               "the owner of a slice has changed" },
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -119,6 +119,9 @@
   void SendCrashReports(const std::vector<routing::CrashReport>& aReports);
   void SendAllNotices(const std::string& aPeer);
   void OnNotices(const protocol::Notices& aNotices);
+  void OnSaidLeaving(const state::UpstreamId& aId, std::int64_t aStartedMs);
+  // Upstreams may be used no more, or again.
+  void OnUsableUpstreamsChanged();
   void OnRest(const routing::UpstreamRest& aRest);
   // A rest that the upstream has asked a peer for.
   void OnPeerRest(const routing::UpstreamRest& aRest);
--- a/src/node/internal/gatewaynotices.cpp
+++ b/src/node/internal/gatewaynotices.cpp
@@ -116,6 +116,15 @@
            milliseconds(std::max(0, aRest.leftMs)) };
 }
 
+protocol::UpstreamLeaving LeavingToWire(const state::UpstreamId& aId,
+                                        std::int64_t aStartedMs)
+{
+  protocol::UpstreamLeaving leaving;
+  leaving.__set_upstream(aId.value);
+  leaving.__set_startedMs(aStartedMs);
+  return leaving;
+}
+
 template<typename To, typename From>
 std::vector<To> ToWire(const std::vector<From>& aItems)
 {
@@ -167,6 +176,12 @@
     ToWire<protocol::CrashReport>(this->dispatcher->Suspects().AllReports()));
   notices.__set_limits(ToWire<protocol::UpstreamLimit>(
     this->dispatcher->Signals().Limits().All()));
+  for (const auto& [id, upstream] : this->upstreams.All()) {
+    if (upstream.entry.leaving) {
+      notices.leaving.push_back(LeavingToWire(id, upstream.entry.startedMs));
+    }
+  }
+  notices.__isset.leaving = true;
   static_cast<void>(this->peerNetwork->Send(aPeer, MakeFrame(notices)));
 }
 
@@ -183,6 +198,14 @@
   for (const protocol::UpstreamRest& rest : aNotices.rests) {
     this->OnPeerRest(FromWire(rest));
   }
+  bool isAnyLeaving = false;
+  for (const protocol::UpstreamLeaving& one : aNotices.leaving) {
+    isAnyLeaving |=
+      this->upstreams.MarkLeaving({ one.upstream }, one.startedMs, BootTime());
+  }
+  if (isAnyLeaving) {
+    this->OnUsableUpstreamsChanged();
+  }
   if (aNotices.forward && this->topology.IsHub(this->self.host)) {
     this->ScheduleForwarding(aNotices);
   }
@@ -196,6 +219,8 @@
                     std::back_inserter(this->noticesToForward.limits));
   std::ranges::copy(aNotices.rests,
                     std::back_inserter(this->noticesToForward.rests));
+  std::ranges::copy(aNotices.leaving,
+                    std::back_inserter(this->noticesToForward.leaving));
   if (std::exchange(this->isForwardingScheduled, true)) {
     return;
   }
@@ -231,6 +256,19 @@
   this->SendNotices(std::move(notices));
 }
 
+// All hosts are told, as the keys of the upstream may be assigned by any, and
+// the store may be silent.
+void Gateway::Impl::OnSaidLeaving(const state::UpstreamId& aId,
+                                  std::int64_t aStartedMs)
+{
+  this->log.Write(Event::kUpstreamSaysLeaving, { { "upstream", aId.value } });
+  protocol::Notices notices = this->MakeNotices();
+  notices.__set_leaving({ LeavingToWire(aId, aStartedMs) });
+  this->SendNotices(std::move(notices));
+  // The dispatcher is in the middle of a response.
+  this->serving.Hand([this] { this->OnUsableUpstreamsChanged(); });
+}
+
 // The upstream sees the host that connects to it. So where connections go
 // through peers, a rest holds for the hosts at both ends of them, and all peers
 // are told, as this host does not choose which of them relays. Else only the
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -75,6 +75,10 @@
   hooks.onRest = [this](const routing::UpstreamRest& aRest) {
     this->OnRest(aRest);
   };
+  hooks.onLeaving = [this](const state::UpstreamId& aId,
+                           std::int64_t aStartedMs) {
+    this->OnSaidLeaving(aId, aStartedMs);
+  };
   hooks.onMalformedSignal = [this](const state::UpstreamId& aId,
                                    routing::SignalKind aKind) {
     const bool isLimit = aKind == routing::SignalKind::kLimit;
@@ -330,11 +334,17 @@
                                      ownership::Assigner::CommandDone aDone)
 {
   const bool isGrant = aCommand.kind == ownership::LeaseCommandKind::kGrant;
+  const routing::UpstreamState* one = this->upstreams.Find(aCommand.upstream);
+  const std::int64_t startedMs = one == nullptr ? 0 : one->entry.startedMs;
   this->leaseClient->Send(
     aCommand.address, platform::MakeLeaseCommandRequest(aCommand),
     isGrant ? kGrantTimeout : kReleaseTimeout,
-    [done = std::move(aDone)](const Result<HttpResponse>& aResponse) {
+    [this, startedMs, upstream = aCommand.upstream,
+     done = std::move(aDone)](const Result<HttpResponse>& aResponse) {
       if (aResponse) {
+        if (platform::SaysThatItLeaves(*aResponse)) {
+          this->dispatcher->OnSaidLeaving(upstream, startedMs);
+        }
         done(platform::ParseLeaseCommandReply(*aResponse));
         return;
       }
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -116,9 +116,7 @@
   if (row != replica.rows.end()) {
     this->ApplyConfiguration(row->second);
   }
-  this->keyedServices->OnUpstreamsChanged();
-  this->dispatcher->RecheckWaitingRequests();
-  this->ScheduleDispatcher();
+  this->OnUsableUpstreamsChanged();
 }
 
 // Limits the time spent on parsing to a fifth, and parses only the newest of
@@ -246,6 +244,11 @@
         { "version", std::ranges::max(aChanged, {}, &state::StoredRow::version)
                        .version } });
   }
+  this->OnUsableUpstreamsChanged();
+}
+
+void Gateway::Impl::OnUsableUpstreamsChanged()
+{
   this->keyedServices->OnUpstreamsChanged();
   this->dispatcher->RecheckWaitingRequests();
   this->ScheduleDispatcher();
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -404,6 +404,12 @@
   4: i32 leftMs
 }
 
+// An incarnation of an upstream that has said that it leaves.
+struct UpstreamLeaving {
+  1: string upstream
+  2: i64 startedMs
+}
+
 // What a host has learned from an upstream and all hosts have to know at once.
 // Sent to all connected hosts, and all that is known to one that has just
 // connected.
@@ -416,6 +422,7 @@
   4: list<UpstreamLimit> limits
   // Also sent alone, to hosts that assign the upstream's keys.
   5: list<UpstreamRest> rests
+  6: list<UpstreamLeaving> leaving
 }
 
 // Another frame, as zlib compresses its bytes.
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -177,6 +177,10 @@
     // Called when an upstream asks this host for rest, unless that ends sooner
     // than the rest that it has asked for before. May be empty.
     std::function<void(const UpstreamRest&)> onRest;
+    // Called when an upstream has said that it leaves and it was not known. May
+    // be empty.
+    std::function<void(const state::UpstreamId&, std::int64_t aStartedMs)>
+      onLeaving;
     // Called when an upstream says something that cannot be read, which is
     // ignored. May be empty.
     std::function<void(const state::UpstreamId&, SignalKind)> onMalformedSignal;
@@ -204,6 +208,9 @@
   // What the upstreams say of themselves. The owner of the dispatcher passes on
   // what peers have heard.
   UpstreamSignals& Signals() { return this->signals; }
+  // The incarnation of an upstream that started then has said to this host that
+  // it leaves.
+  void OnSaidLeaving(const state::UpstreamId& aId, std::int64_t aStartedMs);
   // An upstream has asked a host for rest whose connections to it this host
   // shares.
   void OnSharedRest(const UpstreamRest& aRest);
--- a/src/routing/internal/dispatchernotices.cpp
+++ b/src/routing/internal/dispatchernotices.cpp
@@ -92,6 +92,18 @@
   if (aSignals.rest) {
     this->StartRest(id, *aSignals.rest);
   }
+  if (aSignals.isLeaving) {
+    this->OnSaidLeaving(id, aRequest.upstreamStartedMs);
+  }
+}
+
+void Dispatcher::OnSaidLeaving(const state::UpstreamId& aId,
+                               std::int64_t aStartedMs)
+{
+  if (this->upstreams.MarkLeaving(aId, aStartedMs, this->hooks.now()) &&
+      this->hooks.onLeaving) {
+    this->hooks.onLeaving(aId, aStartedMs);
+  }
 }
 
 void Dispatcher::StartRest(const state::UpstreamId& aUpstream, Duration aLength)
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -280,6 +280,20 @@
   return newLife ? EntryChange::kNewIncarnation : EntryChange::kUpdated;
 }
 
+bool Upstreams::MarkLeaving(const state::UpstreamId& aId,
+                            std::int64_t aStartedMs, TimePoint aNow)
+{
+  UpstreamState* upstream = this->Find(aId);
+  if (upstream == nullptr || upstream->entry.startedMs != aStartedMs ||
+      upstream->entry.leaving) {
+    return false;
+  }
+  upstream->entry.leaving = true;
+  upstream->leavingSince = aNow;
+  this->byService[upstream->entry.service].isDivided = false;
+  return true;
+}
+
 void Upstreams::RemoveEntry(const state::UpstreamId& aId, TimePoint aNow,
                             milliseconds aGrace)
 {
--- a/src/routing/internal/upstreamsignals.cpp
+++ b/src/routing/internal/upstreamsignals.cpp
@@ -10,9 +10,10 @@
 
 namespace {
 
-constexpr std::array<std::pair<SignalKind, std::string_view>, 2> kNames{ {
+constexpr std::array<std::pair<SignalKind, std::string_view>, 3> kNames{ {
   { SignalKind::kLimit, "limit" },
   { SignalKind::kRest, "rest" },
+  { SignalKind::kLeaving, "leaving" },
 } };
 
 } // namespace
--- a/src/routing/tests/upstreams_test.cpp
+++ b/src/routing/tests/upstreams_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(testLongestPrefixWins);
   CPPUNIT_TEST(testEntryOfPreviousIncarnationIsIgnored);
   CPPUNIT_TEST(testLateHeartbeatDoesNotUndoLeaving);
+  CPPUNIT_TEST(testWordOfAResponseHoldsForItsIncarnation);
   CPPUNIT_TEST(testLateHeartbeatDoesNotRestoreRemovedUpstream);
   CPPUNIT_TEST(testLateResponseOfOldAddressKeepsNewIncarnation);
   CPPUNIT_TEST(testNewIncarnationIsNotEjected);
@@ -117,6 +118,21 @@
     CPPUNIT_ASSERT(!this->upstreams.Find({ "u" })->entry.leaving);
   }
 
+  // Guards against using an upstream again that has said in a response that it
+  // leaves, while its entry says ready, and against leaving its successor idle.
+  void testWordOfAResponseHoldsForItsIncarnation()
+  {
+    this->Put(2, false, 1);
+    CPPUNIT_ASSERT(!this->upstreams.MarkLeaving({ "u" }, 1, this->now));
+    CPPUNIT_ASSERT(!this->upstreams.Find({ "u" })->entry.leaving);
+    CPPUNIT_ASSERT(this->upstreams.MarkLeaving({ "u" }, 2, this->now));
+    CPPUNIT_ASSERT(!this->upstreams.MarkLeaving({ "u" }, 2, this->now));
+    this->Put(2, false, 9);
+    CPPUNIT_ASSERT(this->upstreams.Find({ "u" })->entry.leaving);
+    this->Put(3, false, 1);
+    CPPUNIT_ASSERT(!this->upstreams.Find({ "u" })->entry.leaving);
+  }
+
   // A heartbeat is stored after its upstream's entry was removed.
   void testLateHeartbeatDoesNotRestoreRemovedUpstream()
   {
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -183,6 +183,10 @@
   // in which they were written, and an incarnation that has announced that it
   // leaves stays leaving.
   EntryChange PutEntry(const UpstreamEntry& aEntry, TimePoint aNow);
+  // The incarnation that started then has said that it leaves, whatever its
+  // entry says. Returns whether that is new.
+  bool MarkLeaving(const state::UpstreamId& aId, std::int64_t aStartedMs,
+                   TimePoint aNow);
   // Handles the removal of an entry from the store. Entries also expire while
   // the store is unavailable, and live upstreams are back within two seconds of
   // its return. aGrace is how long the upstream may still be used, 0 if the
--- a/src/routing/upstreamsignals.h
+++ b/src/routing/upstreamsignals.h
@@ -3,6 +3,10 @@
 //   what            holds for   until
 //   limit           all hosts   responses name none any more
 //   rest            the host    its time has passed
+//   leaving         all hosts   the upstream starts anew
+//
+// That an upstream leaves is known from its entry as well, and stands with it;
+// see Upstreams::MarkLeaving.
 
 #pragma once
 
@@ -22,6 +26,7 @@
 {
   kLimit,
   kRest,
+  kLeaving,
 };
 
 // The name of the signal in the log.
@@ -34,11 +39,12 @@
   std::optional<double> limitPerSecond;
   // How long it wants nothing from this host.
   std::optional<std::chrono::milliseconds> rest;
+  bool isLeaving = false;
   // Those that cannot be read, which count as not given.
   std::vector<SignalKind> malformed;
 };
 
-// What all upstreams have said, as far as this host knows.
+// What all upstreams have said of limits and rests, as far as this host knows.
 class UpstreamSignals
 {
 public:
