Keys that a steward refused as not run are not reported to the next owner

Cause: an owner notes a key before it sends it to a steward. Where the steward refused it as not run, since it knew of the move already, the note stayed, the next owner collected it, and answered "unknown" when the entry asked again.

Change: the owner takes its own note back when the outcome is surely not run.

Evidence: the test fails before (0 runs, outcome-unknown) and passes. A successor that collects while the refusal is on its way still answers "unknown".

--- a/src/coordination/internal/duplicatefilter.cpp
+++ b/src/coordination/internal/duplicatefilter.cpp
@@ -517,6 +517,11 @@
   const bool isKept = !record.key.second.empty() &&
                       OutcomeOf(aAnswer) != protocol::Outcome::kNotRun &&
                       !this->Omits(DuplicateRule::kRememberOutcome);
+  if (OutcomeOf(aAnswer) == protocol::Outcome::kNotRun &&
+      !record.key.second.empty()) {
+    this->options.log->Withdraw(record.owner, record.key.first,
+                                record.key.second);
+  }
   if (isKept) {
     this->Keep(aTicket.number, record, aAnswer);
   } else {
--- a/src/coordination/internal/witnesslog.cpp
+++ b/src/coordination/internal/witnesslog.cpp
@@ -38,6 +38,18 @@
   return protocol::ErrorKind::kNone;
 }
 
+void WitnessLog::Withdraw(const KeyOwner& aOwner,
+                          const state::ServiceName& aService,
+                          std::string_view aKey)
+{
+  Hashes& hashes = this->known[aService];
+  const auto found = hashes.find(state::HashKey(aKey));
+  if (found != hashes.end() && found->second.epoch == aOwner.epoch) {
+    hashes.erase(found);
+    --this->count;
+  }
+}
+
 protocol::ErrorKind WitnessLog::Admit(const protocol::Forward& aForward)
 {
   const KeyOwner sender{ FromWire(aForward.sender), aForward.ownerEpoch };
--- a/src/coordination/tests/duplicatefilter_test.cpp
+++ b/src/coordination/tests/duplicatefilter_test.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(testMoveFromLiveHostFencesOnlyTheSlice);
   CPPUNIT_TEST(testSuccessorsOwnKeysAreNotReported);
   CPPUNIT_TEST(testPlannedMoveIsSureAtOnce);
+  CPPUNIT_TEST(testKeyThatItsStewardRefusedRunsAfterAPlannedMove);
   CPPUNIT_TEST(testOwnerBeforeTheLastIsNotBelieved);
   CPPUNIT_TEST_SUITE_END();
 
@@ -451,6 +452,24 @@
     CPPUNIT_ASSERT_EQUAL(1, cluster.runs["ran"]);
   }
 
+  // Guards against answering "unknown" after a planned move to a key that the
+  // owner before had dispatched, and whose steward refused it as not run.
+  void testKeyThatItsStewardRefusedRunsAfterAPlannedMove()
+  {
+    DuplicateCluster cluster;
+    cluster.Send("c", "a", "d", "k");
+    cluster.At("d").knownEpoch = 2;
+    cluster.Deliver();
+    CPPUNIT_ASSERT(ErrorKind::kStaleSender == cluster.LastError());
+    cluster.At("a").filter->End(kService, "0");
+    cluster.At("b").tenure = 2;
+    cluster.At("b").filter->Begin(
+      DuplicateCluster::Tenure(2, KeyTenure::Origin::kMove, {}));
+    cluster.Send("c", "b", "d", "k");
+    cluster.Deliver();
+    CPPUNIT_ASSERT_EQUAL(1, cluster.runs["k"]);
+  }
+
   // An owner sleeps through a takeover, wakes, and is asked by the next owner
   // but one. It still takes itself for the owner, but the keys that its
   // successor ran are not among those that it knows.
--- a/src/coordination/witnesslog.h
+++ b/src/coordination/witnesslog.h
@@ -64,6 +64,11 @@
                                          const state::ServiceName& aService,
                                          std::string_view aKey);
 
+  // A key that this host has noted as its owner has surely not run. Keys that
+  // were noted under an earlier owner stay.
+  void Withdraw(const KeyOwner& aOwner, const state::ServiceName& aService,
+                std::string_view aKey);
+
   // The steward's side of Note. Requests without an idempotency key, and those
   // that come from an entry rather than an owner (ownerEpoch 0), are checked
   // for their sender only.
