What responses say of leaving is kept by itself for hosts that connect

A host that connected walked all upstreams to name those that leave; with thousands of them and hundreds of connections at a start that is seconds of a small host's processor. Only those that said so in responses are kept and named, as entries tell the rest.

--- a/src/node/internal/gatewaynotices.cpp
+++ b/src/node/internal/gatewaynotices.cpp
@@ -176,10 +176,8 @@
     ToWire<protocol::CrashReport>(this->dispatcher->Suspects().AllReports()));
   notices.__set_limits(ToWire<protocol::UpstreamLimit>(
     this->dispatcher->Signals().Limits().All()));
-  for (const auto& [id, upstream] : this->upstreams.All()) {
-    if (upstream.entry.leaving) {
-      notices.leaving.push_back(LeavingToWire(id, upstream.entry.startedMs));
-    }
+  for (const auto& [id, startedMs] : this->upstreams.MarkedLeaving()) {
+    notices.leaving.push_back(LeavingToWire(id, startedMs));
   }
   notices.__isset.leaving = true;
   static_cast<void>(this->peerNetwork->Send(aPeer, MakeFrame(notices)));
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -206,6 +206,7 @@
     this->upstreams.erase(found);
   }
   this->expiring.erase(aId);
+  this->markedLeaving.erase(aId);
   this->reportable.erase(aId);
   this->awaited.erase(aId);
 }
@@ -256,6 +257,7 @@
       }
     }
     this->upstreams[aEntry.id] = std::move(fresh);
+    this->markedLeaving.erase(aEntry.id);
   }
   UpstreamState& upstream = this->upstreams[aEntry.id];
   if (found != this->upstreams.end()) {
@@ -290,6 +292,7 @@
   }
   upstream->entry.leaving = true;
   upstream->leavingSince = aNow;
+  this->markedLeaving[aId] = aStartedMs;
   this->byService[upstream->entry.service].isDivided = false;
   return true;
 }
--- a/src/routing/tests/upstreams_test.cpp
+++ b/src/routing/tests/upstreams_test.cpp
@@ -129,7 +129,10 @@
     CPPUNIT_ASSERT(!this->upstreams.MarkLeaving({ "u" }, 2, this->now));
     this->Put(2, false, 9);
     CPPUNIT_ASSERT(this->upstreams.Find({ "u" })->entry.leaving);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         this->upstreams.MarkedLeaving().size());
     this->Put(3, false, 1);
+    CPPUNIT_ASSERT(this->upstreams.MarkedLeaving().empty());
     CPPUNIT_ASSERT(!this->upstreams.Find({ "u" })->entry.leaving);
   }
 
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -187,6 +187,11 @@
   // entry says. Returns whether that is new.
   bool MarkLeaving(const state::UpstreamId& aId, std::int64_t aStartedMs,
                    TimePoint aNow);
+  // The starts of the incarnations that were marked so and are still known.
+  const std::map<state::UpstreamId, std::int64_t>& MarkedLeaving() const
+  {
+    return this->markedLeaving;
+  }
   // Handles the removal of an entry from the store. Entries also expire while
   // the store is unavailable, and live upstreams are back within two seconds of
   // its return. aGrace is how long the upstream may still be used, 0 if the
@@ -308,6 +313,8 @@
   // Upstreams that the next report has something to say of, if anything has
   // happened since the last one.
   std::set<state::UpstreamId> reportable;
+  // See MarkedLeaving.
+  std::map<state::UpstreamId, std::int64_t> markedLeaving;
   // Upstreams that requests of this host wait for.
   std::set<state::UpstreamId> awaited;
   FractionRange cellRange;
