Keys: the log names how each lease ended, and an upstream's incarnation

A log could not tell a restart under the old id from an entry that returned, nor a released lease from one taken for gone.

--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -264,6 +264,7 @@
       { "service", aEntry.service.value },
       { "data_centre", aEntry.dataCentre.value },
       { "change", routing::EntryChangeName(aChange) },
+      { "started_ms", aEntry.startedMs },
       { "leaving", static_cast<std::int64_t>(aEntry.leaving) },
       { "cold_ms", static_cast<std::int64_t>(aEntry.coldRemaining.count()) },
       { "version", aVersion } });
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -37,6 +37,14 @@
          aRange.holder.upstream.value;
 }
 
+// How a lease ended whose keys have been reassigned.
+std::string DescribeEnd(const AssignedRange& aRange, const Holder& aPrevious,
+                        std::string_view aHow)
+{
+  return Describe(aRange) + ": " + aPrevious.upstream.value + " of " +
+         std::to_string(aPrevious.startedMs) + ", " + std::string(aHow);
+}
+
 } // namespace
 
 // --- stored assignment
@@ -244,9 +252,16 @@
     const bool isRestarted =
       candidate != this->candidates.end() &&
       candidate->holder.startedMs > aPrevious.holder.startedMs;
-    return isRestarted ||
-           this->LeaseExpiry(aPrevious.leaseExpiresAt,
-                             aPrevious.maybeRenewedByPredecessor) <= now;
+    const bool hasExpired =
+      this->LeaseExpiry(aPrevious.leaseExpiresAt,
+                        aPrevious.maybeRenewedByPredecessor) <= now;
+    if (isRestarted || hasExpired) {
+      this->hooks.log(
+        "lease-ended",
+        DescribeEnd(range.assigned, aPrevious.holder,
+                    isRestarted ? "the upstream has restarted" : "expired"));
+    }
+    return isRestarted || hasExpired;
   });
   for (std::size_t i = 0; i < range.previousHolders.size(); ++i) {
     if (!range.previousHolders[i].commandPending &&
@@ -292,6 +307,9 @@
       pendingHolder->retryAt = this->hooks.now() + kCommandRetryPause;
       if (aReply.result == LeaseCommandResult::kDone ||
           aReply.result == LeaseCommandResult::kOtherUpstream) {
+        this->hooks.log("lease-ended",
+                        DescribeEnd(found->assigned, holder,
+                                    LeaseCommandResultName(aReply.result)));
         found->previousHolders.erase(pendingHolder);
         found->handover = aReply.handover;
         this->AdvanceRanges();
