Keys of an upstream that restarted are released before they move

Callers saw two upstreams serve the same keys, for up to the three seconds of a lease.

Cause: an upstream may start again under its id. The assigner took the leases of the incarnation before for gone as soon as the entry showed the new one, but had renewed them at the new one until then; an upstream that knows no token accepts any grant. So the keys went to another upstream at once.

Change: a previous holder's lease ends by its expiry or by a confirmed release only. A later incarnation of the holder gets the release, and has seen the higher token then, so that it also rejects grants which arrive later.

AssignerTest::testLeasesOfAnUnnoticedRestartEndBeforeKeysMove failed before (u0 and u1, 2.46 s).

--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -11,7 +11,9 @@
 // - The new holder is granted a lease only after each previous holder has
 //   confirmed the release, or after its lease has certainly expired. The
 //   release carries the new token, so that the previous holder rejects an
-//   older grant that arrives late.
+//   older grant that arrives late. If the previous holder has restarted under
+//   its id, the new incarnation gets the release: it accepts grants that were
+//   meant for the one before.
 // - A lease has certainly expired when its duration, on a clock that may run
 //   slow, has passed since the last grant was sent, by this assigner or by a
 //   predecessor.
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -244,24 +244,14 @@
   const TimePoint now = this->hooks.now();
   RangeState& range = this->ranges[aRangeIndex];
   std::erase_if(range.previousHolders, [&](const PreviousHolder& aPrevious) {
-    const auto candidate = std::ranges::find_if(
-      this->candidates, [&aPrevious](const OwnerCandidate& aCandidate) {
-        return aCandidate.holder.upstream == aPrevious.holder.upstream;
-      });
-    // A new incarnation holds none of the leases of the one before.
-    const bool isRestarted =
-      candidate != this->candidates.end() &&
-      candidate->holder.startedMs > aPrevious.holder.startedMs;
     const bool hasExpired =
       this->LeaseExpiry(aPrevious.leaseExpiresAt,
                         aPrevious.maybeRenewedByPredecessor) <= now;
-    if (isRestarted || hasExpired) {
-      this->hooks.log(
-        "lease-ended",
-        DescribeEnd(range.assigned, aPrevious.holder,
-                    isRestarted ? "the upstream has restarted" : "expired"));
+    if (hasExpired) {
+      this->hooks.log("lease-ended",
+                      DescribeEnd(range.assigned, aPrevious.holder, "expired"));
     }
-    return isRestarted || hasExpired;
+    return hasExpired;
   });
   for (std::size_t i = 0; i < range.previousHolders.size(); ++i) {
     if (!range.previousHolders[i].commandPending &&
@@ -271,13 +261,16 @@
   }
 }
 
+// A later incarnation of the holder gets the release too: it accepts renewals
+// that were meant for the one before.
 void Assigner::SendRelease(std::size_t aRangeIndex, std::size_t aHolderIndex)
 {
   RangeState& range = this->ranges[aRangeIndex];
   PreviousHolder& previous = range.previousHolders[aHolderIndex];
   const auto candidate = std::ranges::find_if(
     this->candidates, [&previous](const OwnerCandidate& aCandidate) {
-      return aCandidate.holder == previous.holder;
+      return aCandidate.holder.upstream == previous.holder.upstream &&
+             aCandidate.holder.startedMs >= previous.holder.startedMs;
     });
   if (candidate == this->candidates.end()) {
     return;
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(testLeavingUpstreamReleasesItsKeys);
   CPPUNIT_TEST(testUnresponsiveUpstreamKeepsKeysUntilLeaseExpires);
   CPPUNIT_TEST(testRestartedUpstreamNeedsNoLeaseExpiry);
+  CPPUNIT_TEST(testLeasesOfAnUnnoticedRestartEndBeforeKeysMove);
   CPPUNIT_TEST(testKilledAssignerCausesNoLeaseToExpire);
   CPPUNIT_TEST(testAssignerAndUpstreamLostTogether);
   CPPUNIT_TEST(testStoreOutageCausesNoLeaseToExpire);
@@ -109,6 +110,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two holders after a restart that hosts learn of late: the
+  // new incarnation holds the leases that were renewed meanwhile.
+  void testLeasesOfAnUnnoticedRestartEndBeforeKeysMove()
+  {
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    simulation.RestartUnlisted("u1");
+    simulation.RunFor(milliseconds(1500));
+    CPPUNIT_ASSERT(!simulation.Upstream("u1").leases.empty());
+    simulation.Upstream("u1").cold = true;
+    simulation.List("u1");
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.AreAllKeysLeased(); }, milliseconds(1000)));
+    simulation.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // The assigner's host is killed. Another host takes over before any lease
   // expires and keeps the assignment that it finds, so no caller is affected.
   void testKilledAssignerCausesNoLeaseToExpire()
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -95,6 +95,27 @@
     FakeUpstream& upstream = this->upstreams[aName];
     upstream = {};
     upstream.holder = { { aName }, aStartedMs };
+    upstream.listed = upstream.holder;
+  }
+
+  // Starts a new incarnation at the same address, of which hosts do not know
+  // until it is listed.
+  void RestartUnlisted(const std::string& aName)
+  {
+    const Holder listed = this->upstreams.at(aName).listed;
+    this->AddUpstream(aName, this->upstreams.at(aName).holder.startedMs + 1);
+    this->upstreams.at(aName).listed = listed;
+  }
+
+  void List(const std::string& aName)
+  {
+    this->upstreams.at(aName).listed = this->upstreams.at(aName).holder;
+  }
+
+  // Hosts no longer know of the upstream, which runs on.
+  void Unlist(const std::string& aName)
+  {
+    this->upstreams.at(aName).listed = {};
   }
 
   void StartHost(const std::string& aName)
@@ -306,9 +327,9 @@
     hooks.candidates = [this] {
       std::vector<OwnerCandidate> candidates;
       for (const auto& [name, upstream] : this->upstreams) {
-        if (upstream.alive) {
+        if (upstream.alive && !upstream.listed.IsEmpty()) {
           candidates.push_back(
-            { upstream.holder, name, upstream.mayOwn, false, 1 });
+            { upstream.listed, name, upstream.mayOwn, upstream.cold, 1 });
         }
       }
       return candidates;
--- a/src/ownership/tests/fakeupstream.h
+++ b/src/ownership/tests/fakeupstream.h
@@ -28,8 +28,11 @@
   };
 
   Holder holder;
+  // The incarnation that hosts know of; empty if they know of none.
+  Holder listed;
   bool alive = true;
   bool mayOwn = true;
+  bool cold = false;
   // No lease command reaches the upstream, but requests may.
   bool unresponsive = false;
   // If above zero, the upstream sends no response to a grant and executes it so
