Keys move only once no predecessor can renew their leases

Callers saw two upstreams serve the same keys, for as long as an assigner that was replaced did not learn of it.

Cause: an assigner took a confirmed release for final. The upstream has seen the higher token then, but forgets it when it restarts; an earlier assigner, cut off from the store and still followed by two thirds of the hosts, renews the lease under the old token.

Until then holders that can be released keep their keys, and nothing moves for its load.

Evidence: AssignerTest::testReleasedUpstreamThatRestartsIsNotRenewedByAPredecessor failed before (32768 leased to u0 and u1) and passes.

--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -13,7 +13,8 @@
 //   release carries the new token, so that the previous holder rejects an
 //   older grant that arrives late. If the previous holder has restarted under
 //   its id, the new incarnation gets the release: it accepts grants that were
-//   meant for the one before.
+//   meant for the one before. As an upstream that restarts forgets the token, a
+//   release is sent only once no predecessor can renew the lease any more.
 // - A lease has certainly expired when its duration, on a clock that may run
 //   slow, has passed since the last grant was sent, by this assigner or by a
 //   predecessor.
@@ -314,6 +315,8 @@
   TimePoint LeaseExpiryFromNow() const;
 
   void AdvanceRanges();
+  // Whether a lease command of a predecessor may still reach an upstream.
+  bool MayPredecessorsSend() const;
   void ReleasePreviousHolders(std::size_t aRangeIndex);
   void SendRelease(std::size_t aRangeIndex, std::size_t aHolderIndex);
   void SendGrant(std::size_t aRangeIndex);
@@ -322,6 +325,9 @@
   RangeState* FindRange(Key aFirst, FencingToken aFencingToken);
 
   void PlanChanges();
+  // Whether the holder would keep its keys after a reassignment only because a
+  // predecessor may still send lease commands.
+  bool MustWaitToRelease(const RangeState& aRange) const;
   bool PlanReplacements(Assignment& aNext,
                         const std::vector<OwnerCandidate>& aCandidates);
   bool PlanBalance(Assignment& aNext,
@@ -371,8 +377,10 @@
   TimePoint balanceDue;
   TimePoint mergeDue;
   TimePoint claimedAt;
-  // Whether predecessors may still renew leases.
+  // Whether it is unknown until when predecessors may renew leases.
   bool predecessorsMayRenew = false;
+  // From then on, no predecessor sends lease commands.
+  TimePoint predecessorsStopAt;
   // Leases that predecessors renewed have expired by then.
   TimePoint predecessorLeasesExpireAt;
   // Upstreams that did not respond to lease commands. They receive no keys
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -374,6 +374,7 @@
   // Not only the last assigner counts: an earlier one may have been paused ever
   // since and may resume.
   this->predecessorsMayRenew = !isFirstAssigner;
+  this->predecessorsStopAt = {};
   this->predecessorLeasesExpireAt =
     isFirstAssigner ? TimePoint{} : TimePoint::max();
   this->assignment = *parsed;
@@ -469,10 +470,10 @@
   const auto [followers, known] = this->CountFollowers();
   if (this->predecessorsMayRenew && followers * 2 > known) {
     const TimePoint now = this->hooks.now();
-    const TimePoint predecessorsStop =
+    this->predecessorsStopAt =
       std::max(this->claimedAt + kClaimValidity, now + kMapReportValidity);
     this->predecessorLeasesExpireAt =
-      this->LeaseExpiryFromNow() + (predecessorsStop - now);
+      this->LeaseExpiryFromNow() + (this->predecessorsStopAt - now);
     this->predecessorsMayRenew = false;
   }
 }
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -19,9 +19,6 @@
 constexpr int kRenewalsPerLease = 3;
 // An upstream's clock may run up to 2% slow.
 constexpr double kMaxClockSlowdown = 1.02;
-// Longest time that a grant takes to reach its upstream, including one
-// retransmission.
-constexpr milliseconds kMaxGrantDelay{ 300 };
 // Pause before a command that failed is sent again.
 constexpr milliseconds kCommandRetryPause{ 250 };
 // An upstream's keys are reassigned after this number of consecutive grants
@@ -239,6 +236,12 @@
   }
 }
 
+bool Assigner::MayPredecessorsSend() const
+{
+  return this->predecessorsMayRenew ||
+         this->hooks.now() < this->predecessorsStopAt + kMaxGrantDelay;
+}
+
 void Assigner::ReleasePreviousHolders(std::size_t aRangeIndex)
 {
   const TimePoint now = this->hooks.now();
@@ -254,8 +257,10 @@
     return hasExpired;
   });
   for (std::size_t i = 0; i < range.previousHolders.size(); ++i) {
-    if (!range.previousHolders[i].commandPending &&
-        range.previousHolders[i].retryAt <= now) {
+    const PreviousHolder& previous = range.previousHolders[i];
+    const bool isTooEarly =
+      previous.maybeRenewedByPredecessor && this->MayPredecessorsSend();
+    if (!isTooEarly && !previous.commandPending && previous.retryAt <= now) {
       this->SendRelease(aRangeIndex, i);
     }
   }
--- a/src/ownership/internal/assignerplans.cpp
+++ b/src/ownership/internal/assignerplans.cpp
@@ -116,6 +116,21 @@
   }
 }
 
+// A holder that can be released keeps its keys until then. One that cannot has
+// to be waited for, and the sooner that begins the better.
+bool Assigner::MustWaitToRelease(const RangeState& aRange) const
+{
+  const Holder& holder = aRange.assigned.holder;
+  const bool canRelease =
+    !this->IsBackedOff(holder.upstream) &&
+    std::ranges::any_of(this->candidates,
+                        [&holder](const OwnerCandidate& aCandidate) {
+                          return aCandidate.holder == holder;
+                        });
+  return canRelease && aRange.granted && aRange.maybeRenewedByPredecessor &&
+         this->MayPredecessorsSend();
+}
+
 // Reassigns the keys of holders that may not own keys or do not respond.
 bool Assigner::PlanReplacements(Assignment& aNext,
                                 const std::vector<OwnerCandidate>& aCandidates)
@@ -154,7 +169,8 @@
   }
   bool changed = false;
   for (RangeState& range : this->ranges) {
-    if (this->FindCandidate(aCandidates, range.assigned.holder) == nullptr) {
+    if (this->FindCandidate(aCandidates, range.assigned.holder) == nullptr &&
+        !this->MustWaitToRelease(range)) {
       this->ReassignRange(aNext, range, keys, loads);
       // If the new holder has to wait until this lease expires, no renewal may
       // extend it. A lease that can be released is renewed until the change is
@@ -231,7 +247,7 @@
                            const std::vector<OwnerCandidate>& aCandidates)
 {
   const TimePoint now = this->hooks.now();
-  if (now < this->balanceDue) {
+  if (now < this->balanceDue || this->MayPredecessorsSend()) {
     return false;
   }
   this->balanceDue = now + kPlanInterval;
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(testUnresponsiveUpstreamKeepsKeysUntilLeaseExpires);
   CPPUNIT_TEST(testRestartedUpstreamNeedsNoLeaseExpiry);
   CPPUNIT_TEST(testLeasesOfAnUnnoticedRestartEndBeforeKeysMove);
+  CPPUNIT_TEST(testReleasedUpstreamThatRestartsIsNotRenewedByAPredecessor);
   CPPUNIT_TEST(testKilledAssignerCausesNoLeaseToExpire);
   CPPUNIT_TEST(testAssignerAndUpstreamLostTogether);
   CPPUNIT_TEST(testStoreOutageCausesNoLeaseToExpire);
@@ -127,6 +128,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two holders after an upstream has confirmed a release and
+  // restarted: a predecessor that knows of neither renews the lease.
+  void testReleasedUpstreamThatRestartsIsNotRenewedByAPredecessor()
+  {
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    TakeOverUnnoticed(simulation);
+    simulation.Upstream("u1").mayOwn = false;
+    simulation.RunFor(milliseconds(1000));
+    simulation.RestartUnlisted("u1");
+    simulation.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+    EndFaults(simulation);
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.AreAllKeysLeased(); }, milliseconds(15'000)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // The assigner's host is killed. Another host takes over before any lease
   // expires and keeps the assignment that it finds, so no caller is affected.
   void testKilledAssignerCausesNoLeaseToExpire()
@@ -356,6 +375,21 @@
     aSimulation.RunFor(milliseconds(2000));
   }
 
+  // A host that no digest reaches claims the keys, and the assigner until then
+  // goes on: it learns of nothing, as the store rejects it and the others use
+  // its map.
+  static void TakeOverUnnoticed(AssignmentSimulation& aSimulation)
+  {
+    const std::string old = aSimulation.AssignerName();
+    const std::string successor = old == "h0" ? "h1" : "h0";
+    aSimulation.rejectedByStore.insert(old);
+    aSimulation.cutFromPeers.insert(successor);
+    CPPUNIT_ASSERT(aSimulation.RunUntil(
+      [&] { return aSimulation.AssignerName() == successor; },
+      milliseconds(6000)));
+    CPPUNIT_ASSERT(aSimulation.AssignerOf(old).IsAssigner());
+  }
+
   static std::string Pick(const std::vector<std::string>& aNames,
                           std::mt19937& aRandom)
   {
