A holder to which keys return keeps the time of its lease

Callers saw two upstreams serve the same keys after keys had moved away from an upstream and back within one lease, and then away again.

Cause: when keys returned to a holder that had not released them yet, it was taken off the list of previous holders, and with it when its lease expires and whether a predecessor may renew it. The next move waited for neither.

Change: the range takes both over from the entry.

--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -183,7 +183,12 @@
     staysWithHolder = staysWithHolder && isSameHolder && old.granted &&
                       old.previousHolders.empty();
     for (const PreviousHolder& previous : old.previousHolders) {
-      if (previous.holder != aAssigned.holder) {
+      if (previous.holder == aAssigned.holder) {
+        range.leaseExpiresAt =
+          std::max(range.leaseExpiresAt, previous.leaseExpiresAt);
+        range.maybeRenewedByPredecessor =
+          range.maybeRenewedByPredecessor || previous.maybeRenewedByPredecessor;
+      } else {
         range.previousHolders.push_back({ previous.holder,
                                           previous.leaseExpiresAt,
                                           previous.maybeRenewedByPredecessor,
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(testRestartedUpstreamNeedsNoLeaseExpiry);
   CPPUNIT_TEST(testLeasesOfAnUnnoticedRestartEndBeforeKeysMove);
   CPPUNIT_TEST(testReleasedUpstreamThatRestartsIsNotRenewedByAPredecessor);
+  CPPUNIT_TEST(testLeaseIsStillKnownWhenKeysReturnToTheirHolder);
   CPPUNIT_TEST(testKilledAssignerCausesNoLeaseToExpire);
   CPPUNIT_TEST(testAssignerAndUpstreamLostTogether);
   CPPUNIT_TEST(testStoreOutageCausesNoLeaseToExpire);
@@ -146,6 +147,30 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against forgetting a lease that a predecessor may renew when keys
+  // return to its holder before it was released.
+  void testLeaseIsStillKnownWhenKeysReturnToTheirHolder()
+  {
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    TakeOverUnnoticed(simulation);
+    const auto letOwn = [&simulation](bool aOthers, bool aFirst) {
+      for (auto& [name, upstream] : simulation.Upstreams()) {
+        upstream.mayOwn = name == "u1" ? aFirst : aOthers;
+      }
+    };
+    simulation.Unlist("u1");
+    simulation.RunFor(milliseconds(600));
+    simulation.List("u1");
+    letOwn(false, true);
+    simulation.RunFor(milliseconds(600));
+    letOwn(true, false);
+    simulation.RunFor(milliseconds(1000));
+    simulation.RestartUnlisted("u1");
+    simulation.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // The assigner's host is killed. Another host takes over before any lease
   // expires and keeps the assignment that it finds, so no caller is affected.
   void testKilledAssignerCausesNoLeaseToExpire()
