An assigner does not take the hosts on its side of a partition for all

Callers saw two upstreams serve the same keys, for as long as two assigners each took the hosts that they heard for all hosts.

Cause: an assigner that cannot confirm its claim goes on while two thirds of the hosts use its map, and a successor takes it for stopped once more than half use the successor's. Both counted the hosts heard in the last minute. Cut off for longer, each was all hosts to itself; so was a host that had just started.

Change: a silent host counts for 15 minutes, longer than parts of the network lose each other, unless it announced a planned stop ten seconds ago. In the first minute after its start a host counts the hosts of the host table that it has not heard. Rows of hosts that are gone for good count in that minute too; that delays moves then, and nothing else.

--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -29,6 +29,10 @@
 // successor's map for so long that their earlier reports are no longer valid
 // either. Two thirds and more than one half of the hosts overlap even if the
 // two assigners count a few hosts differently.
+//
+// Hosts that fall silent count on for longer than partitions last, and a host
+// that has just started counts those that it has not heard yet: an assigner
+// must not take the hosts on its side of a partition for all.
 
 #pragma once
 
@@ -173,6 +177,9 @@
     std::function<std::vector<OwnerCandidate>()> candidates;
     // All other hosts from which a digest was ever received.
     std::function<std::vector<PeerStatus>()> peers;
+    // The hosts of the host table, this one among them. May be empty if all of
+    // them are peers.
+    std::function<std::vector<state::HostId>()> listedHosts;
     // The host with the higher value should claim first. May be empty if all
     // hosts are equal.
     std::function<double(const state::HostId&)> preference;
@@ -300,9 +307,18 @@
   void CheckClaim();
   void CheckOtherAssigners();
   bool MayRenewLeases() const;
-  // First: hosts that use this assigner's map, including this host. Second: all
-  // hosts from which a digest was received within the last minute.
-  std::pair<std::size_t, std::size_t> CountFollowers() const;
+  // Numbers of hosts, including this one.
+  struct HostCounts
+  {
+    std::size_t known = 1;
+    // Those that use this assigner's map.
+    std::size_t followers = 1;
+  };
+
+  HostCounts CountHosts() const;
+  // Hosts of the host table that this host has not heard, in the first time
+  // after its start.
+  std::size_t CountUnheardHosts(const std::vector<PeerStatus>& aPeers) const;
   void ReloadAssignment();
   void ResumeRenewals();
 
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -8,6 +8,7 @@
 #include "framework/rendezvous.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace kumquat::ownership {
@@ -30,8 +31,16 @@
 // acknowledge them arrive every 300 and 500 ms, busy hosts lag by some hundred
 // milliseconds, and links lose packets.
 constexpr milliseconds kMapReportValidity{ 2000 };
-// A host without a digest for this time is not counted as a host any more.
-constexpr milliseconds kHostExpiry{ 60'000 };
+// A host without a digest for this time is not counted as a host any more. It
+// must exceed the time for which parts of the network lose each other.
+constexpr std::chrono::minutes kHostExpiry{ 15 };
+// A host that has announced a planned stop and is silent for this time has
+// ended.
+constexpr milliseconds kStopTimeout{ 10'000 };
+// In this time after its start, a host hears all others that it can reach.
+constexpr milliseconds kDiscoveryTime{ 60'000 };
+// Pause after reading an assignment that cannot be parsed.
+constexpr milliseconds kUnreadablePause{ 60'000 };
 // Time between two reads that confirm the claim.
 constexpr milliseconds kClaimCheckInterval{ 2000 };
 // An assigner without a digest for this time counts as unreachable. Digests
@@ -354,7 +363,7 @@
   if (!parsed) {
     this->hooks.log("assignment-unreadable", aRows.assignmentText);
     this->phase = Phase::kIdle;
-    this->claimNotBefore = now + kHostExpiry;
+    this->claimNotBefore = now + kUnreadablePause;
     return;
   }
   this->phase = Phase::kActive;
@@ -425,22 +434,46 @@
   });
 }
 
-std::pair<std::size_t, std::size_t> Assigner::CountFollowers() const
+Assigner::HostCounts Assigner::CountHosts() const
 {
   const TimePoint now = this->hooks.now();
-  std::size_t followers = 1;
-  std::size_t known = 1;
-  for (const PeerStatus& peer : this->hooks.peers()) {
-    known += now - peer.lastHeardAt < kHostExpiry ? 1 : 0;
+  const std::vector<PeerStatus> all = this->hooks.peers();
+  HostCounts counts;
+  counts.known += this->CountUnheardHosts(all);
+  for (const PeerStatus& peer : all) {
+    const Duration silence = now - peer.lastHeardAt;
+    if (silence >= kHostExpiry || (peer.leaving && silence >= kStopTimeout)) {
+      continue;
+    }
+    ++counts.known;
     // Failure: a host that resumes after a pause finds old digests in its
     // connections. If reports counted from their arrival, they would let it
     // renew leases that its successor has already treated as expired. See
     // DigestSendTimes.
-    const bool isFollower = peer.mapVersion.assigner == this->options.self;
-    followers +=
-      isFollower && now - peer.mapConfirmedAt < kMapReportValidity ? 1 : 0;
+    if (peer.mapVersion.assigner == this->options.self &&
+        now - peer.mapConfirmedAt < kMapReportValidity) {
+      ++counts.followers;
+    }
+  }
+  return counts;
+}
+
+std::size_t Assigner::CountUnheardHosts(
+  const std::vector<PeerStatus>& aPeers) const
+{
+  if (!this->hooks.listedHosts ||
+      this->hooks.now() - this->startedAt >= kDiscoveryTime) {
+    return 0;
   }
-  return { followers, known };
+  std::set<state::HostId> heard{ this->options.self.host };
+  std::ranges::transform(
+    aPeers, std::inserter(heard, heard.end()),
+    [](const PeerStatus& aPeer) { return aPeer.host.host; });
+  const std::vector<state::HostId> listed = this->hooks.listedHosts();
+  return static_cast<std::size_t>(
+    std::ranges::count_if(listed, [&heard](const state::HostId& aHost) {
+      return !heard.contains(aHost);
+    }));
 }
 
 bool Assigner::MayRenewLeases() const
@@ -448,8 +481,8 @@
   if (this->hooks.now() - this->claimConfirmedAt <= kClaimValidity) {
     return true;
   }
-  const auto [followers, known] = this->CountFollowers();
-  return followers * 3 >= known * 2;
+  const HostCounts hosts = this->CountHosts();
+  return hosts.followers * 3 >= hosts.known * 2;
 }
 
 // Predecessors have certainly stopped renewing once they can have neither a
@@ -467,8 +500,11 @@
       return;
     }
   }
-  const auto [followers, known] = this->CountFollowers();
-  if (this->predecessorsMayRenew && followers * 2 > known) {
+  if (!this->predecessorsMayRenew) {
+    return;
+  }
+  const HostCounts hosts = this->CountHosts();
+  if (hosts.followers * 2 > hosts.known) {
     const TimePoint now = this->hooks.now();
     this->predecessorsStopAt =
       std::max(this->claimedAt + kClaimValidity, now + kMapReportValidity);
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(testLeasesOfAnUnnoticedRestartEndBeforeKeysMove);
   CPPUNIT_TEST(testReleasedUpstreamThatRestartsIsNotRenewedByAPredecessor);
   CPPUNIT_TEST(testLeaseIsStillKnownWhenKeysReturnToTheirHolder);
+  CPPUNIT_TEST(testStartedHostDoesNotTakeItselfForAllHosts);
+  CPPUNIT_TEST(testAssignerCutOffForLongDoesNotTakeItselfForAllHosts);
   CPPUNIT_TEST(testKilledAssignerCausesNoLeaseToExpire);
   CPPUNIT_TEST(testAssignerAndUpstreamLostTogether);
   CPPUNIT_TEST(testStoreOutageCausesNoLeaseToExpire);
@@ -171,6 +173,45 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two assigners at once after a host has started that no
+  // digest reaches: it counted itself as more than half of the hosts.
+  void testStartedHostDoesNotTakeItselfForAllHosts()
+  {
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    const std::string successor =
+      simulation.AssignerName() == "h0" ? "h1" : "h0";
+    simulation.KillHost(successor);
+    simulation.cutFromPeers.insert(successor);
+    simulation.StartHost(successor);
+    TakeOverUnnoticed(simulation);
+    simulation.Upstream("u1").mayOwn = false;
+    simulation.RunFor(milliseconds(5000));
+    simulation.RestartUnlisted("u1");
+    simulation.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
+  // Guards against two assigners at once after one has been cut off for over a
+  // minute: it forgot the hosts that it no longer heard, and renewed leases
+  // again.
+  void testAssignerCutOffForLongDoesNotTakeItselfForAllHosts()
+  {
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    const std::string old = simulation.AssignerName();
+    simulation.rejectedByStore.insert(old);
+    simulation.cutFromPeers.insert(old);
+    simulation.RunFor(milliseconds(12'000));
+    simulation.Upstream("u1").mayOwn = false;
+    simulation.RunFor(milliseconds(40'000));
+    simulation.RestartUnlisted("u1");
+    simulation.Upstream("u1").mayOwn = false;
+    simulation.RunFor(milliseconds(20'000));
+    CPPUNIT_ASSERT(simulation.AssignerOf(old).IsAssigner());
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // The assigner's host is killed. Another host takes over before any lease
   // expires and keeps the assignment that it finds, so no caller is affected.
   void testKilledAssignerCausesNoLeaseToExpire()
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -123,6 +123,7 @@
     auto host = std::make_shared<Host>();
     host->name = aName;
     host->incarnation = ++this->lastIncarnation;
+    this->listedHosts.insert({ aName });
     this->hosts[aName] = host;
     host->assigner = std::make_unique<Assigner>(
       Assigner::Options{ "stoc", {}, host->Ref(), milliseconds(10'000) },
@@ -341,6 +342,10 @@
       }
       return views;
     };
+    hooks.listedHosts = [this] {
+      return std::vector<state::HostId>{ this->listedHosts.begin(),
+                                         this->listedHosts.end() };
+    };
     hooks.publish = [weak] {
       const HostPtr host = weak.lock();
       if (host->assigner->CurrentMapVersion().IsNewerThan(host->mapVersion)) {
@@ -467,6 +472,8 @@
   std::multimap<TimePoint, std::function<void()>> events;
   std::mt19937 random;
   std::map<std::string, HostPtr> hosts;
+  // The rows of hosts stay when they end.
+  std::set<state::HostId> listedHosts;
   std::map<std::string, FakeUpstream> upstreams;
   AssignmentRows stored;
   state::Version lastVersion = 0;
