Hosts that restarted count as half of those an assigner goes on with, at most

Callers saw two upstreams serve the same keys after hosts had restarted in a part of the network without the store.

Cause: that two thirds and more than a half of the hosts share one rests on hosts that never return to an older map. A host that restarts forgets its map and may take the one of an assigner that was replaced.

Change: at least half of the hosts that use its map must have run since before the assigner's claim was last confirmed, when no successor existed. More than half of the hosts can then never have used a successor's map. Weighed: counting only such hosts; while the store is out, a third of the hosts could then not be restarted one by one without all leases running out.

Evidence: AssignerTest::testRestartedHostsDoNotKeepAReplacedAssigner failed before (32768 leased to u0 and u1) and passes.

--- a/src/node/internal/peers.h
+++ b/src/node/internal/peers.h
@@ -22,6 +22,8 @@
 struct KnownPeer
 {
   state::HostRef host;
+  // When the first and the last digest of its current incarnation arrived.
+  TimePoint heardSince;
   TimePoint lastHeardAt;
   bool leaving = false;
   bool reachesStore = true;
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -30,6 +30,9 @@
 // either. Two thirds and more than one half of the hosts overlap even if the
 // two assigners count a few hosts differently.
 //
+// A host that restarts forgets which map it used, and may then use an older
+// one. So at least half of the hosts that an assigner goes on with must have
+// run since before its claim was last confirmed: no successor existed then.
 // Hosts that fall silent count on for longer than partitions last, and a host
 // that has just started counts those that it has not heard yet: an assigner
 // must not take the hosts on its side of a partition for all.
@@ -149,6 +152,8 @@
 struct PeerStatus
 {
   state::HostRef host;
+  // When the first and the last digest of this incarnation arrived.
+  TimePoint heardSince;
   TimePoint lastHeardAt;
   bool leaving = false;
   // Version of the key map that the peer uses.
@@ -313,6 +318,9 @@
     std::size_t known = 1;
     // Those that use this assigner's map.
     std::size_t followers = 1;
+    // Followers that have run since before the claim was last confirmed, and
+    // so have never used a map of a successor.
+    std::size_t lastingFollowers = 1;
   };
 
   HostCounts CountHosts() const;
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -453,6 +453,8 @@
     if (peer.mapVersion.assigner == this->options.self &&
         now - peer.mapConfirmedAt < kMapReportValidity) {
       ++counts.followers;
+      counts.lastingFollowers +=
+        peer.heardSince <= this->claimConfirmedAt ? 1 : 0;
     }
   }
   return counts;
@@ -482,7 +484,8 @@
     return true;
   }
   const HostCounts hosts = this->CountHosts();
-  return hosts.followers * 3 >= hosts.known * 2;
+  return hosts.followers * 3 >= hosts.known * 2 &&
+         hosts.lastingFollowers * 2 >= hosts.known;
 }
 
 // Predecessors have certainly stopped renewing once they can have neither a
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(testLeaseIsStillKnownWhenKeysReturnToTheirHolder);
   CPPUNIT_TEST(testStartedHostDoesNotTakeItselfForAllHosts);
   CPPUNIT_TEST(testAssignerCutOffForLongDoesNotTakeItselfForAllHosts);
+  CPPUNIT_TEST(testRestartedHostsDoNotKeepAReplacedAssigner);
   CPPUNIT_TEST(testKilledAssignerCausesNoLeaseToExpire);
   CPPUNIT_TEST(testAssignerAndUpstreamLostTogether);
   CPPUNIT_TEST(testStoreOutageCausesNoLeaseToExpire);
@@ -212,6 +213,38 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two assigners at once after hosts that used the successor's
+  // map have restarted where only the replaced assigner reaches them.
+  void testRestartedHostsDoNotKeepAReplacedAssigner()
+  {
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    const std::string old = simulation.AssignerName();
+    simulation.rejectedByStore.insert(old);
+    simulation.cutFromPeers.insert(old);
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] {
+        const std::string name = simulation.AssignerName();
+        return !name.empty() && name != old;
+      },
+      milliseconds(6000)));
+    const std::string successor = simulation.AssignerName();
+    simulation.RunFor(milliseconds(6000));
+    simulation.cutFromPeers = { successor };
+    for (const std::string& name : simulation.Hosts()) {
+      if (name != old && name != successor) {
+        simulation.KillHost(name);
+        simulation.StartHost(name);
+      }
+    }
+    simulation.Upstream("u1").mayOwn = false;
+    simulation.RunFor(milliseconds(1500));
+    simulation.RestartUnlisted("u1");
+    simulation.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT(simulation.AssignerOf(old).IsAssigner());
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // The assigner's host is killed. Another host takes over before any lease
   // expires and keeps the assignment that it finds, so no caller is affected.
   void testKilledAssignerCausesNoLeaseToExpire()
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -275,7 +275,9 @@
 
   void SendDigest(const HostPtr& aHost)
   {
-    const PeerStatus digest{ aHost->Ref(), {}, false, aHost->mapVersion, {} };
+    const PeerStatus digest{
+      aHost->Ref(), {}, {}, false, aHost->mapVersion, {}
+    };
     const std::int64_t number = aHost->digestSendTimes.RecordSend(this->now);
     const std::int64_t lastDigestNumber =
       aHost->lastDigestNumbers[aHost->mapVersion.assigner.host.value];
@@ -288,6 +290,11 @@
         peer, kLinkDelay,
         [this, peer = peer, view = digest, number, lastDigestNumber]() mutable {
           view.lastHeardAt = this->now;
+          const auto known = peer->peers.find(view.host.host.value);
+          view.heardSince =
+            known != peer->peers.end() && known->second.host == view.host
+              ? known->second.heardSince
+              : this->now;
           view.mapConfirmedAt = peer->digestSendTimes.SentAt(lastDigestNumber);
           peer->lastDigestNumbers[view.host.host.value] = number;
           peer->peers[view.host.host.value] = view;
