Lease commands are checked once more right before they are sent

Callers saw two upstreams serve the same keys after an assigner's host had been suspended while it connected to an upstream.

Cause: an assigner counts a lease from its decision to renew it, and allows 300 ms for the way. The grant was sent whenever a connection was there, up to 700 ms later by a clock that stands still while the host is suspended, whatever had become of the claim and the range.

Change: a command carries the condition under which it may be sent. A grant must be that of the range still, the claim be valid, and at most 100 ms have passed, suspensions included; a release must be of a range that is still assigned. Otherwise it ends as withdrawn, which counts as no failure of the upstream; the connection is kept for the next attempt.

Evidence: AssignerTest::testGrantIsNotSentAfterAPause failed without the check (32768 leased to u2 and u0) and passes.

--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -30,6 +30,17 @@
 // id alone, so that all hosts log the same ones.
 constexpr std::uint64_t kServedSample = 16;
 
+ownership::LeaseCommandResult ResultOfFailure(const std::error_code& aError)
+{
+  using ownership::LeaseCommandResult;
+  if (aError == transport::TransportError::kUnreachable) {
+    return LeaseCommandResult::kUnreachable;
+  }
+  return aError == transport::TransportError::kWithdrawn
+           ? LeaseCommandResult::kWithdrawn
+           : LeaseCommandResult::kNoAnswer;
+}
+
 } // namespace
 
 routing::Dispatcher::Hooks Gateway::Impl::DispatcherHooks()
@@ -336,8 +347,10 @@
   const bool isGrant = aCommand.kind == ownership::LeaseCommandKind::kGrant;
   const routing::UpstreamState* one = this->upstreams.Find(aCommand.upstream);
   const std::int64_t startedMs = one == nullptr ? 0 : one->entry.startedMs;
+  HttpRequest request = platform::MakeLeaseCommandRequest(aCommand);
+  request.isStillValid = aCommand.isStillValid;
   this->leaseClient->Send(
-    aCommand.address, platform::MakeLeaseCommandRequest(aCommand),
+    aCommand.address, std::move(request),
     isGrant ? kGrantTimeout : kReleaseTimeout,
     [this, startedMs, upstream = aCommand.upstream,
      done = std::move(aDone)](const Result<HttpResponse>& aResponse) {
@@ -348,11 +361,7 @@
         done(platform::ParseLeaseCommandReply(*aResponse));
         return;
       }
-      const bool mayHaveArrived =
-        aResponse.error() != transport::TransportError::kUnreachable;
-      done({ mayHaveArrived ? ownership::LeaseCommandResult::kNoAnswer
-                            : ownership::LeaseCommandResult::kUnreachable,
-             {} });
+      done({ ResultOfFailure(aResponse.error()), {} });
     });
 }
 
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -17,7 +17,7 @@
 //   release is sent only once no predecessor can renew the lease any more.
 // - A lease has certainly expired when its duration, on a clock that may run
 //   slow, has passed since the last grant was sent, by this assigner or by a
-//   predecessor.
+//   predecessor. A grant that cannot be sent at once is not sent at all.
 //
 // When the store is unavailable, an assigner cannot confirm its claim. It goes
 // on renewing the existing leases as long as two thirds of the hosts report
@@ -80,6 +80,9 @@
   std::chrono::milliseconds leaseDuration{ 0 };
   // Set for grants only: data from the previous holder. May be empty.
   std::string handover;
+  // Asked right before the command is sent, as connecting takes time and the
+  // host may be suspended meanwhile. If it returns false, nothing may be sent.
+  std::function<bool()> isStillValid;
 };
 
 // How a lease command ended.
@@ -94,8 +97,10 @@
   // There was no response. The upstream may have executed the command or may
   // still execute it.
   kNoAnswer,
-  // The command was never sent.
+  // The upstream could not be reached, and the command was never sent.
   kUnreachable,
+  // The command was no longer valid when it could be sent, and never was.
+  kWithdrawn,
 };
 
 // The name of a result in log events, such as "other-upstream".
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -78,6 +78,8 @@
       return "no-answer";
     case LeaseCommandResult::kUnreachable:
       return "unreachable";
+    case LeaseCommandResult::kWithdrawn:
+      return "withdrawn";
   }
   return "unknown";
 }
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -293,6 +293,10 @@
   command.first = range.assigned.first;
   command.last = range.assigned.last;
   command.fencingToken = range.assigned.fencingToken;
+  command.isStillValid = [this, first = range.assigned.first,
+                          fencingToken = range.assigned.fencingToken] {
+    return this->FindRange(first, fencingToken) != nullptr;
+  };
   this->hooks.sendCommand(
     command, [this, first = range.assigned.first,
               fencingToken = range.assigned.fencingToken,
@@ -343,6 +347,13 @@
   command.fencingToken = range.assigned.fencingToken;
   command.leaseDuration = this->leaseDuration;
   command.handover = range.handover;
+  command.isStillValid =
+    [this, first = range.assigned.first, last = range.assigned.last,
+     fencingToken = range.assigned.fencingToken, latest = now + kMaxSendDelay] {
+      const RangeState* found = this->FindRange(first, fencingToken);
+      return found != nullptr && found->assigned.last == last &&
+             this->hooks.now() <= latest && this->MayRenewLeases();
+    };
   this->hooks.sendCommand(command, [this, first = range.assigned.first,
                                     fencingToken = range.assigned.fencingToken](
                                      const LeaseCommandReply& aReply) {
@@ -386,6 +397,10 @@
     }
     return;
   }
+  if (aReply.result == LeaseCommandResult::kWithdrawn) {
+    range->nextGrantAt = now;
+    return;
+  }
   ++range->consecutiveFailures;
   range->nextGrantAt = now + kCommandRetryPause;
   this->hooks.log("grant-failed",
--- a/src/ownership/internal/assignertiming.h
+++ b/src/ownership/internal/assignertiming.h
@@ -8,6 +8,8 @@
 
 // Time between two plans of changes to the assignment.
 inline constexpr std::chrono::milliseconds kPlanInterval{ 400 };
+// A grant for which no connection is there after this time is not sent.
+inline constexpr std::chrono::milliseconds kMaxSendDelay{ 100 };
 // Longest time that a grant takes to reach its upstream, including one
 // retransmission.
 inline constexpr std::chrono::milliseconds kMaxGrantDelay{ 300 };
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(testIsolatedAssignerStopsRenewing);
   CPPUNIT_TEST(testResumedAssignerChangesNothing);
   CPPUNIT_TEST(testResumedAssignerIgnoresStaleDigests);
+  CPPUNIT_TEST(testGrantIsNotSentAfterAPause);
   CPPUNIT_TEST(testLateGrantIsRejectedByFencingToken);
   CPPUNIT_TEST(testLostStoreResponses);
   CPPUNIT_TEST(testUnresponsiveUpstreamIsRetriedWithBackoff);
@@ -385,6 +386,28 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against renewing a lease that others count as expired, with a grant
+  // that was decided on before the host was suspended and sent after that.
+  void testGrantIsNotSentAfterAPause()
+  {
+    AssignmentSimulation simulation(12, 14);
+    Settle(simulation);
+    const std::string old = simulation.AssignerName();
+    simulation.connectTime = kTick / 2;
+    simulation.Upstream("u2").unresponsive = true;
+    for (int i = 0; i < 100 && !simulation.IsConnecting(old, "u2"); ++i) {
+      simulation.RunFor(milliseconds(10));
+    }
+    CPPUNIT_ASSERT(simulation.IsConnecting(old, "u2"));
+    simulation.Pause(old);
+    simulation.RunFor(milliseconds(12'000));
+    CPPUNIT_ASSERT(simulation.AreAllKeysLeased());
+    simulation.Upstream("u2").unresponsive = false;
+    simulation.Resume(old);
+    simulation.RunFor(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // An upstream does not respond to a grant and executes it five seconds later,
   // when its keys have moved to others. It has seen the release with a higher
   // fencing token by then, so it rejects the late grant.
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -76,6 +76,9 @@
   // Time between two digests of a host.
   milliseconds digestInterval{ kTick };
 
+  // From a lease command to its sending.
+  milliseconds connectTime{ 0 };
+
   // --- faults
 
   bool storeUnavailable = false;
@@ -173,6 +176,13 @@
 
   // --- views
 
+  // Whether a lease command of the host waits for a connection.
+  bool IsConnecting(const std::string& aHost,
+                    const std::string& aUpstream) const
+  {
+    return this->hosts.at(aHost)->connectingTo.contains(aUpstream);
+  }
+
   // The host that the stored claim names; empty unless it is running and acts
   // as the assigner.
   std::string AssignerName() const
@@ -231,6 +241,8 @@
     MapVersion mapVersion;
     DigestSendTimes digestSendTimes;
     TimePoint digestDue;
+    // Upstreams for which lease commands wait for a connection.
+    std::set<std::string> connectingTo;
     // Number of the last digest received from each peer.
     std::map<std::string, std::int64_t> lastDigestNumbers;
 
@@ -427,6 +439,25 @@
 
   void DeliverCommand(const HostPtr& aHost, const LeaseCommand& aCommand,
                       Assigner::CommandDone aDone)
+  {
+    if (this->connectTime.count() == 0) {
+      this->SendCommand(aHost, aCommand, std::move(aDone));
+      return;
+    }
+    aHost->connectingTo.insert(aCommand.upstream.value);
+    this->RunOnHost(aHost, this->connectTime,
+                    [this, aHost, command = aCommand, done = std::move(aDone)] {
+                      aHost->connectingTo.erase(command.upstream.value);
+                      if (command.isStillValid()) {
+                        this->SendCommand(aHost, command, done);
+                      } else {
+                        done({ LeaseCommandResult::kWithdrawn, {} });
+                      }
+                    });
+  }
+
+  void SendCommand(const HostPtr& aHost, const LeaseCommand& aCommand,
+                   Assigner::CommandDone aDone)
   {
     this->Schedule(
       kLinkDelay, [this, aHost, command = aCommand, done = std::move(aDone)] {
