--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -55,6 +55,10 @@
   // Asked by a client right before the first byte, as connecting takes time;
   // where it says no, nothing is sent. Empty: always yes.
   std::function<bool()> isStillValid;
+  // Sent over a new connection, which ends with the response: an extra response
+  // to an earlier request cannot be taken for this one's. For requests whose
+  // responses bear no id.
+  bool needsOwnConnection = false;
 
   // Empty where there is none; names are compared without case.
   std::string_view Header(std::string_view aName) const;
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -251,7 +251,8 @@
     CallId aCall, const std::string& aAddress, HttpRequest aRequest,
     std::chrono::steady_clock::time_point aDeadline)
   {
-    ConnectionPtr connection = this->TakeIdle(aAddress);
+    ConnectionPtr connection =
+      aRequest.needsOwnConnection ? nullptr : this->TakeIdle(aAddress);
     if (!connection) {
       auto connected = co_await this->dialer->Dial(aAddress, aDeadline);
       if (!connected) {
@@ -288,7 +289,8 @@
                                   : TransportError::kBroken);
     }
     Result<HttpResponse> response = co_await this->ReadAnswer(
-      aAddress, connection, echo, sent == SendResult::kSent);
+      aAddress, connection, echo,
+      sent == SendResult::kSent && !aRequest.needsOwnConnection);
     this->ReportSilence(aAddress, *connection);
     co_return response;
   }
--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -65,51 +65,73 @@
 
 namespace {
 
-// Answers the first request of each connection, and falls silent.
-class OneAnswerServer
+using Socket = boost::asio::ip::tcp::socket;
+
+// Hands each connection to a function, one after the other, and keeps it open.
+class RawServer
 {
 public:
-  explicit OneAnswerServer(const std::string& aAddress)
-    : acceptor(this->context, *ParseAddress(aAddress))
+  RawServer(const std::string& aAddress, std::function<void(Socket&)> aServe)
+    : serve(std::move(aServe))
+    , acceptor(this->context, *ParseAddress(aAddress))
     , thread([this] { this->Serve(); })
   {
   }
 
-  ~OneAnswerServer()
+  ~RawServer()
   {
     ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
     this->thread.join();
   }
 
-  OneAnswerServer(const OneAnswerServer&) = delete;
-  OneAnswerServer& operator=(const OneAnswerServer&) = delete;
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
 
 private:
   void Serve()
   {
     boost::system::error_code error;
     while (!error) {
-      boost::asio::ip::tcp::socket socket(this->context);
+      Socket socket(this->context);
       this->acceptor.accept(socket, error);
       if (error) {
         return;
       }
-      std::string request(1024, ' ');
-      socket.read_some(boost::asio::buffer(request), error);
-      boost::asio::write(socket,
-                         boost::asio::buffer(std::string(
-                           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")),
-                         error);
+      this->serve(socket);
       this->sockets.push_back(std::move(socket));
     }
   }
 
+  const std::function<void(Socket&)> serve;
   boost::asio::io_context context;
   boost::asio::ip::tcp::acceptor acceptor;
-  std::vector<boost::asio::ip::tcp::socket> sockets;
+  std::vector<Socket> sockets;
   std::thread thread;
 };
 
+void ReadRequest(Socket& aSocket)
+{
+  boost::system::error_code ignored;
+  std::string request(1024, ' ');
+  aSocket.read_some(boost::asio::buffer(request), ignored);
+}
+
+void WriteAnswer(Socket& aSocket, const std::string& aBody)
+{
+  boost::system::error_code ignored;
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBody.size()) +
+    "\r\n\r\n" + aBody;
+  boost::asio::write(aSocket, boost::asio::buffer(answer), ignored);
+}
+
+// Answers the first request of each connection, and falls silent.
+void AnswerOnce(Socket& aSocket)
+{
+  ReadRequest(aSocket);
+  WriteAnswer(aSocket, "");
+}
+
 } // namespace
 
 class HttpTest : public CppUnit::TestFixture
@@ -127,6 +149,7 @@
   CPPUNIT_TEST(testAnswerOfAnotherIsNotTaken);
   CPPUNIT_TEST(testConnectionThatWentSilentAtRestIsNotUsedAgain);
   CPPUNIT_TEST(testRequestThatIsNoLongerValidIsNotSent);
+  CPPUNIT_TEST(testExtraAnswerIsNotTakenForThatOfALaterRequest);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -396,7 +419,7 @@
   // A call on a connection that had gone silent took its whole time-out.
   void testConnectionThatWentSilentAtRestIsNotUsedAgain()
   {
-    OneAnswerServer silent(kUpstreamAddress);
+    RawServer silent(kUpstreamAddress, AnswerOnce);
     HttpClient::Options options;
     options.longestRest = std::chrono::milliseconds(20);
     HttpClient own(this->thread->Context(), options);
@@ -405,6 +428,28 @@
     CPPUNIT_ASSERT(Call(*this->thread, own, {}, kUpstreamAddress).has_value());
   }
 
+  // Guards against taking a second answer to one request for the answer to the
+  // next, where answers bear no id.
+  void testExtraAnswerIsNotTakenForThatOfALaterRequest()
+  {
+    RawServer upstream(kUpstreamAddress, [](Socket& aSocket) {
+      ReadRequest(aSocket);
+      WriteAnswer(aSocket, "own");
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      WriteAnswer(aSocket, "extra");
+    });
+    HttpClient own(this->thread->Context(), {});
+    HttpRequest request;
+    request.needsOwnConnection = true;
+    for (int i = 0; i < 3; ++i) {
+      const auto first = Call(*this->thread, own, {}, kUpstreamAddress);
+      CPPUNIT_ASSERT(first.has_value());
+      const auto second = Call(*this->thread, own, request, kUpstreamAddress);
+      CPPUNIT_ASSERT(second.has_value());
+      CPPUNIT_ASSERT_EQUAL(std::string("own"), second->body);
+    }
+  }
+
   void testRequestThatIsNoLongerValidIsNotSent()
   {
     std::atomic<int> ran{ 0 };
