A claim counts as confirmed from its request on, not from the response

Callers saw two upstreams serve the same keys after a host had been suspended while the response to its claim was on its way.

Cause: an assigner goes on for 3.5 s after its claim was last confirmed. A claim's own write counted from the arrival of its response, unlike later reads. A host that was suspended in between believed in a claim that others had replaced, and renewed leases that these had treated as expired, until its first check 2 s later.

Change: the claim is confirmed as of the request of its write, and its first check is due from then on.

Evidence: AssignerTest::testClaimIsOldAfterAPause failed before (32768 leased to u2 and u0) and passes.

--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -312,7 +312,9 @@
   // for a claimant.
   bool ShouldWaitForClaimant(const state::HostRef& aClaimant);
   void WriteClaim(const AssignmentRows& aRows);
-  void BecomeAssigner(const AssignmentRows& aRows);
+  // aRows names the previous assigner. Another host may have claimed since the
+  // claim was requested.
+  void BecomeAssigner(const AssignmentRows& aRows, TimePoint aClaimRequestedAt);
   void StepDown(std::string_view aWhy);
   void CheckClaim();
   void CheckOtherAssigners();
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -336,29 +336,30 @@
     write.assignmentText =
       SerializeAssignment(AssignEvenly(std::move(owners), this->options.part));
   }
-  this->hooks.write(
-    write, [this, write](WriteOutcome aOutcome, state::Version aVersion) {
-      if (this->phase != Phase::kClaiming) {
-        return;
-      }
-      if (aOutcome != WriteOutcome::kWritten) {
-        this->phase = Phase::kIdle;
-        this->claimNotBefore =
-          this->hooks.now() + (aOutcome == WriteOutcome::kRefused
-                                 ? kRefusedWritePause
-                                 : kClaimRetryPause);
-        return;
-      }
-      AssignmentRows claimedRows = write.expected;
-      claimedRows.claimVersion = aVersion;
-      claimedRows.assignmentVersion = aVersion;
-      claimedRows.assignmentText = write.assignmentText;
-      this->BecomeAssigner(claimedRows);
-    });
+  const TimePoint requestedAt = this->hooks.now();
+  this->hooks.write(write, [this, write, requestedAt](WriteOutcome aOutcome,
+                                                      state::Version aVersion) {
+    if (this->phase != Phase::kClaiming) {
+      return;
+    }
+    if (aOutcome != WriteOutcome::kWritten) {
+      this->phase = Phase::kIdle;
+      this->claimNotBefore =
+        this->hooks.now() + (aOutcome == WriteOutcome::kRefused
+                               ? kRefusedWritePause
+                               : kClaimRetryPause);
+      return;
+    }
+    AssignmentRows claimedRows = write.expected;
+    claimedRows.claimVersion = aVersion;
+    claimedRows.assignmentVersion = aVersion;
+    claimedRows.assignmentText = write.assignmentText;
+    this->BecomeAssigner(claimedRows, requestedAt);
+  });
 }
 
-// aRows names the previous assigner.
-void Assigner::BecomeAssigner(const AssignmentRows& aRows)
+void Assigner::BecomeAssigner(const AssignmentRows& aRows,
+                              TimePoint aClaimRequestedAt)
 {
   const TimePoint now = this->hooks.now();
   const auto parsed = ParseAssignment(aRows.assignmentText, this->options.part);
@@ -371,8 +372,8 @@
   this->phase = Phase::kActive;
   this->rows = aRows;
   this->rows.assigner = this->options.self;
-  this->claimConfirmedAt = now;
-  this->claimCheckDue = now + kClaimCheckInterval;
+  this->claimConfirmedAt = aClaimRequestedAt;
+  this->claimCheckDue = aClaimRequestedAt + kClaimCheckInterval;
   this->planDue = now + kPlanInterval;
   this->ranges.clear();
   this->recentRequests.clear();
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(testIsolatedAssignerStopsRenewing);
   CPPUNIT_TEST(testResumedAssignerChangesNothing);
   CPPUNIT_TEST(testResumedAssignerIgnoresStaleDigests);
+  CPPUNIT_TEST(testClaimIsOldAfterAPause);
   CPPUNIT_TEST(testGrantIsNotSentAfterAPause);
   CPPUNIT_TEST(testLateGrantIsRejectedByFencingToken);
   CPPUNIT_TEST(testLostStoreResponses);
@@ -386,6 +387,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against taking a claim for confirmed when the response to its write
+  // arrives: the host was suspended meanwhile, and others have claimed since.
+  void testClaimIsOldAfterAPause()
+  {
+    AssignmentSimulation simulation(12, 14);
+    Settle(simulation);
+    const std::string first = simulation.AssignerName();
+    simulation.KillHost(first);
+    for (int i = 0; i < 5000 && simulation.Claimant() == first; ++i) {
+      simulation.RunFor(milliseconds(1));
+    }
+    const std::string old = simulation.Claimant();
+    CPPUNIT_ASSERT(old != first && !simulation.AssignerOf(old).IsAssigner());
+    simulation.Pause(old);
+    simulation.Upstream("u2").unresponsive = true;
+    simulation.RunFor(milliseconds(12'000));
+    CPPUNIT_ASSERT(simulation.AreAllKeysLeased());
+    simulation.Upstream("u2").unresponsive = false;
+    simulation.Resume(old);
+    simulation.RunFor(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // Guards against renewing a lease that others count as expired, with a grant
   // that was decided on before the host was suspended and sent after that.
   void testGrantIsNotSentAfterAPause()
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -193,6 +193,12 @@
              : "";
   }
 
+  // The host that the stored claim names, whether or not it knows.
+  const std::string& Claimant() const
+  {
+    return this->stored.assigner.host.value;
+  }
+
   Assigner& AssignerOf(const std::string& aName)
   {
     return *this->hosts.at(aName)->assigner;
