Grants go over connections that are older than the claim's confirmation

Change: in place of waiting until predecessors have stopped, a grant goes over a connection only if the sender's claim was confirmed, or its map used by two thirds of the hosts, after the connection was there. A connection ends with its incarnation, and a successor sends releases once more than half of the hosts use its map, so a grant of a predecessor never meets an incarnation that has forgotten the release. A grant over a new connection has the claim checked at once.

--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -317,7 +317,7 @@
 {
   const routing::RequestNumber number = aRequest.number;
   HttpRequest request = platform::MakeUpstreamRequest(aRequest);
-  request.isStillValid = [this, number] {
+  request.isStillValid = [this, number](TimePoint) {
     return this->dispatcher->IsTargetStillValid(number);
   };
   const auto call = this->upstreamClient->Send(
@@ -348,7 +348,11 @@
   const routing::UpstreamState* one = this->upstreams.Find(aCommand.upstream);
   const std::int64_t startedMs = one == nullptr ? 0 : one->entry.startedMs;
   HttpRequest request = platform::MakeLeaseCommandRequest(aCommand);
-  request.isStillValid = aCommand.isStillValid;
+  request.isStillValid = [isStillValid =
+                            aCommand.isStillValid](TimePoint aConnectedAt) {
+    // If the host was suspended since, this is later than the time meant.
+    return isStillValid(BootTime() - (Now() - aConnectedAt));
+  };
   this->leaseClient->Send(
     aCommand.address, std::move(request),
     isGrant ? kGrantTimeout : kReleaseTimeout,
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -13,8 +13,13 @@
 //   release carries the new token, so that the previous holder rejects an
 //   older grant that arrives late. If the previous holder has restarted under
 //   its id, the new incarnation gets the release: it accepts grants that were
-//   meant for the one before. As an upstream that restarts forgets the token, a
-//   release is sent only once no predecessor can renew the lease any more.
+//   meant for the one before.
+// - An upstream that restarts after a release has forgotten the token. No
+//   predecessor reaches it then: a connection ends with the incarnation that it
+//   was made to, and a grant is sent over a connection only if the sender's
+//   claim was confirmed, or its map used by two thirds of the hosts, after the
+//   connection was there. A successor sends releases only once more than half
+//   of the hosts use its map, so it sends them after that.
 // - A lease has certainly expired when its duration, on a clock that may run
 //   slow, has passed since the last grant was sent, by this assigner or by a
 //   predecessor. A grant that cannot be sent at once is not sent at all.
@@ -81,8 +86,9 @@
   // Set for grants only: data from the previous holder. May be empty.
   std::string handover;
   // Asked right before the command is sent, as connecting takes time and the
-  // host may be suspended meanwhile. If it returns false, nothing may be sent.
-  std::function<bool()> isStillValid;
+  // host may be suspended meanwhile, with a time at which the connection was
+  // there. If it returns false, nothing may be sent.
+  std::function<bool(TimePoint aConnectedAt)> isStillValid;
 };
 
 // How a lease command ended.
@@ -317,8 +323,12 @@
   void BecomeAssigner(const AssignmentRows& aRows, TimePoint aClaimRequestedAt);
   void StepDown(std::string_view aWhy);
   void CheckClaim();
+  // Checks the claim now, for grants over connections made since the last time.
+  void CheckClaimSoon();
   void CheckOtherAssigners();
-  bool MayRenewLeases() const;
+  // Whether the claim was confirmed, or enough hosts have used this assigner's
+  // map, at or after the given time and not too long ago.
+  bool MayRenewLeases(TimePoint aSince) const;
   // Numbers of hosts, including this one.
   struct HostCounts
   {
@@ -330,7 +340,8 @@
     std::size_t lastingFollowers = 1;
   };
 
-  HostCounts CountHosts() const;
+  // Counts as followers those that have used the map at or after the time.
+  HostCounts CountHosts(TimePoint aSince) const;
   // Hosts of the host table that this host has not heard, in the first time
   // after its start.
   std::size_t CountUnheardHosts(const std::vector<PeerStatus>& aPeers) const;
@@ -346,8 +357,6 @@
   TimePoint LeaseExpiryFromNow() const;
 
   void AdvanceRanges();
-  // Whether a lease command of a predecessor may still reach an upstream.
-  bool MayPredecessorsSend() const;
   void ReleasePreviousHolders(std::size_t aRangeIndex);
   void SendRelease(std::size_t aRangeIndex, std::size_t aHolderIndex);
   void SendGrant(std::size_t aRangeIndex);
@@ -356,8 +365,8 @@
   RangeState* FindRange(Key aFirst, FencingToken aFencingToken);
 
   void PlanChanges();
-  // Whether the holder would keep its keys after a reassignment only because a
-  // predecessor may still send lease commands.
+  // Whether the holder could not be released yet if its keys were reassigned
+  // now; see predecessorsMayRenew.
   bool MustWaitToRelease(const RangeState& aRange) const;
   bool PlanReplacements(Assignment& aNext,
                         const std::vector<OwnerCandidate>& aCandidates);
@@ -408,10 +417,10 @@
   TimePoint balanceDue;
   TimePoint mergeDue;
   TimePoint claimedAt;
-  // Whether it is unknown until when predecessors may renew leases.
+  // Whether predecessors may go on: more than half of the hosts have not used
+  // this assigner's map yet. Releases of leases that they may have renewed wait
+  // until then.
   bool predecessorsMayRenew = false;
-  // From then on, no predecessor sends lease commands.
-  TimePoint predecessorsStopAt;
   // Leases that predecessors renewed have expired by then.
   TimePoint predecessorLeasesExpireAt;
   // Upstreams that did not respond to lease commands. They receive no keys
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -43,6 +43,8 @@
 constexpr milliseconds kUnreadablePause{ 60'000 };
 // Time between two reads that confirm the claim.
 constexpr milliseconds kClaimCheckInterval{ 2000 };
+// At least so much time passes between two reads.
+constexpr milliseconds kClaimCheckPause{ 50 };
 // An assigner without a digest for this time counts as unreachable. Digests
 // arrive five times a second, and some are lost.
 constexpr milliseconds kAssignerTimeout{ 1000 };
@@ -386,7 +388,6 @@
   // Not only the last assigner counts: an earlier one may have been paused ever
   // since and may resume.
   this->predecessorsMayRenew = !isFirstAssigner;
-  this->predecessorsStopAt = {};
   this->predecessorLeasesExpireAt =
     isFirstAssigner ? TimePoint{} : TimePoint::max();
   this->assignment = *parsed;
@@ -434,10 +435,21 @@
       return;
     }
     this->claimConfirmedAt = requestedAt;
+    this->AdvanceRanges();
   });
 }
 
-Assigner::HostCounts Assigner::CountHosts() const
+void Assigner::CheckClaimSoon()
+{
+  const TimePoint earliest =
+    this->claimCheckDue - kClaimCheckInterval + kClaimCheckPause;
+  if (this->storeAvailable && !this->claimCheckPending && !this->writePending &&
+      this->hooks.now() >= earliest) {
+    this->CheckClaim();
+  }
+}
+
+Assigner::HostCounts Assigner::CountHosts(TimePoint aSince) const
 {
   const TimePoint now = this->hooks.now();
   const std::vector<PeerStatus> all = this->hooks.peers();
@@ -454,7 +466,8 @@
     // renew leases that its successor has already treated as expired. See
     // DigestSendTimes.
     if (peer.mapVersion.assigner == this->options.self &&
-        now - peer.mapConfirmedAt < kMapReportValidity) {
+        now - peer.mapConfirmedAt < kMapReportValidity &&
+        peer.mapConfirmedAt >= aSince) {
       ++counts.followers;
       counts.lastingFollowers +=
         peer.heardSince <= this->claimConfirmedAt ? 1 : 0;
@@ -481,12 +494,13 @@
     }));
 }
 
-bool Assigner::MayRenewLeases() const
+bool Assigner::MayRenewLeases(TimePoint aSince) const
 {
-  if (this->hooks.now() - this->claimConfirmedAt <= kClaimValidity) {
+  if (this->claimConfirmedAt >= aSince &&
+      this->hooks.now() - this->claimConfirmedAt <= kClaimValidity) {
     return true;
   }
-  const HostCounts hosts = this->CountHosts();
+  const HostCounts hosts = this->CountHosts(aSince);
   return hosts.followers * 3 >= hosts.known * 2 &&
          hosts.lastingFollowers * 2 >= hosts.known;
 }
@@ -509,13 +523,13 @@
   if (!this->predecessorsMayRenew) {
     return;
   }
-  const HostCounts hosts = this->CountHosts();
+  const HostCounts hosts = this->CountHosts({});
   if (hosts.followers * 2 > hosts.known) {
     const TimePoint now = this->hooks.now();
-    this->predecessorsStopAt =
+    const TimePoint predecessorsStop =
       std::max(this->claimedAt + kClaimValidity, now + kMapReportValidity);
     this->predecessorLeasesExpireAt =
-      this->LeaseExpiryFromNow() + (this->predecessorsStopAt - now);
+      this->LeaseExpiryFromNow() + (predecessorsStop - now);
     this->predecessorsMayRenew = false;
   }
 }
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -241,12 +241,6 @@
   }
 }
 
-bool Assigner::MayPredecessorsSend() const
-{
-  return this->predecessorsMayRenew ||
-         this->hooks.now() < this->predecessorsStopAt + kMaxGrantDelay;
-}
-
 void Assigner::ReleasePreviousHolders(std::size_t aRangeIndex)
 {
   const TimePoint now = this->hooks.now();
@@ -264,7 +258,7 @@
   for (std::size_t i = 0; i < range.previousHolders.size(); ++i) {
     const PreviousHolder& previous = range.previousHolders[i];
     const bool isTooEarly =
-      previous.maybeRenewedByPredecessor && this->MayPredecessorsSend();
+      previous.maybeRenewedByPredecessor && this->predecessorsMayRenew;
     if (!isTooEarly && !previous.commandPending && previous.retryAt <= now) {
       this->SendRelease(aRangeIndex, i);
     }
@@ -294,7 +288,8 @@
   command.last = range.assigned.last;
   command.fencingToken = range.assigned.fencingToken;
   command.isStillValid = [this, first = range.assigned.first,
-                          fencingToken = range.assigned.fencingToken] {
+                          fencingToken =
+                            range.assigned.fencingToken](TimePoint) {
     return this->FindRange(first, fencingToken) != nullptr;
   };
   this->hooks.sendCommand(
@@ -332,7 +327,7 @@
     this->candidates, [&range](const OwnerCandidate& aCandidate) {
       return aCandidate.holder == range.assigned.holder;
     });
-  if (candidate == this->candidates.end() || !this->MayRenewLeases()) {
+  if (candidate == this->candidates.end() || !this->MayRenewLeases({})) {
     return;
   }
   range.commandPending = true;
@@ -349,10 +344,11 @@
   command.handover = range.handover;
   command.isStillValid =
     [this, first = range.assigned.first, last = range.assigned.last,
-     fencingToken = range.assigned.fencingToken, latest = now + kMaxSendDelay] {
+     fencingToken = range.assigned.fencingToken,
+     latest = now + kMaxSendDelay](TimePoint aConnectedAt) {
       const RangeState* found = this->FindRange(first, fencingToken);
       return found != nullptr && found->assigned.last == last &&
-             this->hooks.now() <= latest && this->MayRenewLeases();
+             this->hooks.now() <= latest && this->MayRenewLeases(aConnectedAt);
     };
   this->hooks.sendCommand(command, [this, first = range.assigned.first,
                                     fencingToken = range.assigned.fencingToken](
@@ -399,6 +395,7 @@
   }
   if (aReply.result == LeaseCommandResult::kWithdrawn) {
     range->nextGrantAt = now;
+    this->CheckClaimSoon();
     return;
   }
   ++range->consecutiveFailures;
--- a/src/ownership/internal/assignerplans.cpp
+++ b/src/ownership/internal/assignerplans.cpp
@@ -128,7 +128,7 @@
                           return aCandidate.holder == holder;
                         });
   return canRelease && aRange.granted && aRange.maybeRenewedByPredecessor &&
-         this->MayPredecessorsSend();
+         this->predecessorsMayRenew;
 }
 
 // Reassigns the keys of holders that may not own keys or do not respond.
@@ -247,7 +247,7 @@
                            const std::vector<OwnerCandidate>& aCandidates)
 {
   const TimePoint now = this->hooks.now();
-  if (now < this->balanceDue || this->MayPredecessorsSend()) {
+  if (now < this->balanceDue || this->predecessorsMayRenew) {
     return false;
   }
   this->balanceDue = now + kPlanInterval;
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(testRestartedUpstreamNeedsNoLeaseExpiry);
   CPPUNIT_TEST(testLeasesOfAnUnnoticedRestartEndBeforeKeysMove);
   CPPUNIT_TEST(testReleasedUpstreamThatRestartsIsNotRenewedByAPredecessor);
+  CPPUNIT_TEST(testReplacedAssignerDoesNotRenewOverNewConnections);
   CPPUNIT_TEST(testLeaseIsStillKnownWhenKeysReturnToTheirHolder);
   CPPUNIT_TEST(testStartedHostDoesNotTakeItselfForAllHosts);
   CPPUNIT_TEST(testAssignerCutOffForLongDoesNotTakeItselfForAllHosts);
@@ -152,6 +153,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two holders after an upstream has confirmed a release and
+  // restarted, while the claim of a replaced assigner still looks valid to it.
+  void testReplacedAssignerDoesNotRenewOverNewConnections()
+  {
+    constexpr int kPhases = 20;
+    for (int phase = 0; phase < kPhases; ++phase) {
+      AssignmentSimulation simulation(5, 4);
+      Settle(simulation);
+      simulation.RunFor(kTick * phase);
+      const std::string old = simulation.AssignerName();
+      simulation.rejectedByStore.insert(old);
+      simulation.cutFromPeers.insert(old);
+      CPPUNIT_ASSERT(simulation.RunUntil(
+        [&] {
+          const std::string name = simulation.AssignerName();
+          return !name.empty() && name != old;
+        },
+        milliseconds(6000)));
+      FakeUpstream& leaving = simulation.Upstream("u1");
+      leaving.mayOwn = false;
+      CPPUNIT_ASSERT(simulation.RunUntil([&] { return leaving.releases > 0; },
+                                         milliseconds(1500)));
+      simulation.RestartUnlisted("u1");
+      simulation.RunFor(milliseconds(4000));
+      CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+    }
+  }
+
   // Guards against forgetting a lease that a predecessor may renew when keys
   // return to its holder before it was released.
   void testLeaseIsStillKnownWhenKeysReturnToTheirHolder()
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -235,6 +235,13 @@
   const std::vector<std::string>& Log() const { return this->log; }
 
 private:
+  // A connection ends with the incarnation of the upstream.
+  struct Connection
+  {
+    TimePoint connectedAt;
+    std::int64_t startedMs = 0;
+  };
+
   struct Host
   {
     std::string name;
@@ -247,6 +254,7 @@
     MapVersion mapVersion;
     DigestSendTimes digestSendTimes;
     TimePoint digestDue;
+    std::map<std::string, Connection> connections;
     // Upstreams for which lease commands wait for a connection.
     std::set<std::string> connectingTo;
     // Number of the last digest received from each peer.
@@ -446,56 +454,71 @@
   void DeliverCommand(const HostPtr& aHost, const LeaseCommand& aCommand,
                       Assigner::CommandDone aDone)
   {
-    if (this->connectTime.count() == 0) {
-      this->SendCommand(aHost, aCommand, std::move(aDone));
+    const std::string& upstream = aCommand.upstream.value;
+    const std::int64_t startedMs =
+      this->upstreams.at(upstream).holder.startedMs;
+    Connection& connection = aHost->connections[upstream];
+    if (connection.startedMs == startedMs && this->connectTime.count() == 0) {
+      this->SendOver(connection, aHost, aCommand, std::move(aDone));
       return;
     }
     aHost->connectingTo.insert(aCommand.upstream.value);
     this->RunOnHost(aHost, this->connectTime,
                     [this, aHost, command = aCommand, done = std::move(aDone)] {
-                      aHost->connectingTo.erase(command.upstream.value);
-                      if (command.isStillValid()) {
-                        this->SendCommand(aHost, command, done);
-                      } else {
-                        done({ LeaseCommandResult::kWithdrawn, {} });
+                      const std::string& upstream = command.upstream.value;
+                      aHost->connectingTo.erase(upstream);
+                      Connection& made = aHost->connections[upstream];
+                      const auto startedMs =
+                        this->upstreams.at(upstream).holder.startedMs;
+                      if (made.startedMs != startedMs) {
+                        made = { this->now, startedMs };
                       }
+                      this->SendOver(made, aHost, command, done);
                     });
   }
 
-  void SendCommand(const HostPtr& aHost, const LeaseCommand& aCommand,
-                   Assigner::CommandDone aDone)
+  void SendOver(const Connection& aConnection, const HostPtr& aHost,
+                const LeaseCommand& aCommand, Assigner::CommandDone aDone)
   {
-    this->Schedule(
-      kLinkDelay, [this, aHost, command = aCommand, done = std::move(aDone)] {
-        FakeUpstream& upstream = this->upstreams.at(command.upstream.value);
-        const auto timeOut = [this, aHost, done] {
-          this->RunOnHost(aHost, kCommandTimeout, [done] {
-            done({ LeaseCommandResult::kNoAnswer, {} });
-          });
-        };
-        if (!upstream.alive || upstream.unresponsive) {
-          timeOut();
-          return;
-        }
-        const TimePoint arrived = this->now;
-        if (upstream.grantDelay.count() > 0 &&
-            command.kind == LeaseCommandKind::kGrant) {
-          this->Schedule(
-            upstream.grantDelay,
-            [this, command, arrived, startedMs = upstream.holder.startedMs] {
-              FakeUpstream& target = this->upstreams.at(command.upstream.value);
-              if (target.alive && target.holder.startedMs == startedMs) {
-                target.Apply(command, arrived);
-              }
-            });
-          timeOut();
-          return;
-        }
-        const LeaseCommandResult result = upstream.Apply(command, arrived);
-        this->RunOnHost(aHost, kLinkDelay, [done, result] {
-          done({ result, result == LeaseCommandResult::kDone ? "work" : "" });
+    if (!aCommand.isStillValid(aConnection.connectedAt)) {
+      this->RunOnHost(aHost, milliseconds(0), [done = std::move(aDone)] {
+        done({ LeaseCommandResult::kWithdrawn, {} });
+      });
+      return;
+    }
+    this->Schedule(kLinkDelay, [this, aHost, command = aCommand,
+                                done = std::move(aDone),
+                                startedMs = aConnection.startedMs] {
+      FakeUpstream& upstream = this->upstreams.at(command.upstream.value);
+      const auto timeOut = [this, aHost, done] {
+        this->RunOnHost(aHost, kCommandTimeout, [done] {
+          done({ LeaseCommandResult::kNoAnswer, {} });
         });
+      };
+      if (!upstream.alive || upstream.unresponsive ||
+          upstream.holder.startedMs != startedMs) {
+        timeOut();
+        return;
+      }
+      const TimePoint arrived = this->now;
+      if (upstream.grantDelay.count() > 0 &&
+          command.kind == LeaseCommandKind::kGrant) {
+        this->Schedule(
+          upstream.grantDelay,
+          [this, command, arrived, startedMs = upstream.holder.startedMs] {
+            FakeUpstream& target = this->upstreams.at(command.upstream.value);
+            if (target.alive && target.holder.startedMs == startedMs) {
+              target.Apply(command, arrived);
+            }
+          });
+        timeOut();
+        return;
+      }
+      const LeaseCommandResult result = upstream.Apply(command, arrived);
+      this->RunOnHost(aHost, kLinkDelay, [done, result] {
+        done({ result, result == LeaseCommandResult::kDone ? "work" : "" });
       });
+    });
   }
 
   std::int64_t Millis() const
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "framework/clock.h"
 #include "framework/result.h"
 #include "transport/byteaccount.h"
 
@@ -52,9 +53,10 @@
   // Of requests that a server has read, and of those that a client passes on
   // for that caller; null elsewhere.
   std::shared_ptr<CallerLink> link;
-  // Asked by a client right before the first byte, as connecting takes time;
-  // where it says no, nothing is sent. Empty: always yes.
-  std::function<bool()> isStillValid;
+  // Asked by a client right before the first byte, as connecting takes time,
+  // with the time at which the connection was there; where it says no, nothing
+  // is sent. Empty: always yes.
+  std::function<bool(TimePoint)> isStillValid;
   // Sent over a new connection, which ends with the response: an extra response
   // to an earlier request cannot be taken for this one's. For requests whose
   // responses bear no id.
--- a/src/transport/internal/connection.h
+++ b/src/transport/internal/connection.h
@@ -27,6 +27,8 @@
   std::string relay;
   // The server closes it when it was idle until then.
   TimePoint usableUntil = TimePoint::max();
+  // When it was there, its relay included.
+  TimePoint connectedAt;
   // When the current request was sent, and when bytes last came.
   TimePoint sentAt;
   TimePoint heardAt;
--- a/src/transport/internal/dialer.cpp
+++ b/src/transport/internal/dialer.cpp
@@ -239,6 +239,7 @@
     if (isOpen && connection->buffer.size() == 0) {
       connection->stream.expires_never();
       connection->heardAt = Now();
+      connection->connectedAt = connection->heardAt;
       co_return connection;
     }
     if (!readError && IsOfServer(status)) {
@@ -268,6 +269,7 @@
   }
   connection->stream.expires_never();
   connection->heardAt = Now();
+  connection->connectedAt = connection->heardAt;
   beast::error_code ignored;
   connection->stream.socket().set_option(tcp::no_delay(true), ignored);
   SetUnacknowledgedTimeout(connection->stream.socket(),
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -272,7 +272,8 @@
       this->PutIdle(aAddress, connection);
       co_return make_error_code(TransportError::kCallerGone);
     }
-    if (aRequest.isStillValid && !aRequest.isStillValid()) {
+    if (aRequest.isStillValid &&
+        !aRequest.isStillValid(connection->connectedAt)) {
       this->PutIdle(aAddress, connection);
       co_return make_error_code(TransportError::kWithdrawn);
     }
--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -458,7 +458,7 @@
       return HttpResponse{};
     };
     HttpRequest request;
-    request.isStillValid = [] { return false; };
+    request.isStillValid = [](TimePoint) { return false; };
     const auto result = Call(*this->thread, *this->client, request);
     CPPUNIT_ASSERT(result.error() == TransportError::kWithdrawn);
     CPPUNIT_ASSERT_EQUAL(0, ran.load());
