--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -464,8 +464,10 @@
   // All faults together, for a minute with each of 40 seeds: hosts are killed,
   // paused and cut off, the store is unavailable to some or all hosts, its
   // responses get lost, and upstreams stop responding, execute commands late,
-  // leave and restart. No two upstreams may ever hold a lease on one key, and
-  // within 25 s of the last fault all keys must be leased again.
+  // leave, become cold, restart, also unnoticed, and vanish from the list while
+  // they run; connecting to them takes time. No two upstreams may ever hold a
+  // lease on one key, and within 25 s of the last fault all keys must be leased
+  // again.
   void testRandomFaultsNeverCauseTwoHolders()
   {
     constexpr unsigned kSeeds = 40;
@@ -527,7 +529,8 @@
       aRandom() % 2 == 0 && !assigner.empty() ? assigner : host;
     FakeUpstream& upstream =
       aSimulation.Upstream("u" + std::to_string(aRandom() % 6));
-    switch (aRandom() % 14) {
+    const std::string name = upstream.holder.upstream.value;
+    switch (aRandom() % 19) {
       case 0:
         aSimulation.KillHost(victim);
         aSimulation.StartHost(victim);
@@ -573,16 +576,40 @@
         upstream.mayOwn = !upstream.mayOwn;
         return;
       case 12:
-        aSimulation.AddUpstream(upstream.holder.upstream.value,
-                                upstream.holder.startedMs + 1);
+        aSimulation.AddUpstream(name, upstream.holder.startedMs + 1);
+        return;
+      case 13:
+        aSimulation.RestartUnlisted(name);
+        return;
+      case 14:
+        aSimulation.Unlist(name);
+        return;
+      case 15:
+        ListAll(aSimulation);
+        return;
+      case 16:
+        upstream.cold = !upstream.cold;
+        return;
+      case 17:
+        // The longest of these exceeds the time in which a grant must be sent.
+        aSimulation.connectTime = milliseconds(40 * (aRandom() % 4));
         return;
       default:
         return;
     }
   }
 
+  static void ListAll(AssignmentSimulation& aSimulation)
+  {
+    for (const auto& [name, upstream] : aSimulation.Upstreams()) {
+      aSimulation.List(name);
+    }
+  }
+
   static void EndFaults(AssignmentSimulation& aSimulation)
   {
+    ListAll(aSimulation);
+    aSimulation.connectTime = milliseconds(0);
     aSimulation.storeUnavailable = false;
     aSimulation.lostResponsePercent = 0;
     aSimulation.rejectedByStore.clear();
@@ -596,6 +623,7 @@
       upstream.unresponsive = false;
       upstream.grantDelay = milliseconds(0);
       upstream.mayOwn = true;
+      upstream.cold = false;
     }
   }
 };
