A plan does not take the keys between two ranges for theirs

A balance plan is made for the ranges that are settled. If a range in the middle of another has just moved, the two pieces on its sides are adjacent in the plan; they have one holder and one token, so that MergeAdjacent joined them over the gap. The plan then found the keys in the gap to be of this holder and moved them on, up to 1.2 s too early, while their last change was not done: their callers waited twice.

MergeAdjacent joins ranges only if the second begins after the first's last key.

Evidence: BalanceTest::testKeysBetweenMovableRangesDoNotMove failed before and passes now; the other tests of src/ownership pass.

--- a/src/ownership/internal/assignment.cpp
+++ b/src/ownership/internal/assignment.cpp
@@ -42,13 +42,16 @@
   return next == std::uint32_t{ aPart.Last() } + 1;
 }
 
-// Merges adjacent ranges that one lease command can name together.
+// Merges adjacent ranges that one lease command can name together. There may be
+// gaps between the ranges that a plan is made for.
 std::vector<AssignedRange> MergeAdjacent(
   const std::vector<AssignedRange>& aRanges)
 {
   std::vector<AssignedRange> merged;
   for (const AssignedRange& range : aRanges) {
-    if (!merged.empty() && merged.back().holder == range.holder &&
+    if (!merged.empty() &&
+        std::uint32_t{ merged.back().last } + 1 == range.first &&
+        merged.back().holder == range.holder &&
         merged.back().fencingToken == range.fencingToken &&
         merged.back().previousHolders == range.previousHolders) {
       merged.back().last = range.last;
--- a/src/ownership/tests/balance_test.cpp
+++ b/src/ownership/tests/balance_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(testRandomVariationMovesFewKeys);
   CPPUNIT_TEST(testNewHolderGetsKeys);
   CPPUNIT_TEST(testColdHolderGetsNoKeys);
+  CPPUNIT_TEST(testKeysBetweenMovableRangesDoNotMove);
   CPPUNIT_TEST(testReassignKeepsPreviousHolders);
   CPPUNIT_TEST(testAssignmentSerializationRoundTrip);
   CPPUNIT_TEST(testThousandRangesFitInRow);
@@ -93,6 +94,36 @@
       }));
   }
 
+  // Guards against moving keys that are in the middle of a change and lie
+  // between two ranges of another holder.
+  void testKeysBetweenMovableRangesDoNotMove()
+  {
+    BalanceInput input;
+    const auto add = [&input](const std::string& aName, Key aFirst, Key aLast) {
+      input.ranges.push_back({ aFirst, aLast, { { aName }, 1 }, 1, {} });
+    };
+    add("a", 0, 999);
+    add("a", 2000, 2999);
+    add("b", 3000, 3999);
+    add("c", 4000, 4999);
+    add("d", 5000, kLastKey);
+    for (const char* name : { "a", "b", "c", "d" }) {
+      input.holders.push_back({ { { name }, 1 }, 1, true });
+    }
+    // The keys in between are the busiest.
+    for (int i = 0; i < 400; ++i) {
+      input.requests.push_back(static_cast<Key>(i * 2));
+      input.requests.push_back(static_cast<Key>(1500 + i / 8));
+      input.requests.push_back(static_cast<Key>(2000 + i * 2));
+    }
+    std::ranges::sort(input.requests);
+    const auto moves = PlanMoves(input);
+    CPPUNIT_ASSERT(!moves.empty());
+    CPPUNIT_ASSERT(std::ranges::none_of(moves, [](const BalanceMove& aMove) {
+      return aMove.first < 2000 && aMove.last > 999;
+    }));
+  }
+
   // Keys are reassigned from a to b, and on to c before b was granted them.
   // Both a and b may hold a lease on them, so c has to wait for both.
   void testReassignKeepsPreviousHolders()
