Replies to lease commands count for exactly the keys that were named

Callers of all keys of one upstream waited, although only a few of them were to move: the upstream was given no keys for 3 s and more.

Cause: a renewal names all keys of a range. If some of them move away while it is on its way, and the release of these overtakes it, the upstream has seen a higher token and rejects the whole renewal. The reply was taken for one about the rest, which has the same first key and token, and an upstream that knows a higher token loses all of its keys. In the same way the reply to a release of some keys ended the wait for all keys of a range that had grown, and pieces of a range that was split while a release was pending never sent theirs again.

Change: a reply, and the check before sending, look for a range with exactly the first key, last key and token of the command. Pieces begin with no release pending. The rest of a range is renewed when it is next due, a third of a lease later.

Evidence: testRenewalThatAMoveOvertakesCostsNoOtherKeys failed before (u0 lost all keys; grants take 200 ms there, within the time that the assigner allows them).

--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -349,9 +349,11 @@
   void ReleasePreviousHolders(std::size_t aRangeIndex);
   void SendRelease(std::size_t aRangeIndex, std::size_t aHolderIndex);
   void SendGrant(std::size_t aRangeIndex);
-  void OnGrantReply(Key aFirst, FencingToken aFencingToken,
+  void OnGrantReply(Key aFirst, Key aLast, FencingToken aFencingToken,
                     const LeaseCommandReply& aReply);
-  RangeState* FindRange(Key aFirst, FencingToken aFencingToken);
+  // Null if there is no range of exactly these keys. What happened to a command
+  // for more or fewer keys says nothing about a range.
+  RangeState* FindRange(Key aFirst, Key aLast, FencingToken aFencingToken);
 
   void PlanChanges();
   // Whether the holder would keep its keys after a reassignment only because a
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -173,9 +173,14 @@
     if (old.assigned.fencingToken == aAssigned.fencingToken) {
       RangeState kept = old;
       kept.assigned = aAssigned;
-      // A pending command may have named other keys, and its reply is then
-      // ignored.
+      // The reply of a pending command that named other keys is ignored.
       kept.commandPending = false;
+      if (old.assigned.first != aAssigned.first ||
+          old.assigned.last != aAssigned.last) {
+        std::ranges::for_each(
+          kept.previousHolders,
+          [](PreviousHolder& aHolder) { aHolder.commandPending = false; });
+      }
       kept.renewalsStopped = false;
       return kept;
     }
@@ -293,15 +298,15 @@
   command.first = range.assigned.first;
   command.last = range.assigned.last;
   command.fencingToken = range.assigned.fencingToken;
-  command.isStillValid = [this, first = range.assigned.first,
-                          fencingToken = range.assigned.fencingToken] {
-    return this->FindRange(first, fencingToken) != nullptr;
+  command.isStillValid = [this, first = command.first, last = command.last,
+                          fencingToken = command.fencingToken] {
+    return this->FindRange(first, last, fencingToken) != nullptr;
   };
   this->hooks.sendCommand(
-    command, [this, first = range.assigned.first,
-              fencingToken = range.assigned.fencingToken,
+    command, [this, first = command.first, last = command.last,
+              fencingToken = command.fencingToken,
               holder = previous.holder](const LeaseCommandReply& aReply) {
-      RangeState* found = this->FindRange(first, fencingToken);
+      RangeState* found = this->FindRange(first, last, fencingToken);
       if (found == nullptr) {
         return;
       }
@@ -347,38 +352,38 @@
   command.fencingToken = range.assigned.fencingToken;
   command.leaseDuration = this->leaseDuration;
   command.handover = range.handover;
-  command.isStillValid =
-    [this, first = range.assigned.first, last = range.assigned.last,
-     fencingToken = range.assigned.fencingToken, latest = now + kMaxSendDelay] {
-      const RangeState* found = this->FindRange(first, fencingToken);
-      return found != nullptr && found->assigned.last == last &&
-             this->hooks.now() <= latest && this->MayRenewLeases();
-    };
-  this->hooks.sendCommand(command, [this, first = range.assigned.first,
-                                    fencingToken = range.assigned.fencingToken](
-                                     const LeaseCommandReply& aReply) {
-    this->OnGrantReply(first, fencingToken, aReply);
-  });
+  command.isStillValid = [this, first = command.first, last = command.last,
+                          fencingToken = command.fencingToken,
+                          latest = now + kMaxSendDelay] {
+    return this->FindRange(first, last, fencingToken) != nullptr &&
+           this->hooks.now() <= latest && this->MayRenewLeases();
+  };
+  this->hooks.sendCommand(
+    command,
+    [this, first = command.first, last = command.last,
+     fencingToken = command.fencingToken](const LeaseCommandReply& aReply) {
+      this->OnGrantReply(first, last, fencingToken, aReply);
+    });
 }
 
-Assigner::RangeState* Assigner::FindRange(Key aFirst,
+Assigner::RangeState* Assigner::FindRange(Key aFirst, Key aLast,
                                           FencingToken aFencingToken)
 {
   if (this->phase != Phase::kActive) {
     return nullptr;
   }
-  const auto found = std::ranges::find_if(
-    this->ranges, [aFirst, aFencingToken](const RangeState& aRange) {
-      return aRange.assigned.first == aFirst &&
+  const auto found =
+    std::ranges::find_if(this->ranges, [&](const RangeState& aRange) {
+      return aRange.assigned.first == aFirst && aRange.assigned.last == aLast &&
              aRange.assigned.fencingToken == aFencingToken;
     });
   return found == this->ranges.end() ? nullptr : &*found;
 }
 
-void Assigner::OnGrantReply(Key aFirst, FencingToken aFencingToken,
+void Assigner::OnGrantReply(Key aFirst, Key aLast, FencingToken aFencingToken,
                             const LeaseCommandReply& aReply)
 {
-  RangeState* range = this->FindRange(aFirst, aFencingToken);
+  RangeState* range = this->FindRange(aFirst, aLast, aFencingToken);
   if (range == nullptr) {
     return;
   }
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(testResumedAssignerIgnoresStaleDigests);
   CPPUNIT_TEST(testGrantIsNotSentAfterAPause);
   CPPUNIT_TEST(testLateGrantIsRejectedByFencingToken);
+  CPPUNIT_TEST(testRenewalThatAMoveOvertakesCostsNoOtherKeys);
   CPPUNIT_TEST(testLostStoreResponses);
   CPPUNIT_TEST(testUnresponsiveUpstreamIsRetriedWithBackoff);
   CPPUNIT_TEST(testRandomFaultsNeverCauseTwoHolders);
@@ -423,6 +424,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against moving all keys of an upstream that rejects a renewal, if
+  // some of the keys named in it have moved away meanwhile.
+  void testRenewalThatAMoveOvertakesCostsNoOtherKeys()
+  {
+    AssignmentSimulation simulation(3, 4);
+    Settle(simulation);
+    simulation.commandDelay = [](const LeaseCommand& aCommand) {
+      return aCommand.kind == LeaseCommandKind::kGrant ? milliseconds(200)
+                                                       : kLinkDelay;
+    };
+    std::mt19937 random(1);
+    for (int i = 0; i < 300; ++i) {
+      RecordSkewedRequests(simulation, random, static_cast<Key>(i / 30 * 6000));
+      simulation.RunFor(milliseconds(100));
+      for (const auto& [name, upstream] : simulation.Upstreams()) {
+        CPPUNIT_ASSERT_MESSAGE(name, !upstream.leases.empty());
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // A third of the writes are executed, at once or seconds later, and get no
   // response, while upstreams leave and return. The assigner must read back
   // what was written.
@@ -514,6 +536,23 @@
     CPPUNIT_ASSERT(aSimulation.AssignerOf(old).IsAssigner());
   }
 
+  // Reports requests to the assigner, half of them for 200 keys from aHot on.
+  static void RecordSkewedRequests(AssignmentSimulation& aSimulation,
+                                   std::mt19937& aRandom, Key aHot)
+  {
+    constexpr int kRequests = 60;
+    const std::string assigner = aSimulation.AssignerName();
+    if (assigner.empty()) {
+      return;
+    }
+    std::vector<Key> keys;
+    for (int i = 0; i < kRequests; ++i) {
+      keys.push_back(static_cast<Key>(
+        i % 2 == 0 ? (aHot + aRandom() % 200) % kLastKey : aRandom()));
+    }
+    aSimulation.AssignerOf(assigner).RecordRequests(keys);
+  }
+
   static std::string Pick(const std::vector<std::string>& aNames,
                           std::mt19937& aRandom)
   {
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -79,6 +79,10 @@
   // From a lease command to its sending.
   milliseconds connectTime{ 0 };
 
+  // The way of a lease command to its upstream; kLinkDelay if empty. Beyond
+  // kCommandTimeout there is no response.
+  std::function<milliseconds(const LeaseCommand&)> commandDelay;
+
   // --- faults
 
   bool storeUnavailable = false;
@@ -441,7 +445,7 @@
                       Assigner::CommandDone aDone)
   {
     if (this->connectTime.count() == 0) {
-      this->SendCommand(aHost, aCommand, std::move(aDone));
+      this->SendCommand(aHost, aCommand, aDone);
       return;
     }
     aHost->connectingTo.insert(aCommand.upstream.value);
@@ -457,39 +461,56 @@
   }
 
   void SendCommand(const HostPtr& aHost, const LeaseCommand& aCommand,
-                   Assigner::CommandDone aDone)
+                   const Assigner::CommandDone& aDone)
+  {
+    const milliseconds delay =
+      this->commandDelay ? this->commandDelay(aCommand) : kLinkDelay;
+    this->Schedule(delay, [this, aHost, command = aCommand, delay, aDone] {
+      const auto reply = this->Execute(command);
+      if (reply && delay < kCommandTimeout) {
+        this->RunOnHost(aHost, kLinkDelay,
+                        [aDone, reply = *reply] { aDone(reply); });
+      } else if (delay < kCommandTimeout) {
+        this->TimeOut(aHost, kCommandTimeout, aDone);
+      }
+    });
+    if (delay >= kCommandTimeout) {
+      this->TimeOut(aHost, kCommandTimeout, aDone);
+    }
+  }
+
+  void TimeOut(const HostPtr& aHost, milliseconds aTime,
+               const Assigner::CommandDone& aDone)
   {
-    this->Schedule(
-      kLinkDelay, [this, aHost, command = aCommand, done = std::move(aDone)] {
-        FakeUpstream& upstream = this->upstreams.at(command.upstream.value);
-        const auto timeOut = [this, aHost, done] {
-          this->RunOnHost(aHost, kCommandTimeout, [done] {
-            done({ LeaseCommandResult::kNoAnswer, {} });
-          });
-        };
-        if (!upstream.alive || upstream.unresponsive) {
-          timeOut();
-          return;
-        }
-        const TimePoint arrived = this->now;
-        if (upstream.grantDelay.count() > 0 &&
-            command.kind == LeaseCommandKind::kGrant) {
-          this->Schedule(
-            upstream.grantDelay,
-            [this, command, arrived, startedMs = upstream.holder.startedMs] {
-              FakeUpstream& target = this->upstreams.at(command.upstream.value);
-              if (target.alive && target.holder.startedMs == startedMs) {
-                target.Apply(command, arrived);
-              }
-            });
-          timeOut();
-          return;
-        }
-        const LeaseCommandResult result = upstream.Apply(command, arrived);
-        this->RunOnHost(aHost, kLinkDelay, [done, result] {
-          done({ result, result == LeaseCommandResult::kDone ? "work" : "" });
+    this->RunOnHost(aHost, aTime, [aDone] {
+      aDone({ LeaseCommandResult::kNoAnswer, {} });
+    });
+  }
+
+  // Returns nothing if the upstream does not respond.
+  std::optional<LeaseCommandReply> Execute(const LeaseCommand& aCommand)
+  {
+    FakeUpstream& upstream = this->upstreams.at(aCommand.upstream.value);
+    if (!upstream.alive || upstream.unresponsive) {
+      return std::nullopt;
+    }
+    const TimePoint arrived = this->now;
+    if (upstream.grantDelay.count() > 0 &&
+        aCommand.kind == LeaseCommandKind::kGrant) {
+      this->Schedule(
+        upstream.grantDelay, [this, command = aCommand, arrived,
+                              startedMs = upstream.holder.startedMs] {
+          FakeUpstream& target = this->upstreams.at(command.upstream.value);
+          if (target.alive && target.holder.startedMs == startedMs) {
+            target.Apply(command, arrived);
+          }
         });
-      });
+      return std::nullopt;
+    }
+    const LeaseCommandResult result = upstream.Apply(aCommand, arrived);
+    return LeaseCommandReply{ result, result == LeaseCommandResult::kDone
+                                        ? "work"
+                                        : "" };
   }
 
   std::int64_t Millis() const
