A range joined from two keeps what either has to wait for

Two upstreams held the same keys for up to the rest of a lease, after the number of a service's parts had changed.

Cause: tokens are counted by part. CutToPart can put ranges of one holder with the same token, from two parts, side by side, and the next change of any range joins them. The joined range took the state of the first only: it was granted once the first's previous holders had released their keys, while those of the second held theirs.

Change: the state of a range that keeps its token is made from all ranges that it replaces: the latest end of a lease, all previous holders, granted only if all were.

Evidence: testJoinedRangeWaitsForThePreviousHoldersOfBothParts failed before (32768 leased to u0 and u1).

--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -339,6 +339,10 @@
   void ApplyAssignment(const Assignment& aAssignment, state::Version aVersion);
   RangeState MakeRangeState(const AssignedRange& aAssigned,
                             const std::vector<RangeState>& aOld);
+  // The state of two ranges of one holder and token that become one: whatever
+  // either of them has to wait for.
+  static RangeState JoinStates(const RangeState& aLeft,
+                               const RangeState& aRight);
   TimePoint LeaseExpiry(TimePoint aExpiresAt,
                         bool aMaybeRenewedByPredecessor) const;
   TimePoint LeaseExpiryFromNow() const;
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -6,6 +6,7 @@
 #include "ownership/internal/assignertiming.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace kumquat::ownership {
@@ -162,6 +163,9 @@
   RangeState range;
   range.assigned = aAssigned;
   range.lastResponseAt = now;
+  // Set if the token stays. Ranges from different parts of an earlier layout
+  // may have the same token and become one.
+  std::optional<RangeState> kept;
   // A range that stays with its holder is served without interruption while it
   // gets the higher token.
   bool staysWithHolder = true;
@@ -171,18 +175,16 @@
       continue;
     }
     if (old.assigned.fencingToken == aAssigned.fencingToken) {
-      RangeState kept = old;
-      kept.assigned = aAssigned;
+      kept = kept ? JoinStates(*kept, old) : old;
       // The reply of a pending command that named other keys is ignored.
-      kept.commandPending = false;
+      kept->commandPending = false;
       if (old.assigned.first != aAssigned.first ||
           old.assigned.last != aAssigned.last) {
         std::ranges::for_each(
-          kept.previousHolders,
+          kept->previousHolders,
           [](PreviousHolder& aHolder) { aHolder.commandPending = false; });
       }
-      kept.renewalsStopped = false;
-      return kept;
+      continue;
     }
     const bool isSameHolder = old.assigned.holder == aAssigned.holder;
     staysWithHolder = staysWithHolder && isSameHolder && old.granted &&
@@ -214,10 +216,42 @@
                                         {} });
     }
   }
+  if (kept) {
+    kept->assigned = aAssigned;
+    kept->renewalsStopped = false;
+    return *kept;
+  }
   range.granted = staysWithHolder;
   return range;
 }
 
+Assigner::RangeState Assigner::JoinStates(const RangeState& aLeft,
+                                          const RangeState& aRight)
+{
+  RangeState joined = aLeft;
+  for (const PreviousHolder& previous : aRight.previousHolders) {
+    const auto known = std::ranges::find(
+      joined.previousHolders, previous.holder, &PreviousHolder::holder);
+    if (known == joined.previousHolders.end()) {
+      joined.previousHolders.push_back(previous);
+      continue;
+    }
+    known->leaseExpiresAt =
+      std::max(known->leaseExpiresAt, previous.leaseExpiresAt);
+    known->maybeRenewedByPredecessor |= previous.maybeRenewedByPredecessor;
+    known->retryAt = std::min(known->retryAt, previous.retryAt);
+  }
+  joined.granted = aLeft.granted && aRight.granted;
+  joined.grantedAt = std::max(aLeft.grantedAt, aRight.grantedAt);
+  joined.leaseExpiresAt = std::max(aLeft.leaseExpiresAt, aRight.leaseExpiresAt);
+  joined.maybeRenewedByPredecessor |= aRight.maybeRenewedByPredecessor;
+  joined.lastResponseAt = std::min(aLeft.lastResponseAt, aRight.lastResponseAt);
+  joined.nextGrantAt = std::min(aLeft.nextGrantAt, aRight.nextGrantAt);
+  joined.consecutiveFailures =
+    std::max(aLeft.consecutiveFailures, aRight.consecutiveFailures);
+  return joined;
+}
+
 // --- lease commands
 
 void Assigner::AdvanceRanges()
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(testStartedHostDoesNotTakeItselfForAllHosts);
   CPPUNIT_TEST(testAssignerCutOffForLongDoesNotTakeItselfForAllHosts);
   CPPUNIT_TEST(testRestartedHostsDoNotKeepAReplacedAssigner);
+  CPPUNIT_TEST(testJoinedRangeWaitsForThePreviousHoldersOfBothParts);
   CPPUNIT_TEST(testKilledAssignerCausesNoLeaseToExpire);
   CPPUNIT_TEST(testAssignerAndUpstreamLostTogether);
   CPPUNIT_TEST(testStoreOutageCausesNoLeaseToExpire);
@@ -247,6 +248,45 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two holders after two ranges with one token, from two parts
+  // of an earlier layout, become one range: the leases of the second were
+  // forgotten.
+  void testJoinedRangeWaitsForThePreviousHoldersOfBothParts()
+  {
+    constexpr Key kMiddle = kLastKey / 2 + 1;
+    constexpr Key kOther = kMiddle + 10'000;
+    const KeyLayout layout{ 1, 2, 1 };
+    const Holder first{ { "u0" }, 1 };
+    const Holder previous{ { "u1" }, 1 };
+    const Assignment lower{ 3, { { 0, kMiddle - 1, first, 2, { previous } } } };
+    const Assignment upper{ 3,
+                            { { kMiddle, kOther - 1, first, 2, { previous } },
+                              { kOther, kLastKey, { { "u2" }, 1 }, 1, {} } } };
+    AssignmentSimulation simulation(5, 4);
+    simulation.SetEarlierAssignment(CutToPart({ lower, upper }, {}));
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return !simulation.AssignerName().empty(); }, milliseconds(5000)));
+    // The lease that an earlier assigner renewed last.
+    simulation.Upstream("u1").leases.push_back(
+      { 0, kOther - 1, 1, simulation.Now() + milliseconds(6000) });
+    // The upstream never gets the release of the second range.
+    simulation.commandDelay = [](const LeaseCommand& aCommand) {
+      if (aCommand.kind == LeaseCommandKind::kGrant) {
+        return kTick;
+      }
+      return aCommand.first == kMiddle ? milliseconds(60'000) : kLinkDelay;
+    };
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.Upstream("u1").releases > 0; },
+      milliseconds(5500)));
+    // Any change joins the ranges.
+    simulation.Upstream("u2").mayOwn = false;
+    simulation.AssignerOf(simulation.AssignerName()).OnMembershipChange();
+    simulation.RunFor(milliseconds(8000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+    CPPUNIT_ASSERT(simulation.AreAllKeysLeased());
+  }
+
   // The assigner's host is killed. Another host takes over before any lease
   // expires and keeps the assignment that it finds, so no caller is affected.
   void testKilledAssignerCausesNoLeaseToExpire()
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -125,6 +125,14 @@
     this->upstreams.at(aName).listed = {};
   }
 
+  // Begins with an assignment that parts of an earlier layout made. Must be
+  // called before a host claims.
+  void SetEarlierAssignment(const Assignment& aAssignment)
+  {
+    this->stored.assigner = { { "gone" }, 1 };
+    this->stored.assignmentText = SerializeAssignment(aAssignment);
+  }
+
   void StartHost(const std::string& aName)
   {
     auto host = std::make_shared<Host>();
