--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -352,6 +352,10 @@
   void ApplyAssignment(const Assignment& aAssignment, state::Version aVersion);
   RangeState MakeRangeState(const AssignedRange& aAssigned,
                             const std::vector<RangeState>& aOld);
+  // The state of two ranges of one holder and token that become one: whatever
+  // either of them has to wait for.
+  static RangeState JoinStates(const RangeState& aLeft,
+                               const RangeState& aRight);
   TimePoint LeaseExpiry(TimePoint aExpiresAt,
                         bool aMaybeRenewedByPredecessor) const;
   TimePoint LeaseExpiryFromNow() const;
@@ -360,9 +364,11 @@
   void ReleasePreviousHolders(std::size_t aRangeIndex);
   void SendRelease(std::size_t aRangeIndex, std::size_t aHolderIndex);
   void SendGrant(std::size_t aRangeIndex);
-  void OnGrantReply(Key aFirst, FencingToken aFencingToken,
+  void OnGrantReply(Key aFirst, Key aLast, FencingToken aFencingToken,
                     const LeaseCommandReply& aReply);
-  RangeState* FindRange(Key aFirst, FencingToken aFencingToken);
+  // Null if there is no range of exactly these keys. What happened to a command
+  // for more or fewer keys says nothing about a range.
+  RangeState* FindRange(Key aFirst, Key aLast, FencingToken aFencingToken);
 
   void PlanChanges();
   // Whether the holder could not be released yet if its keys were reassigned
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -6,6 +6,7 @@
 #include "ownership/internal/assignertiming.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace kumquat::ownership {
@@ -162,6 +163,9 @@
   RangeState range;
   range.assigned = aAssigned;
   range.lastResponseAt = now;
+  // Set if the token stays. Ranges from different parts of an earlier layout
+  // may have the same token and become one.
+  std::optional<RangeState> kept;
   // A range that stays with its holder is served without interruption while it
   // gets the higher token.
   bool staysWithHolder = true;
@@ -171,13 +175,16 @@
       continue;
     }
     if (old.assigned.fencingToken == aAssigned.fencingToken) {
-      RangeState kept = old;
-      kept.assigned = aAssigned;
-      // A pending command may have named other keys, and its reply is then
-      // ignored.
-      kept.commandPending = false;
-      kept.renewalsStopped = false;
-      return kept;
+      kept = kept ? JoinStates(*kept, old) : old;
+      // The reply of a pending command that named other keys is ignored.
+      kept->commandPending = false;
+      if (old.assigned.first != aAssigned.first ||
+          old.assigned.last != aAssigned.last) {
+        std::ranges::for_each(
+          kept->previousHolders,
+          [](PreviousHolder& aHolder) { aHolder.commandPending = false; });
+      }
+      continue;
     }
     const bool isSameHolder = old.assigned.holder == aAssigned.holder;
     staysWithHolder = staysWithHolder && isSameHolder && old.granted &&
@@ -209,10 +216,42 @@
                                         {} });
     }
   }
+  if (kept) {
+    kept->assigned = aAssigned;
+    kept->renewalsStopped = false;
+    return *kept;
+  }
   range.granted = staysWithHolder;
   return range;
 }
 
+Assigner::RangeState Assigner::JoinStates(const RangeState& aLeft,
+                                          const RangeState& aRight)
+{
+  RangeState joined = aLeft;
+  for (const PreviousHolder& previous : aRight.previousHolders) {
+    const auto known = std::ranges::find(
+      joined.previousHolders, previous.holder, &PreviousHolder::holder);
+    if (known == joined.previousHolders.end()) {
+      joined.previousHolders.push_back(previous);
+      continue;
+    }
+    known->leaseExpiresAt =
+      std::max(known->leaseExpiresAt, previous.leaseExpiresAt);
+    known->maybeRenewedByPredecessor |= previous.maybeRenewedByPredecessor;
+    known->retryAt = std::min(known->retryAt, previous.retryAt);
+  }
+  joined.granted = aLeft.granted && aRight.granted;
+  joined.grantedAt = std::max(aLeft.grantedAt, aRight.grantedAt);
+  joined.leaseExpiresAt = std::max(aLeft.leaseExpiresAt, aRight.leaseExpiresAt);
+  joined.maybeRenewedByPredecessor |= aRight.maybeRenewedByPredecessor;
+  joined.lastResponseAt = std::min(aLeft.lastResponseAt, aRight.lastResponseAt);
+  joined.nextGrantAt = std::min(aLeft.nextGrantAt, aRight.nextGrantAt);
+  joined.consecutiveFailures =
+    std::max(aLeft.consecutiveFailures, aRight.consecutiveFailures);
+  return joined;
+}
+
 // --- lease commands
 
 void Assigner::AdvanceRanges()
@@ -287,16 +326,15 @@
   command.first = range.assigned.first;
   command.last = range.assigned.last;
   command.fencingToken = range.assigned.fencingToken;
-  command.isStillValid = [this, first = range.assigned.first,
-                          fencingToken =
-                            range.assigned.fencingToken](TimePoint) {
-    return this->FindRange(first, fencingToken) != nullptr;
+  command.isStillValid = [this, first = command.first, last = command.last,
+                          fencingToken = command.fencingToken](TimePoint) {
+    return this->FindRange(first, last, fencingToken) != nullptr;
   };
   this->hooks.sendCommand(
-    command, [this, first = range.assigned.first,
-              fencingToken = range.assigned.fencingToken,
+    command, [this, first = command.first, last = command.last,
+              fencingToken = command.fencingToken,
               holder = previous.holder](const LeaseCommandReply& aReply) {
-      RangeState* found = this->FindRange(first, fencingToken);
+      RangeState* found = this->FindRange(first, last, fencingToken);
       if (found == nullptr) {
         return;
       }
@@ -342,39 +380,39 @@
   command.fencingToken = range.assigned.fencingToken;
   command.leaseDuration = this->leaseDuration;
   command.handover = range.handover;
-  command.isStillValid =
-    [this, first = range.assigned.first, last = range.assigned.last,
-     fencingToken = range.assigned.fencingToken,
-     latest = now + kMaxSendDelay](TimePoint aConnectedAt) {
-      const RangeState* found = this->FindRange(first, fencingToken);
-      return found != nullptr && found->assigned.last == last &&
-             this->hooks.now() <= latest && this->MayRenewLeases(aConnectedAt);
-    };
-  this->hooks.sendCommand(command, [this, first = range.assigned.first,
-                                    fencingToken = range.assigned.fencingToken](
-                                     const LeaseCommandReply& aReply) {
-    this->OnGrantReply(first, fencingToken, aReply);
-  });
+  command.isStillValid = [this, first = command.first, last = command.last,
+                          fencingToken = command.fencingToken,
+                          latest =
+                            now + kMaxSendDelay](TimePoint aConnectedAt) {
+    return this->FindRange(first, last, fencingToken) != nullptr &&
+           this->hooks.now() <= latest && this->MayRenewLeases(aConnectedAt);
+  };
+  this->hooks.sendCommand(
+    command,
+    [this, first = command.first, last = command.last,
+     fencingToken = command.fencingToken](const LeaseCommandReply& aReply) {
+      this->OnGrantReply(first, last, fencingToken, aReply);
+    });
 }
 
-Assigner::RangeState* Assigner::FindRange(Key aFirst,
+Assigner::RangeState* Assigner::FindRange(Key aFirst, Key aLast,
                                           FencingToken aFencingToken)
 {
   if (this->phase != Phase::kActive) {
     return nullptr;
   }
-  const auto found = std::ranges::find_if(
-    this->ranges, [aFirst, aFencingToken](const RangeState& aRange) {
-      return aRange.assigned.first == aFirst &&
+  const auto found =
+    std::ranges::find_if(this->ranges, [&](const RangeState& aRange) {
+      return aRange.assigned.first == aFirst && aRange.assigned.last == aLast &&
              aRange.assigned.fencingToken == aFencingToken;
     });
   return found == this->ranges.end() ? nullptr : &*found;
 }
 
-void Assigner::OnGrantReply(Key aFirst, FencingToken aFencingToken,
+void Assigner::OnGrantReply(Key aFirst, Key aLast, FencingToken aFencingToken,
                             const LeaseCommandReply& aReply)
 {
-  RangeState* range = this->FindRange(aFirst, aFencingToken);
+  RangeState* range = this->FindRange(aFirst, aLast, aFencingToken);
   if (range == nullptr) {
     return;
   }
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -2,6 +2,7 @@
 // and the store fail.
 
 #include "ownership/tests/assignmentsimulation.h"
+#include "ownership/tests/randomfaults.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -22,6 +23,7 @@
   CPPUNIT_TEST(testStartedHostDoesNotTakeItselfForAllHosts);
   CPPUNIT_TEST(testAssignerCutOffForLongDoesNotTakeItselfForAllHosts);
   CPPUNIT_TEST(testRestartedHostsDoNotKeepAReplacedAssigner);
+  CPPUNIT_TEST(testJoinedRangeWaitsForThePreviousHoldersOfBothParts);
   CPPUNIT_TEST(testKilledAssignerCausesNoLeaseToExpire);
   CPPUNIT_TEST(testAssignerAndUpstreamLostTogether);
   CPPUNIT_TEST(testStoreOutageCausesNoLeaseToExpire);
@@ -32,6 +34,7 @@
   CPPUNIT_TEST(testClaimIsOldAfterAPause);
   CPPUNIT_TEST(testGrantIsNotSentAfterAPause);
   CPPUNIT_TEST(testLateGrantIsRejectedByFencingToken);
+  CPPUNIT_TEST(testRenewalThatAMoveOvertakesCostsNoOtherKeys);
   CPPUNIT_TEST(testLostStoreResponses);
   CPPUNIT_TEST(testUnresponsiveUpstreamIsRetriedWithBackoff);
   CPPUNIT_TEST(testRandomFaultsNeverCauseTwoHolders);
@@ -276,6 +279,44 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two holders after two ranges with one token, from two parts
+  // of an earlier layout, become one range: the leases of the second were
+  // forgotten.
+  void testJoinedRangeWaitsForThePreviousHoldersOfBothParts()
+  {
+    constexpr Key kMiddle = kLastKey / 2 + 1;
+    constexpr Key kOther = kMiddle + 10'000;
+    const Holder first{ { "u0" }, 1 };
+    const Holder previous{ { "u1" }, 1 };
+    const Assignment lower{ 3, { { 0, kMiddle - 1, first, 2, { previous } } } };
+    const Assignment upper{ 3,
+                            { { kMiddle, kOther - 1, first, 2, { previous } },
+                              { kOther, kLastKey, { { "u2" }, 1 }, 1, {} } } };
+    AssignmentSimulation simulation(5, 4);
+    simulation.SetEarlierAssignment(CutToPart({ lower, upper }, {}));
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return !simulation.AssignerName().empty(); }, milliseconds(5000)));
+    // The lease that an earlier assigner renewed last.
+    simulation.Upstream("u1").leases.push_back(
+      { 0, kOther - 1, 1, simulation.Now() + milliseconds(6000) });
+    // The upstream never gets the release of the second range.
+    simulation.commandDelay = [](const LeaseCommand& aCommand) {
+      if (aCommand.kind == LeaseCommandKind::kGrant) {
+        return kTick;
+      }
+      return aCommand.first == kMiddle ? milliseconds(60'000) : kLinkDelay;
+    };
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.Upstream("u1").releases > 0; },
+      milliseconds(5500)));
+    // Any change joins the ranges.
+    simulation.Upstream("u2").mayOwn = false;
+    simulation.AssignerOf(simulation.AssignerName()).OnMembershipChange();
+    simulation.RunFor(milliseconds(8000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+    CPPUNIT_ASSERT(simulation.AreAllKeysLeased());
+  }
+
   // The assigner's host is killed. Another host takes over before any lease
   // expires and keeps the assignment that it finds, so no caller is affected.
   void testKilledAssignerCausesNoLeaseToExpire()
@@ -476,6 +517,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against moving all keys of an upstream that rejects a renewal, if
+  // some of the keys named in it have moved away meanwhile.
+  void testRenewalThatAMoveOvertakesCostsNoOtherKeys()
+  {
+    AssignmentSimulation simulation(3, 4);
+    Settle(simulation);
+    simulation.commandDelay = [](const LeaseCommand& aCommand) {
+      return aCommand.kind == LeaseCommandKind::kGrant ? milliseconds(200)
+                                                       : kLinkDelay;
+    };
+    std::mt19937 random(1);
+    for (int i = 0; i < 300; ++i) {
+      RecordSkewedRequests(simulation, random, static_cast<Key>(i / 30 * 6000));
+      simulation.RunFor(milliseconds(100));
+      for (const auto& [name, upstream] : simulation.Upstreams()) {
+        CPPUNIT_ASSERT_MESSAGE(name, !upstream.leases.empty());
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // A third of the writes are executed, at once or seconds later, and get no
   // response, while upstreams leave and return. The assigner must read back
   // what was written.
@@ -514,23 +576,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
-  // All faults together, for a minute with each of 40 seeds: hosts are killed,
-  // paused and cut off, the store is unavailable to some or all hosts, its
-  // responses get lost, and upstreams stop responding, execute commands late,
-  // leave and restart. No two upstreams may ever hold a lease on one key, and
-  // within 25 s of the last fault all keys must be leased again.
+  // Many faults together, for a minute with each of 40 seeds; see RandomFaults.
+  // No two upstreams may ever hold a lease on one key, and within 25 s of the
+  // last fault all keys must be leased again.
   void testRandomFaultsNeverCauseTwoHolders()
   {
     constexpr unsigned kSeeds = 40;
     for (unsigned seed = 1; seed <= kSeeds; ++seed) {
       AssignmentSimulation simulation(7, 6, seed);
       Settle(simulation);
-      std::mt19937 random(seed);
-      for (int i = 0; i < 60; ++i) {
-        InjectFault(simulation, random);
-        simulation.RunFor(milliseconds(1000));
-      }
-      EndFaults(simulation);
+      RandomFaults faults(simulation, seed);
+      faults.RunFor(std::chrono::seconds(60));
+      faults.End();
       const bool allLeased = simulation.RunUntil(
         [&] { return simulation.AreAllKeysLeased(); }, milliseconds(25'000));
       const std::string name = "seed " + std::to_string(seed) + ": ";
@@ -565,77 +622,35 @@
     CPPUNIT_ASSERT(aSimulation.AssignerOf(old).IsAssigner());
   }
 
-  static std::string Pick(const std::vector<std::string>& aNames,
-                          std::mt19937& aRandom)
+  // Reports requests to the assigner, half of them for 200 keys from aHot on.
+  static void RecordSkewedRequests(AssignmentSimulation& aSimulation,
+                                   std::mt19937& aRandom, Key aHot)
   {
-    return aNames[aRandom() % aNames.size()];
+    constexpr int kRequests = 60;
+    const std::string assigner = aSimulation.AssignerName();
+    if (assigner.empty()) {
+      return;
+    }
+    std::vector<Key> keys;
+    keys.reserve(kRequests);
+    for (int i = 0; i < kRequests; ++i) {
+      keys.push_back(static_cast<Key>(
+        i % 2 == 0 ? (aHot + aRandom() % 200) % kLastKey : aRandom()));
+    }
+    aSimulation.AssignerOf(assigner).RecordRequests(keys);
   }
 
-  static void InjectFault(AssignmentSimulation& aSimulation,
-                          std::mt19937& aRandom)
+  static void ListAll(AssignmentSimulation& aSimulation)
   {
-    const std::string host = Pick(aSimulation.Hosts(), aRandom);
-    const std::string assigner = aSimulation.AssignerName();
-    const std::string victim =
-      aRandom() % 2 == 0 && !assigner.empty() ? assigner : host;
-    FakeUpstream& upstream =
-      aSimulation.Upstream("u" + std::to_string(aRandom() % 6));
-    switch (aRandom() % 14) {
-      case 0:
-        aSimulation.KillHost(victim);
-        aSimulation.StartHost(victim);
-        return;
-      case 1:
-        if (!aSimulation.IsPaused(victim)) {
-          aSimulation.Pause(victim);
-        }
-        return;
-      case 2:
-        for (const std::string& name : aSimulation.Hosts()) {
-          if (aSimulation.IsPaused(name)) {
-            aSimulation.Resume(name);
-          }
-        }
-        return;
-      case 3:
-        aSimulation.storeUnavailable = !aSimulation.storeUnavailable;
-        return;
-      case 4:
-        aSimulation.rejectedByStore.insert(victim);
-        return;
-      case 5:
-        aSimulation.rejectedByStore.clear();
-        return;
-      case 6:
-        aSimulation.cutFromPeers.insert(victim);
-        return;
-      case 7:
-        aSimulation.cutFromPeers.clear();
-        return;
-      case 8:
-        aSimulation.lostResponsePercent = aRandom() % 2 == 0 ? 35 : 0;
-        return;
-      case 9:
-        upstream.unresponsive = !upstream.unresponsive;
-        return;
-      case 10:
-        upstream.grantDelay =
-          milliseconds(upstream.grantDelay.count() > 0 ? 0 : 4000);
-        return;
-      case 11:
-        upstream.mayOwn = !upstream.mayOwn;
-        return;
-      case 12:
-        aSimulation.AddUpstream(upstream.holder.upstream.value,
-                                upstream.holder.startedMs + 1);
-        return;
-      default:
-        return;
+    for (const auto& [name, upstream] : aSimulation.Upstreams()) {
+      aSimulation.List(name);
     }
   }
 
   static void EndFaults(AssignmentSimulation& aSimulation)
   {
+    ListAll(aSimulation);
+    aSimulation.connectTime = milliseconds(0);
     aSimulation.storeUnavailable = false;
     aSimulation.lostResponsePercent = 0;
     aSimulation.rejectedByStore.clear();
@@ -649,6 +664,7 @@
       upstream.unresponsive = false;
       upstream.grantDelay = milliseconds(0);
       upstream.mayOwn = true;
+      upstream.cold = false;
     }
   }
 };
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -79,6 +79,10 @@
   // From a lease command to its sending.
   milliseconds connectTime{ 0 };
 
+  // The way of a lease command to its upstream; kLinkDelay if empty. Beyond
+  // kCommandTimeout there is no response.
+  std::function<milliseconds(const LeaseCommand&)> commandDelay;
+
   // --- faults
 
   bool storeUnavailable = false;
@@ -90,6 +94,8 @@
   // Hosts that exchange no digests with peers, but reach upstreams and the
   // store.
   std::set<std::string> cutFromPeers;
+  // Pairs of hosts, the lower name first, that exchange no digests.
+  std::set<std::pair<std::string, std::string>> cutLinks;
 
   // Starts an upstream, or a new incarnation of it. The name is passed by
   // value, as it may belong to the entry that is overwritten.
@@ -121,12 +127,23 @@
     this->upstreams.at(aName).listed = {};
   }
 
-  void StartHost(const std::string& aName)
+  // Begins with an assignment that parts of an earlier layout made. Must be
+  // called before a host claims.
+  void SetEarlierAssignment(const Assignment& aAssignment)
+  {
+    this->stored.assigner = { { "gone" }, 1 };
+    this->stored.assignmentText = SerializeAssignment(aAssignment);
+  }
+
+  // A host that is not listed is unknown to others until they hear from it.
+  void StartHost(const std::string& aName, bool aListed = true)
   {
     auto host = std::make_shared<Host>();
     host->name = aName;
     host->incarnation = ++this->lastIncarnation;
-    this->listedHosts.insert({ aName });
+    if (aListed) {
+      this->ListHost(aName);
+    }
     this->hosts[aName] = host;
     host->assigner = std::make_unique<Assigner>(
       Assigner::Options{ "stoc", {}, host->Ref(), milliseconds(10'000) },
@@ -134,6 +151,18 @@
     this->Tick(host);
   }
 
+  void ListHost(const std::string& aName)
+  {
+    this->listedHosts.insert({ aName });
+  }
+
+  // Begins a planned stop. The host runs on until it is killed.
+  void Leave(const std::string& aName)
+  {
+    this->hosts.at(aName)->leaving = true;
+    this->hosts.at(aName)->assigner->Leave();
+  }
+
   void KillHost(const std::string& aName)
   {
     this->hosts.at(aName)->alive = false;
@@ -248,6 +277,7 @@
     state::Incarnation incarnation = 0;
     bool alive = true;
     bool paused = false;
+    bool leaving = false;
     std::vector<std::function<void()>> deferred;
     std::unique_ptr<Assigner> assigner;
     std::map<std::string, PeerStatus> peers;
@@ -301,15 +331,15 @@
 
   void SendDigest(const HostPtr& aHost)
   {
-    const PeerStatus digest{
-      aHost->Ref(), {}, {}, false, aHost->mapVersion, {}
-    };
+    const PeerStatus digest{ aHost->Ref(),      {}, {}, aHost->leaving,
+                             aHost->mapVersion, {} };
     const std::int64_t number = aHost->digestSendTimes.RecordSend(this->now);
     const std::int64_t lastDigestNumber =
       aHost->lastDigestNumbers[aHost->mapVersion.assigner.host.value];
     for (const auto& [name, peer] : this->hosts) {
       if (peer == aHost || this->cutFromPeers.contains(name) ||
-          this->cutFromPeers.contains(aHost->name)) {
+          this->cutFromPeers.contains(aHost->name) ||
+          this->cutLinks.contains(std::minmax(name, aHost->name))) {
         continue;
       }
       this->RunOnHost(
@@ -459,7 +489,7 @@
       this->upstreams.at(upstream).holder.startedMs;
     Connection& connection = aHost->connections[upstream];
     if (connection.startedMs == startedMs && this->connectTime.count() == 0) {
-      this->SendOver(connection, aHost, aCommand, std::move(aDone));
+      this->SendOver(connection, aHost, aCommand, aDone);
       return;
     }
     aHost->connectingTo.insert(aCommand.upstream.value);
@@ -478,49 +508,77 @@
   }
 
   void SendOver(const Connection& aConnection, const HostPtr& aHost,
-                const LeaseCommand& aCommand, Assigner::CommandDone aDone)
+                const LeaseCommand& aCommand,
+                const Assigner::CommandDone& aDone)
   {
     if (!aCommand.isStillValid(aConnection.connectedAt)) {
-      this->RunOnHost(aHost, milliseconds(0), [done = std::move(aDone)] {
-        done({ LeaseCommandResult::kWithdrawn, {} });
+      this->RunOnHost(aHost, milliseconds(0), [aDone] {
+        aDone({ LeaseCommandResult::kWithdrawn, {} });
       });
       return;
     }
-    this->Schedule(kLinkDelay, [this, aHost, command = aCommand,
-                                done = std::move(aDone),
-                                startedMs = aConnection.startedMs] {
-      FakeUpstream& upstream = this->upstreams.at(command.upstream.value);
-      const auto timeOut = [this, aHost, done] {
-        this->RunOnHost(aHost, kCommandTimeout, [done] {
-          done({ LeaseCommandResult::kNoAnswer, {} });
-        });
-      };
-      if (!upstream.alive || upstream.unresponsive ||
-          upstream.holder.startedMs != startedMs) {
-        timeOut();
+    const std::int64_t startedMs = aConnection.startedMs;
+    const milliseconds delay =
+      this->commandDelay ? this->commandDelay(aCommand) : kLinkDelay;
+    this->Schedule(delay, [this, aHost, command = aCommand, delay, startedMs,
+                           aDone] {
+      if (delay >= kCommandTimeout) {
+        this->Execute(command, startedMs);
         return;
       }
-      const TimePoint arrived = this->now;
-      if (upstream.grantDelay.count() > 0 &&
-          command.kind == LeaseCommandKind::kGrant) {
-        this->Schedule(
-          upstream.grantDelay,
-          [this, command, arrived, startedMs = upstream.holder.startedMs] {
-            FakeUpstream& target = this->upstreams.at(command.upstream.value);
-            if (target.alive && target.holder.startedMs == startedMs) {
-              target.Apply(command, arrived);
-            }
-          });
-        timeOut();
+      const auto reply = this->Execute(command, startedMs);
+      const FakeUpstream& upstream = this->upstreams.at(command.upstream.value);
+      const auto workTime = std::chrono::ceil<milliseconds>(
+        upstream.WorkEndsAt(command, this->now) - this->now);
+      const bool waits = command.kind == LeaseCommandKind::kRelease;
+      if (!reply || (waits && delay + workTime >= kCommandTimeout)) {
+        this->TimeOut(aHost, kCommandTimeout, aDone);
         return;
       }
-      const LeaseCommandResult result = upstream.Apply(command, arrived);
-      this->RunOnHost(aHost, kLinkDelay, [done, result] {
-        done({ result, result == LeaseCommandResult::kDone ? "work" : "" });
-      });
+      this->RunOnHost(aHost, kLinkDelay + (waits ? workTime : milliseconds(0)),
+                      [aDone, reply = *reply] { aDone(reply); });
+    });
+    if (delay >= kCommandTimeout) {
+      this->TimeOut(aHost, kCommandTimeout, aDone);
+    }
+  }
+
+  void TimeOut(const HostPtr& aHost, milliseconds aTime,
+               const Assigner::CommandDone& aDone)
+  {
+    this->RunOnHost(aHost, aTime, [aDone] {
+      aDone({ LeaseCommandResult::kNoAnswer, {} });
     });
   }
 
+  // Returns nothing if the upstream does not respond, or the incarnation to
+  // which the command was sent has ended.
+  std::optional<LeaseCommandReply> Execute(const LeaseCommand& aCommand,
+                                           std::int64_t aStartedMs)
+  {
+    FakeUpstream& upstream = this->upstreams.at(aCommand.upstream.value);
+    if (!upstream.alive || upstream.unresponsive ||
+        upstream.holder.startedMs != aStartedMs) {
+      return std::nullopt;
+    }
+    const TimePoint arrived = this->now;
+    if (upstream.grantDelay.count() > 0 &&
+        aCommand.kind == LeaseCommandKind::kGrant) {
+      this->Schedule(
+        upstream.grantDelay, [this, command = aCommand, arrived, aStartedMs] {
+          FakeUpstream& target = this->upstreams.at(command.upstream.value);
+          if (target.alive && target.holder.startedMs == aStartedMs) {
+            target.Apply(command, arrived);
+          }
+        });
+      return std::nullopt;
+    }
+    const LeaseCommandResult result = upstream.Apply(aCommand, arrived);
+    return LeaseCommandReply{ result, result == LeaseCommandResult::kDone
+                                        ? "work"
+                                        : "" };
+  }
+
   std::int64_t Millis() const
   {
     return std::chrono::duration_cast<milliseconds>(
