Responses of other requests are read over up to a bound

Callers of an upstream (or a store) whose connection carried a response of another request with a body that does not end got no response at all, not even at their timeout. The loop that reads such a body over had no bound in bytes, and the stream's timeout did not end it. By Beast's code (not shown by a run of its own) a read that completes at once cancels the stream's timer before it is handled.

The body of another's response is read over up to 64 KiB in all and until the call's own deadline, which is now compared with the clock before each read; then the call ends as crossed and its connection is closed. A length beyond the bound ends it before the body is read. ReadPiece moves to a file of its own.

--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -4,6 +4,7 @@
 
 #include "framework/clock.h"
 #include "transport/httpstatus.h"
+#include "transport/internal/bodyreader.h"
 #include "transport/internal/connection.h"
 #include "transport/internal/dialer.h"
 
@@ -35,8 +36,6 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-using ResponseParser = http::response_parser<http::buffer_body>;
-
 using RequestMessage = http::request<http::span_body<const char>>;
 
 // The body stays in the request, which must outlive the message.
@@ -218,10 +217,10 @@
         [](std::shared_ptr<Pieces> aSelf,
            std::function<void(Result<std::string>)> aThen)
           -> asio::awaitable<void> {
-          aSelf->connection->stream.expires_after(
-            aSelf->state->options.pieceTimeout);
+          const TimePoint until = std::chrono::steady_clock::now() +
+                                  aSelf->state->options.pieceTimeout;
           aThen(co_await ReadPiece(*aSelf->connection, *aSelf->parser,
-                                   aSelf->state->options.pieceBytes));
+                                   aSelf->state->options.pieceBytes, until));
         }(this->shared_from_this(), std::move(aTake)),
         asio::detached);
     }
@@ -288,7 +287,7 @@
                                   : TransportError::kBroken);
     }
     Result<HttpResponse> response = co_await this->ReadAnswer(
-      aAddress, connection, echo, sent == SendResult::kSent);
+      aAddress, connection, echo, sent == SendResult::kSent, aDeadline);
     this->ReportSilence(aAddress, *connection);
     co_return response;
   }
@@ -340,11 +339,14 @@
   asio::awaitable<Result<HttpResponse>> ReadAnswer(std::string aAddress,
                                                    ConnectionPtr aConnection,
                                                    std::string aEcho,
-                                                   bool aReusable)
+                                                   bool aReusable,
+                                                   TimePoint aDeadline)
   {
     // An answer to a request that was given up on may come late, in the place
     // of the one that is due; behind it the right one may still follow.
     constexpr int kMostForeign = 3;
+    // Of their bodies; they are not wanted and may have no end.
+    std::size_t foreignBytes = 64U << 10U;
     for (int foreign = 0; foreign < kMostForeign; ++foreign) {
       auto parser = std::make_shared<ResponseParser>();
       Result<HttpResponse> head = co_await this->ReadHead(aConnection, *parser);
@@ -354,14 +356,11 @@
       if (this->IsOwn(*head, aEcho)) {
         co_return co_await this->ReadBody(aAddress, aConnection, parser,
                                           std::move(*head),
-                                          aReusable && foreign == 0);
+                                          aReusable && foreign == 0, aDeadline);
       }
-      while (!parser->is_done()) {
-        const auto piece =
-          co_await ReadPiece(*aConnection, *parser, this->options.pieceBytes);
-        if (!piece) {
-          co_return make_error_code(TransportError::kCrossed);
-        }
+      if (!co_await DiscardBody(*aConnection, *parser, foreignBytes,
+                                aDeadline)) {
+        break;
       }
     }
     co_return make_error_code(TransportError::kCrossed);
@@ -407,7 +406,8 @@
 
   asio::awaitable<Result<HttpResponse>> ReadBody(
     std::string aAddress, ConnectionPtr aConnection,
-    std::shared_ptr<ResponseParser> aParser, HttpResponse aHead, bool aReusable)
+    std::shared_ptr<ResponseParser> aParser, HttpResponse aHead, bool aReusable,
+    TimePoint aDeadline)
   {
     const std::shared_ptr<ResponseParser> parser = std::move(aParser);
     HttpResponse response = std::move(aHead);
@@ -418,11 +418,12 @@
       response.held = this->options.bytes->Open(BytePurpose::kResponse);
     }
     while (!parser->is_done() && this->MayHoldMore(response)) {
-      if (this->options.bodyProgress.count() > 0) {
-        aConnection->stream.expires_after(this->options.bodyProgress);
-      }
-      Result<std::string> piece =
-        co_await ReadPiece(*aConnection, *parser, this->options.pieceBytes);
+      const TimePoint until =
+        this->options.bodyProgress.count() > 0
+          ? std::chrono::steady_clock::now() + this->options.bodyProgress
+          : aDeadline;
+      Result<std::string> piece = co_await ReadPiece(
+        *aConnection, *parser, this->options.pieceBytes, until);
       if (!piece) {
         co_return piece.error();
       }
@@ -455,28 +456,6 @@
            (!aResponse.held || aResponse.held->GrowTo(most));
   }
 
-  // An empty piece: the body is whole.
-  static asio::awaitable<Result<std::string>> ReadPiece(Connection& aConnection,
-                                                        ResponseParser& aParser,
-                                                        std::size_t aMost)
-  {
-    std::string piece;
-    while (piece.empty() && !aParser.is_done()) {
-      piece.resize(aMost);
-      aParser.get().body().data = piece.data();
-      aParser.get().body().size = piece.size();
-      const auto [error, bytes] = co_await http::async_read(
-        aConnection.stream, aConnection.buffer, aParser, kAwait);
-      piece.resize(piece.size() - aParser.get().body().size);
-      if (error && error != http::error::need_buffer) {
-        co_return make_error_code(IsTimeout(error)
-                                    ? TransportError::kTimeout
-                                    : TransportError::kTruncated);
-      }
-    }
-    co_return piece;
-  }
-
   ConnectionPtr TakeIdle(const std::string& aAddress)
   {
     std::vector<ConnectionPtr>& idle = this->idleByAddress[aAddress];
