Chunk extensions and trailers of a response are bounded

A chunk extension, a trailer or many small chunks with long extensions that did not end kept a call past its timeout. By Beast's code (memory was not measured) everything before the end of an extension was held in memory: the buffer of a connection had no largest size, and a read of Beast's that parses eagerly goes on by itself until its data happens to end at a boundary.

The buffer of a connection holds 128 KiB, and a piece of a body may come with 1 MiB of framing, beyond which the response is malformed. Reads return after each step of the parser, so that both bounds and the deadline are checked and the loop serves others in between.

--- a/src/transport/internal/bodyreader.cpp
+++ b/src/transport/internal/bodyreader.cpp
@@ -16,13 +16,17 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+// Chunk headers and trailers that may come with one piece.
+constexpr std::size_t kMaxFramingBytes = 1U << 20U;
 
 std::error_code ErrorOf(const beast::error_code& aError)
 {
   if (aError == beast::error::timeout) {
     return make_error_code(TransportError::kTimeout);
   }
-  return make_error_code(TransportError::kTruncated);
+  return make_error_code(aError == http::error::buffer_overflow
+                           ? TransportError::kMalformed
+                           : TransportError::kTruncated);
 }
 
 } // namespace
@@ -40,8 +44,10 @@
   auto& body = aParser.get().body();
   body.data = piece.data();
   body.size = piece.size();
-  aParser.eager(true);
+  // An eager read goes on until it ends at the boundary of a chunk.
+  aParser.eager(false);
   aConnection.stream.expires_at(aUntil);
+  std::size_t read = 0;
   while (body.size > 0 && !aParser.is_done()) {
     // The stream's own timeout does not end reads that never have to wait.
     if (std::chrono::steady_clock::now() >= aUntil) {
@@ -49,9 +55,13 @@
     }
     const auto [error, bytes] = co_await http::async_read_some(
       aConnection.stream, aConnection.buffer, aParser, kAwait);
+    read += bytes;
     if (error && error != http::error::need_buffer) {
       co_return ErrorOf(error);
     }
+    if (read > aMost + kMaxFramingBytes) {
+      co_return make_error_code(TransportError::kMalformed);
+    }
   }
   piece.resize(piece.size() - body.size);
   co_return piece;
--- a/src/transport/internal/bodyreader.h
+++ b/src/transport/internal/bodyreader.h
@@ -18,7 +18,8 @@
   boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
 // Returns the next aMost bytes, or fewer at the body's end; none: the body is
-// whole. kTimeout if they have not come by aUntil.
+// whole. kTimeout if they have not come by aUntil, kMalformed if they come with
+// too many bytes that are not the body's.
 boost::asio::awaitable<Result<std::string>> ReadPiece(Connection& aConnection,
                                                       ResponseParser& aParser,
                                                       std::size_t aMost,
--- a/src/transport/internal/connection.h
+++ b/src/transport/internal/connection.h
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -16,13 +17,17 @@
 
 struct Connection
 {
+  static constexpr std::size_t kMaxBufferBytes = 128U << 10U;
+
   explicit Connection(boost::asio::io_context& aContext)
     : stream(aContext)
   {
   }
 
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  // What was read and not parsed yet. It holds a head, a chunk's header or the
+  // trailers as a whole.
+  boost::beast::flat_buffer buffer{ kMaxBufferBytes };
   // The peer that relays the connection; empty for a direct one.
   std::string relay;
   // The server closes it when it was idle until then.
