A connection with bytes past a response is closed at once

A server that went on sending after the length of its response kept its connection open until the next call to its address, as the connection was put aside for that call and only then found unusable. It is closed as the call ends. Bytes that come later are still found by the next call only.

Evidence: the new case of the test on the code before: "the connection stays open"; with the change the suite passes.

--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -431,7 +431,9 @@
       response.body += *piece;
     }
     if (parser->is_done()) {
-      if (parser->get().keep_alive() && !parser->need_eof() && aReusable) {
+      // Bytes past the body belong to no request.
+      if (parser->get().keep_alive() && !parser->need_eof() && aReusable &&
+          aConnection->buffer.size() == 0) {
         aConnection->usableUntil =
           UsableUntil(response, this->options.longestRest);
         this->PutIdle(aAddress, std::move(aConnection));
--- a/src/transport/tests/endlessbytes_test.cpp
+++ b/src/transport/tests/endlessbytes_test.cpp
@@ -62,6 +62,7 @@
       { kOwnHead + kChunked, "1;a=" + std::string(8000, 'x') + "\r\nx\r\n" },
       kMalformed },
     { "trailers", { kOwnHead + kChunked + "0\r\n", "A: b\r\n" }, kMalformed },
+    { "past the length", { kOwnHead + "Content-Length: 2\r\n\r\nokx", "x" } },
     { "another's body with a length", { kForeignHead + kLong, "x" }, kCrossed },
     { "another's body in chunks",
       { kForeignHead + kChunked, kChunk },
