A body that is held whole has a limit for its whole time

The store's responses are read with a time for each piece, so that a large one on a slow link is not cut. A response that goes on piece by piece, each in time, was read for as long as it came, up to 64 MiB: the call stayed open, and its table counted as heard from. Such a body has now 60 s from its head on.

--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -46,6 +46,9 @@
     // Where set, a call's timeout covers the answer's head, and each piece of a
     // whole body has this time: on a slow link a large one takes long.
     std::chrono::milliseconds bodyProgress{ 0 };
+    // The longest time for such a body as a whole, from its head on: progress
+    // alone does not show that it will end.
+    std::chrono::milliseconds bodyTimeout{ 60'000 };
     // Runs with each head and each piece of a whole body; may be empty.
     std::function<void()> onProgress;
     // Sent bytes that stay unacknowledged for so long end the connection: a
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -417,11 +417,15 @@
     if (this->options.bytes) {
       response.held = this->options.bytes->Open(BytePurpose::kResponse);
     }
+    const bool isByProgress = this->options.bodyProgress.count() > 0;
+    const TimePoint end = isByProgress ? std::chrono::steady_clock::now() +
+                                           this->options.bodyTimeout
+                                       : aDeadline;
     while (!parser->is_done() && this->MayHoldMore(response)) {
       const TimePoint until =
-        this->options.bodyProgress.count() > 0
-          ? std::chrono::steady_clock::now() + this->options.bodyProgress
-          : aDeadline;
+        isByProgress ? std::min(end, std::chrono::steady_clock::now() +
+                                       this->options.bodyProgress)
+                     : end;
       Result<std::string> piece = co_await ReadPiece(
         *aConnection, *parser, this->options.pieceBytes, until);
       if (!piece) {
--- a/src/transport/tests/endlessbytes_test.cpp
+++ b/src/transport/tests/endlessbytes_test.cpp
@@ -91,6 +91,7 @@
 {
   CPPUNIT_TEST_SUITE(EndlessBytesTest);
   CPPUNIT_TEST(testResponsesWithoutEndAreEnded);
+  CPPUNIT_TEST(testWholeBodyThatTricklesIsEnded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +134,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
   }
 
+  // Guards against progress that is taken for life, where each piece starts the
+  // time anew.
+  void testWholeBodyThatTricklesIsEnded()
+  {
+    HttpClient::Options options;
+    options.bodyProgress = milliseconds(200);
+    options.bodyTimeout = kTimeout;
+    options.pieceBytes = 1;
+    this->client.emplace(this->thread->Context(), options);
+    tests::EndlessServer server(kEndlessAddress,
+                                { kOwnHead + kLong, "x", milliseconds(20) });
+    auto response = this->Send(kEndlessAddress, {});
+    CPPUNIT_ASSERT(std::future_status::ready ==
+                   response.wait_for(kTimeout + kSlack));
+    CPPUNIT_ASSERT(response.get().error() == TransportError::kTimeout);
+    CPPUNIT_ASSERT(
+      IsTrueWithin(kSlack, [&server] { return server.Open() == 0; }));
+  }
+
 private:
   using Outcome = Result<HttpResponse>;
 
