A slow caller is closed also where the server answers no refusal

The servers for readiness and metrics set no refusal. At them a caller whose request did not come to its end in the read timeout was to be refused, nothing was sent, and the time was not checked again: the connection stayed for as long as the caller kept it, and enough of them take all connections. It is closed now.

Evidence: the new test (a request line without end, a byte each 20 ms, a read timeout of 300 ms) on the code before: not closed after 4 s. With the change it is. The other cases of callers that send without end passed before as well; they pin the bounds that are there.

--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -353,7 +353,8 @@
     return;
   }
   this->due = TimePoint::max();
-  if (this->midRequest && this->exchanges.empty() && !this->ending) {
+  if (this->midRequest && this->exchanges.empty() && !this->ending &&
+      this->state->options.refuse) {
     this->Refuse(ServerRefusal::kTooSlow);
   } else {
     this->Close();
