A streamed response is cut when its caller waits no longer

A body that a gateway streams to its caller had a limit for each piece only, and went on for as long as bytes came and somebody took them. The route's timeout does not cut it, so that a slow download has all the time for which its caller waits. The caller sees a cut body: neither its length nor its last chunk is reached.

Evidence: on the code before, for bodies with a length, in chunks and until the close "the body goes on" and "the connection stays open" at 900 ms with a limit of 500 ms, and so for a body of a byte each 20 ms. With the change both tests pass.

--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -91,6 +91,8 @@
   std::optional<Key> key;
   // What is left of the caller's and the route's timeout.
   std::chrono::milliseconds timeout{ 0 };
+  // What is left of the caller's alone: it covers the response's whole body.
+  std::chrono::milliseconds callerTimeout{ 0 };
   // Empty if the caller belongs to none.
   admission::TeamName team;
 };
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -295,6 +295,9 @@
   upstreamRequest.team = aRequest->caller.team;
   upstreamRequest.timeout =
     std::max(milliseconds(1), ToMs(aRequest->waiting.deadline - now));
+  upstreamRequest.callerTimeout =
+    std::max(milliseconds(1),
+             ToMs(aRequest->waiting.arrived + aRequest->caller.timeout - now));
   this->upstreams.OnSent(aUpstream.entry.id, now);
   aRequest->isSuspectOnTrial =
     !this->suspects.IsEmpty() && this->suspects.OnSent(ContentOf(*aRequest));
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -105,6 +105,7 @@
   CPPUNIT_TEST(testRequestThatWaitsForAConnectionIsNotSentIntoARest);
   CPPUNIT_TEST(testSignalsOfAnEarlierIncarnationAreIgnored);
   CPPUNIT_TEST(testFullCellUsesOtherCells);
+  CPPUNIT_TEST(testBodyHasTheTimeOfItsCaller);
   CPPUNIT_TEST(testLargeResponseFromOtherCellIsLocal);
   CPPUNIT_TEST_SUITE_END();
 
@@ -856,6 +857,14 @@
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 3 }, countInOtherCells());
   }
 
+  // Guards against downloads that are cut at their route's timeout, or never.
+  void testBodyHasTheTimeOfItsCaller()
+  {
+    this->StartRequest("/look/1", milliseconds(60'000));
+    CPPUNIT_ASSERT(this->attempts.back().timeout < milliseconds(60'000));
+    CPPUNIT_ASSERT(this->attempts.back().callerTimeout == milliseconds(60'000));
+  }
+
   // Downloads fill this cell's only upstream; idle ones of other cells are in
   // another data centre. A download waits for a local slot, and goes to the
   // other data centre only if it would be late otherwise; a lookup goes at
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -5,6 +5,7 @@
 #include "framework/result.h"
 #include "transport/byteaccount.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -55,6 +56,9 @@
   // Asked by a client right before the first byte, as connecting takes time;
   // where it says no, nothing is sent. Empty: always yes.
   std::function<bool()> isStillValid;
+  // From its sending on, how long a client reads a response that comes through
+  // HttpResponse::rest; 0: the client's own limit.
+  std::chrono::milliseconds bodyTimeout{ 0 };
 
   // Empty where there is none; names are compared without case.
   std::string_view Header(std::string_view aName) const;
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -43,6 +43,8 @@
     std::chrono::milliseconds longestRest{ 0 };
     // Without progress on a streamed body.
     std::chrono::milliseconds pieceTimeout{ 10'000 };
+    // For a streamed body as a whole, where its request sets no bodyTimeout.
+    std::chrono::milliseconds streamTimeout{ 600'000 };
     // Where set, a call's timeout covers the answer's head, and each piece of a
     // whole body has this time: on a slow link a large one takes long.
     std::chrono::milliseconds bodyProgress{ 0 };
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -192,11 +192,13 @@
   {
   public:
     Pieces(std::shared_ptr<State> aState, std::string aAddress,
-           ConnectionPtr aConnection, std::shared_ptr<ResponseParser> aParser)
+           ConnectionPtr aConnection, std::shared_ptr<ResponseParser> aParser,
+           TimePoint aUntil)
       : state(std::move(aState))
       , address(std::move(aAddress))
       , connection(std::move(aConnection))
       , parser(std::move(aParser))
+      , until(aUntil)
     {
     }
 
@@ -217,10 +219,12 @@
         [](std::shared_ptr<Pieces> aSelf,
            std::function<void(Result<std::string>)> aThen)
           -> asio::awaitable<void> {
-          const TimePoint until = std::chrono::steady_clock::now() +
-                                  aSelf->state->options.pieceTimeout;
+          const TimePoint pieceUntil =
+            std::min(aSelf->until, std::chrono::steady_clock::now() +
+                                     aSelf->state->options.pieceTimeout);
           aThen(co_await ReadPiece(*aSelf->connection, *aSelf->parser,
-                                   aSelf->state->options.pieceBytes, until));
+                                   aSelf->state->options.pieceBytes,
+                                   pieceUntil));
         }(this->shared_from_this(), std::move(aTake)),
         asio::detached);
     }
@@ -230,6 +234,17 @@
     std::string address;
     ConnectionPtr connection;
     std::shared_ptr<ResponseParser> parser;
+    // The body is cut then, however steadily it comes.
+    const TimePoint until;
+  };
+
+  // Until when a call reads.
+  struct ReadLimits
+  {
+    // The head, and a body that is held whole.
+    TimePoint whole;
+    // A body that is streamed.
+    TimePoint streamed;
   };
 
   asio::awaitable<void> Run([[maybe_unused]] std::shared_ptr<State> aSelf,
@@ -277,6 +292,11 @@
     found->second = connection;
     connection->stream.expires_at(aDeadline);
     connection->sentAt = std::chrono::steady_clock::now();
+    const ReadLimits limits{ .whole = aDeadline,
+                             .streamed = connection->sentAt +
+                                         (aRequest.bodyTimeout.count() > 0
+                                            ? aRequest.bodyTimeout
+                                            : this->options.streamTimeout) };
     const std::string echo(aRequest.Header(this->options.echoHeader));
     const SendResult sent = co_await SendRequest(
       *connection, MakeMessage(aAddress, aRequest), aRequest.Body().size());
@@ -287,7 +307,7 @@
                                   : TransportError::kBroken);
     }
     Result<HttpResponse> response = co_await this->ReadAnswer(
-      aAddress, connection, echo, sent == SendResult::kSent, aDeadline);
+      aAddress, connection, echo, sent == SendResult::kSent, limits);
     this->ReportSilence(aAddress, *connection);
     co_return response;
   }
@@ -340,7 +360,7 @@
                                                    ConnectionPtr aConnection,
                                                    std::string aEcho,
                                                    bool aReusable,
-                                                   TimePoint aDeadline)
+                                                   ReadLimits aLimits)
   {
     // An answer to a request that was given up on may come late, in the place
     // of the one that is due; behind it the right one may still follow.
@@ -356,10 +376,10 @@
       if (this->IsOwn(*head, aEcho)) {
         co_return co_await this->ReadBody(aAddress, aConnection, parser,
                                           std::move(*head),
-                                          aReusable && foreign == 0, aDeadline);
+                                          aReusable && foreign == 0, aLimits);
       }
       if (!co_await DiscardBody(*aConnection, *parser, foreignBytes,
-                                aDeadline)) {
+                                aLimits.whole)) {
         break;
       }
     }
@@ -407,7 +427,7 @@
   asio::awaitable<Result<HttpResponse>> ReadBody(
     std::string aAddress, ConnectionPtr aConnection,
     std::shared_ptr<ResponseParser> aParser, HttpResponse aHead, bool aReusable,
-    TimePoint aDeadline)
+    ReadLimits aLimits)
   {
     const std::shared_ptr<ResponseParser> parser = std::move(aParser);
     HttpResponse response = std::move(aHead);
@@ -420,7 +440,7 @@
     const bool isByProgress = this->options.bodyProgress.count() > 0;
     const TimePoint end = isByProgress ? std::chrono::steady_clock::now() +
                                            this->options.bodyTimeout
-                                       : aDeadline;
+                                       : aLimits.whole;
     while (!parser->is_done() && this->MayHoldMore(response)) {
       const TimePoint until =
         isByProgress ? std::min(end, std::chrono::steady_clock::now() +
@@ -444,9 +464,9 @@
       }
       co_return response;
     }
-    auto pieces =
-      std::make_shared<Pieces>(this->shared_from_this(), std::move(aAddress),
-                               std::move(aConnection), parser);
+    auto pieces = std::make_shared<Pieces>(
+      this->shared_from_this(), std::move(aAddress), std::move(aConnection),
+      parser, aLimits.streamed);
     response.rest = [pieces](std::function<void(Result<std::string>)> aTake) {
       pieces->Read(std::move(aTake));
     };
--- a/src/transport/tests/endlessbytes_test.cpp
+++ b/src/transport/tests/endlessbytes_test.cpp
@@ -32,10 +32,19 @@
 // More than the buffers of a connection hold.
 constexpr std::size_t kMaxSent = 24U << 20U;
 
+enum class Ending
+{
+  // Before the timeout, after a bounded number of bytes.
+  kByBytes,
+  // At the timeout.
+  kByTime,
+};
+
 struct Case
 {
   std::string name;
   tests::EndlessServer::Response response;
+  Ending ending = Ending::kByBytes;
   // kNone: the head and the beginning of the body come.
   TransportError error = TransportError::kNone;
 };
@@ -50,25 +59,46 @@
 {
   using enum TransportError;
   return {
-    { "status line", { "HTTP/1.1 200 ", "x" }, kBroken },
-    { "header line", { "HTTP/1.1 200 OK\r\nA: ", "x" }, kBroken },
-    { "headers", { kOwnHead, "A: b\r\n" }, kBroken },
+    { "status line", { "HTTP/1.1 200 ", "x" }, Ending::kByBytes, kBroken },
+    { "header line",
+      { "HTTP/1.1 200 OK\r\nA: ", "x" },
+      Ending::kByBytes,
+      kBroken },
+    { "headers", { kOwnHead, "A: b\r\n" }, Ending::kByBytes, kBroken },
     { "interim responses",
       { "", "HTTP/1.1 102 Processing\r\n\r\n" },
+      Ending::kByBytes,
       kCrossed },
-    { "before the request", { "", "x", {}, true }, kBroken },
-    { "chunk extension", { kOwnHead + kChunked + "5;a=", "x" }, kMalformed },
+    { "before the request", { "", "x", {}, true }, Ending::kByBytes, kBroken },
+    { "chunk extension",
+      { kOwnHead + kChunked + "5;a=", "x" },
+      Ending::kByBytes,
+      kMalformed },
     { "extensions of small chunks",
       { kOwnHead + kChunked, "1;a=" + std::string(8000, 'x') + "\r\nx\r\n" },
+      Ending::kByBytes,
       kMalformed },
-    { "trailers", { kOwnHead + kChunked + "0\r\n", "A: b\r\n" }, kMalformed },
-    { "past the length", { kOwnHead + "Content-Length: 2\r\n\r\nokx", "x" } },
-    { "another's body with a length", { kForeignHead + kLong, "x" }, kCrossed },
+    { "trailers",
+      { kOwnHead + kChunked + "0\r\n", "A: b\r\n" },
+      Ending::kByBytes,
+      kMalformed },
+    { "past the length",
+      { kOwnHead + "Content-Length: 2\r\n\r\nokx", "x" },
+      Ending::kByBytes },
+    { "body with a length", { kOwnHead + kLong, "x" }, Ending::kByTime },
+    { "body in chunks", { kOwnHead + kChunked, kChunk }, Ending::kByTime },
+    { "body until the close", { kOwnHead + "\r\n", "x" }, Ending::kByTime },
+    { "another's body with a length",
+      { kForeignHead + kLong, "x" },
+      Ending::kByBytes,
+      kCrossed },
     { "another's body in chunks",
       { kForeignHead + kChunked, kChunk },
+      Ending::kByBytes,
       kCrossed },
     { "another's body until the close",
       { kForeignHead + "\r\n", "x" },
+      Ending::kByBytes,
       kCrossed },
   };
 }
@@ -92,6 +122,7 @@
   CPPUNIT_TEST_SUITE(EndlessBytesTest);
   CPPUNIT_TEST(testResponsesWithoutEndAreEnded);
   CPPUNIT_TEST(testWholeBodyThatTricklesIsEnded);
+  CPPUNIT_TEST(testStreamedBodyThatTricklesIsEnded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -153,6 +184,27 @@
       IsTrueWithin(kSlack, [&server] { return server.Open() == 0; }));
   }
 
+  void testStreamedBodyThatTricklesIsEnded()
+  {
+    HttpClient::Options options;
+    options.wholeBodyBytes = 1;
+    options.pieceBytes = 1;
+    this->client.emplace(this->thread->Context(), options);
+    tests::EndlessServer server(kEndlessAddress,
+                                { kOwnHead + kLong, "x", milliseconds(20) });
+    auto sent = this->Send(kEndlessAddress, { .bodyTimeout = kTimeout });
+    CPPUNIT_ASSERT(std::future_status::ready == sent.wait_for(kTimeout));
+    auto response = sent.get();
+    CPPUNIT_ASSERT(response.has_value() && response->rest);
+    auto end = this->ReadAll(response->rest);
+    CPPUNIT_ASSERT(std::future_status::ready ==
+                   end.wait_for(kTimeout + kSlack));
+    CPPUNIT_ASSERT(end.get() == TransportError::kTimeout);
+    response->rest = nullptr;
+    CPPUNIT_ASSERT(
+      IsTrueWithin(kSlack, [&server] { return server.Open() == 0; }));
+  }
+
 private:
   using Outcome = Result<HttpResponse>;
 
@@ -168,6 +220,28 @@
     return promise->get_future();
   }
 
+  // Takes all pieces; the result is why they ended.
+  std::future<std::error_code> ReadAll(const BodyReader& aReader)
+  {
+    const auto promise = std::make_shared<std::promise<std::error_code>>();
+    this->thread->Post([this, promise, aReader] { Take(promise, aReader); });
+    return promise->get_future();
+  }
+
+  static void Take(const std::shared_ptr<std::promise<std::error_code>>& aEnd,
+                   const BodyReader& aReader)
+  {
+    aReader([aEnd, aReader](const Result<std::string>& aPiece) {
+      if (!aPiece) {
+        aEnd->set_value(aPiece.error());
+      } else if (aPiece->empty()) {
+        aEnd->set_value({});
+      } else {
+        Take(aEnd, aReader);
+      }
+    });
+  }
+
   // Calls a sound server until the other call has ended. Returns the longest
   // time that a response took.
   template<typename T>
@@ -199,7 +273,7 @@
     this->client.emplace(this->thread->Context(), options);
     tests::EndlessServer server(kEndlessAddress, aCase.response);
     const auto start = std::chrono::steady_clock::now();
-    auto sent = this->Send(kEndlessAddress, {});
+    auto sent = this->Send(kEndlessAddress, { .bodyTimeout = kTimeout });
     std::string failure;
     milliseconds longest = this->CallWhileWaiting(sent);
     if (sent.wait_for(milliseconds(0)) != std::future_status::ready) {
@@ -212,6 +286,16 @@
     if (error != make_error_code(aCase.error)) {
       failure += " the caller gets " + error.message();
     }
+    if (response && response->rest) {
+      auto end = this->ReadAll(response->rest);
+      longest = std::max(longest, this->CallWhileWaiting(end));
+      if (end.wait_for(milliseconds(0)) != std::future_status::ready) {
+        failure += " the body goes on";
+      } else if (end.get() != TransportError::kTimeout) {
+        failure += " the body does not end by the timeout";
+      }
+      response->rest = nullptr;
+    }
     const auto took = std::chrono::duration_cast<milliseconds>(
       std::chrono::steady_clock::now() - start);
     if (took > kTimeout + kSlack) {
@@ -223,7 +307,7 @@
     if (!IsTrueWithin(kSlack, [&server] { return server.Open() == 0; })) {
       failure += " the connection stays open";
     }
-    if (server.Sent() > kMaxSent) {
+    if (aCase.ending == Ending::kByBytes && server.Sent() > kMaxSent) {
       failure += " takes " + std::to_string(server.Sent() >> 20U) + " MiB";
     }
     return failure;
