--- a/src/transport/tests/endlessbytes_test.cpp
+++ b/src/transport/tests/endlessbytes_test.cpp
@@ -224,7 +224,7 @@
   std::future<std::error_code> ReadAll(const BodyReader& aReader)
   {
     const auto promise = std::make_shared<std::promise<std::error_code>>();
-    this->thread->Post([this, promise, aReader] { Take(promise, aReader); });
+    this->thread->Post([promise, aReader] { Take(promise, aReader); });
     return promise->get_future();
   }
 
