--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -6,6 +6,7 @@
 #include "framework/result.h"
 #include "transport/byteaccount.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -61,6 +62,9 @@
   // to an earlier request cannot be taken for this one's. For requests whose
   // responses bear no id.
   bool needsOwnConnection = false;
+  // From its sending on, how long a client reads a response that comes through
+  // HttpResponse::rest; 0: the client's own limit.
+  std::chrono::milliseconds bodyTimeout{ 0 };
 
   // Empty where there is none; names are compared without case.
   std::string_view Header(std::string_view aName) const;
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -4,6 +4,7 @@
 
 #include "framework/clock.h"
 #include "transport/httpstatus.h"
+#include "transport/internal/bodyreader.h"
 #include "transport/internal/connection.h"
 #include "transport/internal/dialer.h"
 
@@ -35,8 +36,6 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-using ResponseParser = http::response_parser<http::buffer_body>;
-
 using RequestMessage = http::request<http::span_body<const char>>;
 
 // The body stays in the request, which must outlive the message.
@@ -193,11 +192,13 @@
   {
   public:
     Pieces(std::shared_ptr<State> aState, std::string aAddress,
-           ConnectionPtr aConnection, std::shared_ptr<ResponseParser> aParser)
+           ConnectionPtr aConnection, std::shared_ptr<ResponseParser> aParser,
+           TimePoint aUntil)
       : state(std::move(aState))
       , address(std::move(aAddress))
       , connection(std::move(aConnection))
       , parser(std::move(aParser))
+      , until(aUntil)
     {
     }
 
@@ -218,10 +219,12 @@
         [](std::shared_ptr<Pieces> aSelf,
            std::function<void(Result<std::string>)> aThen)
           -> asio::awaitable<void> {
-          aSelf->connection->stream.expires_after(
-            aSelf->state->options.pieceTimeout);
+          const TimePoint pieceUntil =
+            std::min(aSelf->until, std::chrono::steady_clock::now() +
+                                     aSelf->state->options.pieceTimeout);
           aThen(co_await ReadPiece(*aSelf->connection, *aSelf->parser,
-                                   aSelf->state->options.pieceBytes));
+                                   aSelf->state->options.pieceBytes,
+                                   pieceUntil));
         }(this->shared_from_this(), std::move(aTake)),
         asio::detached);
     }
@@ -231,6 +234,17 @@
     std::string address;
     ConnectionPtr connection;
     std::shared_ptr<ResponseParser> parser;
+    // The body is cut then, however steadily it comes.
+    const TimePoint until;
+  };
+
+  // Until when a call reads.
+  struct ReadLimits
+  {
+    // The head, and a body that is held whole.
+    TimePoint whole;
+    // A body that is streamed.
+    TimePoint streamed;
   };
 
   asio::awaitable<void> Run([[maybe_unused]] std::shared_ptr<State> aSelf,
@@ -280,6 +294,11 @@
     found->second = connection;
     connection->stream.expires_at(aDeadline);
     connection->sentAt = std::chrono::steady_clock::now();
+    const ReadLimits limits{ .whole = aDeadline,
+                             .streamed = connection->sentAt +
+                                         (aRequest.bodyTimeout.count() > 0
+                                            ? aRequest.bodyTimeout
+                                            : this->options.streamTimeout) };
     const std::string echo(aRequest.Header(this->options.echoHeader));
     const SendResult sent = co_await SendRequest(
       *connection, MakeMessage(aAddress, aRequest), aRequest.Body().size());
@@ -291,7 +310,7 @@
     }
     Result<HttpResponse> response = co_await this->ReadAnswer(
       aAddress, connection, echo,
-      sent == SendResult::kSent && !aRequest.needsOwnConnection);
+      sent == SendResult::kSent && !aRequest.needsOwnConnection, limits);
     this->ReportSilence(aAddress, *connection);
     co_return response;
   }
@@ -343,11 +362,14 @@
   asio::awaitable<Result<HttpResponse>> ReadAnswer(std::string aAddress,
                                                    ConnectionPtr aConnection,
                                                    std::string aEcho,
-                                                   bool aReusable)
+                                                   bool aReusable,
+                                                   ReadLimits aLimits)
   {
     // An answer to a request that was given up on may come late, in the place
     // of the one that is due; behind it the right one may still follow.
     constexpr int kMostForeign = 3;
+    // Of their bodies; they are not wanted and may have no end.
+    std::size_t foreignBytes = 64U << 10U;
     for (int foreign = 0; foreign < kMostForeign; ++foreign) {
       auto parser = std::make_shared<ResponseParser>();
       Result<HttpResponse> head = co_await this->ReadHead(aConnection, *parser);
@@ -357,14 +379,11 @@
       if (this->IsOwn(*head, aEcho)) {
         co_return co_await this->ReadBody(aAddress, aConnection, parser,
                                           std::move(*head),
-                                          aReusable && foreign == 0);
+                                          aReusable && foreign == 0, aLimits);
       }
-      while (!parser->is_done()) {
-        const auto piece =
-          co_await ReadPiece(*aConnection, *parser, this->options.pieceBytes);
-        if (!piece) {
-          co_return make_error_code(TransportError::kCrossed);
-        }
+      if (!co_await DiscardBody(*aConnection, *parser, foreignBytes,
+                                aLimits.whole)) {
+        break;
       }
     }
     co_return make_error_code(TransportError::kCrossed);
@@ -410,7 +429,8 @@
 
   asio::awaitable<Result<HttpResponse>> ReadBody(
     std::string aAddress, ConnectionPtr aConnection,
-    std::shared_ptr<ResponseParser> aParser, HttpResponse aHead, bool aReusable)
+    std::shared_ptr<ResponseParser> aParser, HttpResponse aHead, bool aReusable,
+    ReadLimits aLimits)
   {
     const std::shared_ptr<ResponseParser> parser = std::move(aParser);
     HttpResponse response = std::move(aHead);
@@ -420,12 +440,17 @@
     if (this->options.bytes) {
       response.held = this->options.bytes->Open(BytePurpose::kResponse);
     }
+    const bool isByProgress = this->options.bodyProgress.count() > 0;
+    const TimePoint end = isByProgress ? std::chrono::steady_clock::now() +
+                                           this->options.bodyTimeout
+                                       : aLimits.whole;
     while (!parser->is_done() && this->MayHoldMore(response)) {
-      if (this->options.bodyProgress.count() > 0) {
-        aConnection->stream.expires_after(this->options.bodyProgress);
-      }
-      Result<std::string> piece =
-        co_await ReadPiece(*aConnection, *parser, this->options.pieceBytes);
+      const TimePoint until =
+        isByProgress ? std::min(end, std::chrono::steady_clock::now() +
+                                       this->options.bodyProgress)
+                     : end;
+      Result<std::string> piece = co_await ReadPiece(
+        *aConnection, *parser, this->options.pieceBytes, until);
       if (!piece) {
         co_return piece.error();
       }
@@ -433,16 +458,18 @@
       response.body += *piece;
     }
     if (parser->is_done()) {
-      if (parser->get().keep_alive() && !parser->need_eof() && aReusable) {
+      // Bytes past the body belong to no request.
+      if (parser->get().keep_alive() && !parser->need_eof() && aReusable &&
+          aConnection->buffer.size() == 0) {
         aConnection->usableUntil =
           UsableUntil(response, this->options.longestRest);
         this->PutIdle(aAddress, std::move(aConnection));
       }
       co_return response;
     }
-    auto pieces =
-      std::make_shared<Pieces>(this->shared_from_this(), std::move(aAddress),
-                               std::move(aConnection), parser);
+    auto pieces = std::make_shared<Pieces>(
+      this->shared_from_this(), std::move(aAddress), std::move(aConnection),
+      parser, aLimits.streamed);
     response.rest = [pieces](std::function<void(Result<std::string>)> aTake) {
       pieces->Read(std::move(aTake));
     };
@@ -458,28 +485,6 @@
            (!aResponse.held || aResponse.held->GrowTo(most));
   }
 
-  // An empty piece: the body is whole.
-  static asio::awaitable<Result<std::string>> ReadPiece(Connection& aConnection,
-                                                        ResponseParser& aParser,
-                                                        std::size_t aMost)
-  {
-    std::string piece;
-    while (piece.empty() && !aParser.is_done()) {
-      piece.resize(aMost);
-      aParser.get().body().data = piece.data();
-      aParser.get().body().size = piece.size();
-      const auto [error, bytes] = co_await http::async_read(
-        aConnection.stream, aConnection.buffer, aParser, kAwait);
-      piece.resize(piece.size() - aParser.get().body().size);
-      if (error && error != http::error::need_buffer) {
-        co_return make_error_code(IsTimeout(error)
-                                    ? TransportError::kTimeout
-                                    : TransportError::kTruncated);
-      }
-    }
-    co_return piece;
-  }
-
   ConnectionPtr TakeIdle(const std::string& aAddress)
   {
     std::vector<ConnectionPtr>& idle = this->idleByAddress[aAddress];
