A release waits for the last grant to arrive

Two upstreams held the same keys for the rest of a lease, up to 3 s.

Cause: a renewal was sent, the keys were reassigned, and the release arrived first. The upstream confirmed it and ended. When it ran again, it had seen no token, and accepted the renewal, while the keys had been granted to another. A release ends a lease for good only if no grant is under way. That was seen to for a predecessor's grants, and not for the assigner's own.

Change: a range knows until when its last grant may be under way, and a release is sent no earlier.

It needs a command that reaches the next incarnation after it was sent, as a relay before the upstream allows; over a plain connection, which ends with its process, it cannot come up.

--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -272,6 +272,7 @@
     // A predecessor of this assigner may have renewed the lease as well.
     bool maybeRenewedByPredecessor = false;
     bool commandPending = false;
+    // No release is sent before. A grant may be under way until then.
     TimePoint retryAt;
   };
 
@@ -289,6 +290,10 @@
     TimePoint leaseExpiresAt;
     bool maybeRenewedByPredecessor = false;
     TimePoint lastResponseAt;
+    // The last grant has arrived by then; the clock's epoch if there was a
+    // response. A release must not overtake it: if the upstream restarts after
+    // the release, it accepts the grant.
+    TimePoint grantArrivesBy;
     TimePoint nextGrantAt;
     bool commandPending = false;
     int consecutiveFailures = 0;
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -195,25 +195,23 @@
           std::max(range.leaseExpiresAt, previous.leaseExpiresAt);
         range.maybeRenewedByPredecessor =
           range.maybeRenewedByPredecessor || previous.maybeRenewedByPredecessor;
+        range.grantArrivesBy = std::max(range.grantArrivesBy, previous.retryAt);
       } else {
-        range.previousHolders.push_back({ previous.holder,
-                                          previous.leaseExpiresAt,
-                                          previous.maybeRenewedByPredecessor,
-                                          false,
-                                          {} });
+        range.previousHolders.push_back(
+          { previous.holder, previous.leaseExpiresAt,
+            previous.maybeRenewedByPredecessor, false, previous.retryAt });
       }
     }
     if (isSameHolder) {
       range.leaseExpiresAt = std::max(range.leaseExpiresAt, old.leaseExpiresAt);
       range.maybeRenewedByPredecessor =
         range.maybeRenewedByPredecessor || old.maybeRenewedByPredecessor;
+      range.grantArrivesBy = std::max(range.grantArrivesBy, old.grantArrivesBy);
     } else if (old.leaseExpiresAt != TimePoint{} ||
                old.maybeRenewedByPredecessor) {
-      range.previousHolders.push_back({ old.assigned.holder,
-                                        old.leaseExpiresAt,
-                                        old.maybeRenewedByPredecessor,
-                                        false,
-                                        {} });
+      range.previousHolders.push_back({ old.assigned.holder, old.leaseExpiresAt,
+                                        old.maybeRenewedByPredecessor, false,
+                                        old.grantArrivesBy });
     }
   }
   if (kept) {
@@ -239,10 +237,11 @@
     known->leaseExpiresAt =
       std::max(known->leaseExpiresAt, previous.leaseExpiresAt);
     known->maybeRenewedByPredecessor |= previous.maybeRenewedByPredecessor;
-    known->retryAt = std::min(known->retryAt, previous.retryAt);
+    known->retryAt = std::max(known->retryAt, previous.retryAt);
   }
   joined.granted = aLeft.granted && aRight.granted;
   joined.grantedAt = std::max(aLeft.grantedAt, aRight.grantedAt);
+  joined.grantArrivesBy = std::max(aLeft.grantArrivesBy, aRight.grantArrivesBy);
   joined.leaseExpiresAt = std::max(aLeft.leaseExpiresAt, aRight.leaseExpiresAt);
   joined.maybeRenewedByPredecessor |= aRight.maybeRenewedByPredecessor;
   joined.lastResponseAt = std::min(aLeft.lastResponseAt, aRight.lastResponseAt);
@@ -377,6 +376,7 @@
   range.commandPending = true;
   range.leaseExpiresAt =
     std::max(range.leaseExpiresAt, this->LeaseExpiryFromNow());
+  range.grantArrivesBy = now + kMaxGrantDelay;
   range.nextGrantAt = now + this->leaseDuration / kRenewalsPerLease;
   LeaseCommand command;
   command.upstream = range.assigned.holder.upstream;
@@ -423,6 +423,9 @@
   }
   const TimePoint now = this->hooks.now();
   range->commandPending = false;
+  if (aReply.result != LeaseCommandResult::kNoAnswer) {
+    range->grantArrivesBy = {};
+  }
   if (aReply.result == LeaseCommandResult::kDone) {
     range->lastResponseAt = now;
     range->consecutiveFailures = 0;
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(testResumedAssignerIgnoresStaleDigests);
   CPPUNIT_TEST(testGrantIsNotSentAfterAPause);
   CPPUNIT_TEST(testLateGrantIsRejectedByFencingToken);
+  CPPUNIT_TEST(testReleaseDoesNotOvertakeARenewal);
   CPPUNIT_TEST(testRenewalThatAMoveOvertakesCostsNoOtherKeys);
   CPPUNIT_TEST(testLostStoreResponses);
   CPPUNIT_TEST(testUnresponsiveUpstreamIsRetriedWithBackoff);
@@ -464,6 +465,33 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two holders after a renewal that the release of its keys
+  // overtakes, at an upstream that restarts between the two.
+  void testReleaseDoesNotOvertakeARenewal()
+  {
+    constexpr milliseconds kGrantDelay{ 200 };
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    TimePoint renewedAt;
+    simulation.commandDelay = [&](const LeaseCommand& aCommand) {
+      const bool isRenewal = aCommand.kind == LeaseCommandKind::kGrant &&
+                             aCommand.upstream.value == "u1";
+      renewedAt = isRenewal ? simulation.Now() : renewedAt;
+      return isRenewal ? kGrantDelay : kLinkDelay;
+    };
+    CPPUNIT_ASSERT(simulation.RunUntil([&] { return renewedAt != TimePoint{}; },
+                                       milliseconds(2000)));
+    simulation.Upstream("u1").mayOwn = false;
+    simulation.AssignerOf(simulation.AssignerName()).OnMembershipChange();
+    simulation.RunUntil([&] { return simulation.Upstream("u1").releases > 0; },
+                        kGrantDelay / 2);
+    simulation.RestartUnlisted("u1");
+    simulation.Upstream("u1").mayOwn = false;
+    simulation.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+    CPPUNIT_ASSERT(simulation.AreAllKeysLeased());
+  }
+
   // Guards against moving all keys of an upstream that rejects a renewal, if
   // some of the keys named in it have moved away meanwhile.
   void testRenewalThatAMoveOvertakesCostsNoOtherKeys()
