Tests of what the assigner takes as true about commands under way

Rows of the table of assumptions, a test each: a grant that takes nearly as long as is allowed, a release that is executed seconds later on newer leases, and released keys on which requests still run. All three pass on the code as it is. The first fails if grants are allowed 60 ms instead of 300, the other two if a release without response counts as confirmed.

--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -32,6 +32,9 @@
   CPPUNIT_TEST(testResumedAssignerIgnoresStaleDigests);
   CPPUNIT_TEST(testGrantIsNotSentAfterAPause);
   CPPUNIT_TEST(testLateGrantIsRejectedByFencingToken);
+  CPPUNIT_TEST(testLeaseCountsFromTheArrivalOfASlowGrant);
+  CPPUNIT_TEST(testKeysThatALateReleaseTookAreGrantedAgain);
+  CPPUNIT_TEST(testReleasedKeysMoveOnlyWhenTheirWorkHasEnded);
   CPPUNIT_TEST(testReleaseDoesNotOvertakeARenewal);
   CPPUNIT_TEST(testRenewalThatAMoveOvertakesCostsNoOtherKeys);
   CPPUNIT_TEST(testLostStoreResponses);
@@ -465,6 +468,67 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against counting a lease from the sending of its grant, if the grant
+  // takes nearly as long as is allowed and the upstream then stops responding.
+  void testLeaseCountsFromTheArrivalOfASlowGrant()
+  {
+    static constexpr milliseconds kSlow{ 290 };
+    static constexpr milliseconds kLost{ 60'000 };
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    simulation.commandDelay = [](const LeaseCommand& aCommand) {
+      if (aCommand.upstream.value != "u1") {
+        return kLinkDelay;
+      }
+      return aCommand.kind == LeaseCommandKind::kGrant ? kSlow : kLost;
+    };
+    // It executes grants and does not respond.
+    simulation.Upstream("u1").grantDelay = milliseconds(1);
+    simulation.RunFor(milliseconds(8000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
+  // Guards against losing keys for good after a release that got no response
+  // and is executed when its upstream holds the keys again.
+  void testKeysThatALateReleaseTookAreGrantedAgain()
+  {
+    static constexpr milliseconds kLate{ 6000 };
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    simulation.commandDelay = [](const LeaseCommand& aCommand) {
+      return aCommand.kind == LeaseCommandKind::kRelease ? kLate : kLinkDelay;
+    };
+    simulation.Upstream("u1").mayOwn = false;
+    simulation.RunFor(milliseconds(600));
+    simulation.commandDelay = nullptr;
+    for (auto& [name, upstream] : simulation.Upstreams()) {
+      upstream.mayOwn = name == "u1";
+    }
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.AreAllKeysLeased(); }, milliseconds(5000)));
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return !simulation.AreAllKeysLeased(); }, kLate));
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.AreAllKeysLeased(); }, milliseconds(1500)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
+  // Guards against granting keys on which requests still run at their previous
+  // holder.
+  void testReleasedKeysMoveOnlyWhenTheirWorkHasEnded()
+  {
+    for (const milliseconds workTime :
+         { milliseconds(300), milliseconds(1500), milliseconds(10'000) }) {
+      AssignmentSimulation simulation(5, 4);
+      Settle(simulation);
+      simulation.Upstream("u1").workTime = workTime;
+      simulation.Upstream("u1").mayOwn = false;
+      simulation.RunFor(milliseconds(6000));
+      CPPUNIT_ASSERT(simulation.AreAllKeysLeased());
+      CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+    }
+  }
+
   // Guards against two holders after a renewal that the release of its keys
   // overtakes, at an upstream that restarts between the two.
   void testReleaseDoesNotOvertakeARenewal()
