Hosts with the map of an earlier claim do not count as followers

Callers could see two upstreams serve the same keys after a host had claimed, lost and claimed the keys again.

Cause: hosts that use any map of the assigner counted as its followers, also one of its earlier claim. Such a host may yet take the map of the assigner in between, which is newer, and let that one go on, while its successor counts it as stopped.

Change: the map must be of the present claim.

AssignerTest::testHostsWithTheMapOfAnEarlierClaimDoNotCount failed before (keys were reassigned at once) and passes.

--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -465,7 +465,10 @@
     // connections. If reports counted from their arrival, they would let it
     // renew leases that its successor has already treated as expired. See
     // DigestSendTimes.
+    // A host that uses the map of an earlier claim may yet take a map of the
+    // assigner in between.
     if (peer.mapVersion.assigner == this->options.self &&
+        peer.mapVersion.assignmentVersion >= this->rows.claimVersion &&
         now - peer.mapConfirmedAt < kMapReportValidity &&
         peer.mapConfirmedAt >= aSince) {
       ++counts.followers;
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -2,6 +2,7 @@
 // and the store fail.
 
 #include "ownership/tests/assignmentsimulation.h"
+#include "ownership/tests/manualassigner.h"
 #include "ownership/tests/randomfaults.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -32,6 +33,7 @@
   CPPUNIT_TEST(testResumedAssignerChangesNothing);
   CPPUNIT_TEST(testResumedAssignerIgnoresStaleDigests);
   CPPUNIT_TEST(testClaimIsOldAfterAPause);
+  CPPUNIT_TEST(testHostsWithTheMapOfAnEarlierClaimDoNotCount);
   CPPUNIT_TEST(testGrantIsNotSentAfterAPause);
   CPPUNIT_TEST(testLateGrantIsRejectedByFencingToken);
   CPPUNIT_TEST(testLeaseCountsFromTheArrivalOfASlowGrant);
@@ -484,6 +486,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two assigners at once after a host has claimed again: hosts
+  // that use the map of its earlier claim may take that of its predecessor.
+  void testHostsWithTheMapOfAnEarlierClaimDoNotCount()
+  {
+    ManualAssigner manual;
+    manual.Claim(1);
+    manual.LoseClaim(3);
+    manual.Claim(4);
+    manual.peers = { manual.PeerWithOwnMap("h1", 1),
+                     manual.PeerWithOwnMap("h2", 1) };
+    manual.mayOwn = { "u1" };
+    manual.Run(milliseconds(1000));
+    CPPUNIT_ASSERT(!manual.pendingWrite);
+    manual.peers = { manual.PeerWithOwnMap("h1", 4),
+                     manual.PeerWithOwnMap("h2", 4) };
+    manual.Run(milliseconds(1000));
+    manual.pendingWrite(state::WriteOutcome::kWritten, 5);
+    manual.Run(milliseconds(1000));
+    CPPUNIT_ASSERT(manual.releases > 0);
+  }
+
   // Guards against renewing a lease that others count as expired, with a grant
   // that was decided on before the host was suspended and sent after that.
   void testGrantIsNotSentAfterAPause()
