Hosts count for longer without the store, for less with it; half of them suffice

A silent host counts for 5 minutes now while the claim can be confirmed, and on while it cannot: a cut-off assigner must not count fewer hosts the longer it is cut off. A successor needs half of the hosts in place of more, and an assigner that goes on needs more than half that have run on in place of half, so that the loss of exactly one half holds nothing up.

testStartedHostDoesNotTakeItselfForAllHosts passed without its fix, as the lease had run out by the time of the restart; it restarts the upstream at its release now, and fails without the fix.

--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -18,8 +18,8 @@
 //   predecessor reaches it then: a connection ends with the incarnation that it
 //   was made to, and a grant is sent over a connection only if the sender's
 //   claim was confirmed, or its map used by two thirds of the hosts, after the
-//   connection was there. A successor sends releases only once more than half
-//   of the hosts use its map, so it sends them after that.
+//   connection was there. A successor sends releases only once half of the
+//   hosts use its map, so it sends them after that.
 // - A lease has certainly expired when its duration, on a clock that may run
 //   slow, has passed since the last grant was sent, by this assigner or by a
 //   predecessor. A grant that cannot be sent at once is not sent at all.
@@ -30,17 +30,17 @@
 // leases, or that had them released under a higher token. A successor that has
 // to wait for a lease to expire counts from the time at which the predecessor
 // has certainly stopped renewing: the predecessor's last confirmation of its
-// claim is no longer valid, and more than half of the hosts have used the
+// claim is no longer valid, and half of the hosts have used the
 // successor's map for so long that their earlier reports are no longer valid
-// either. Two thirds and more than one half of the hosts overlap even if the
+// either. Two thirds and one half of the hosts overlap even if the
 // two assigners count a few hosts differently.
 //
 // A host that restarts forgets which map it used, and may then use an older
-// one. So at least half of the hosts that an assigner goes on with must have
+// one. So more than half of the hosts that an assigner goes on with must have
 // run since before its claim was last confirmed: no successor existed then.
-// Hosts that fall silent count on for longer than partitions last, and a host
-// that has just started counts those that it has not heard yet: an assigner
-// must not take the hosts on its side of a partition for all.
+// Hosts that fall silent count on, for minutes or until the claim is confirmed
+// again, and a host that has just started counts those that it has not heard
+// yet: an assigner must not take the hosts on its side of a partition for all.
 
 #pragma once
 
@@ -428,8 +428,8 @@
   TimePoint balanceDue;
   TimePoint mergeDue;
   TimePoint claimedAt;
-  // Whether predecessors may go on: more than half of the hosts have not used
-  // this assigner's map yet. Releases of leases that they may have renewed wait
+  // Whether predecessors may go on: less than half of the hosts have used this
+  // assigner's map yet. Releases of leases that they may have renewed wait
   // until then.
   bool predecessorsMayRenew = false;
   // Leases that predecessors renewed have expired by then.
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -33,7 +33,7 @@
 constexpr milliseconds kMapReportValidity{ 2000 };
 // A host without a digest for this time is not counted as a host any more. It
 // must exceed the time for which parts of the network lose each other.
-constexpr std::chrono::minutes kHostExpiry{ 15 };
+constexpr std::chrono::minutes kHostExpiry{ 5 };
 // A host that has announced a planned stop and is silent for this time has
 // ended.
 constexpr milliseconds kStopTimeout{ 10'000 };
@@ -434,7 +434,7 @@
       this->StepDown("another host has claimed the keys");
       return;
     }
-    this->claimConfirmedAt = requestedAt;
+    this->claimConfirmedAt = std::max(this->claimConfirmedAt, requestedAt);
     this->AdvanceRanges();
   });
 }
@@ -452,12 +452,17 @@
 Assigner::HostCounts Assigner::CountHosts(TimePoint aSince) const
 {
   const TimePoint now = this->hooks.now();
+  // Without the store, nothing shows whether hosts that fall silent have ended
+  // or follow a successor.
+  const bool isConfirmed = now - this->claimConfirmedAt <= kClaimValidity;
+  const TimePoint countedAt = isConfirmed ? now : this->claimConfirmedAt;
   const std::vector<PeerStatus> all = this->hooks.peers();
   HostCounts counts;
   counts.known += this->CountUnheardHosts(all);
   for (const PeerStatus& peer : all) {
-    const Duration silence = now - peer.lastHeardAt;
-    if (silence >= kHostExpiry || (peer.leaving && silence >= kStopTimeout)) {
+    const bool hasStopped =
+      peer.leaving && now - peer.lastHeardAt >= kStopTimeout;
+    if (hasStopped || countedAt - peer.lastHeardAt >= kHostExpiry) {
       continue;
     }
     ++counts.known;
@@ -505,7 +510,7 @@
   }
   const HostCounts hosts = this->CountHosts(aSince);
   return hosts.followers * 3 >= hosts.known * 2 &&
-         hosts.lastingFollowers * 2 >= hosts.known;
+         hosts.lastingFollowers * 2 > hosts.known;
 }
 
 // Predecessors have certainly stopped renewing once they can have neither a
@@ -527,7 +532,7 @@
     return;
   }
   const HostCounts hosts = this->CountHosts({});
-  if (hosts.followers * 2 > hosts.known) {
+  if (hosts.followers * 2 >= hosts.known) {
     const TimePoint now = this->hooks.now();
     const TimePoint predecessorsStop =
       std::max(this->claimedAt + kClaimValidity, now + kMapReportValidity);
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -118,7 +118,7 @@
   const std::chrono::duration<double, std::milli> longest =
     this->leaseDuration * kMaxClockSlowdown;
   return this->hooks.now() + std::chrono::duration_cast<Duration>(longest) +
-         kMaxGrantDelay;
+         kMaxSendDelay + kMaxGrantDelay;
 }
 
 TimePoint Assigner::LeaseExpiry(TimePoint aExpiresAt,
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -226,8 +226,11 @@
     simulation.cutFromPeers.insert(successor);
     simulation.StartHost(successor);
     TakeOverUnnoticed(simulation);
-    simulation.Upstream("u1").mayOwn = false;
-    simulation.RunFor(milliseconds(5000));
+    FakeUpstream& leaving = simulation.Upstream("u1");
+    leaving.mayOwn = false;
+    const int before = leaving.releases;
+    simulation.RunUntil([&] { return leaving.releases > before; },
+                        milliseconds(5000));
     simulation.RestartUnlisted("u1");
     simulation.RunFor(milliseconds(4000));
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
