A host is planned with only once it has held a lease

Cause: a host that is cut from the others but not from the table is deposed, starts a new run at once and registers it as live. The others took that run for a host to plan with, although it never had a lease and cannot get one. It was named steward of its data centre's upstreams, being the nearest and idle; and where its name has the highest hash for a service it counted as the service's planner, which plans only with a lease.

A row now says joining until the guards have confirmed the run once; the planner gets only hosts past that. Rows without the field count as past it. Whoever is asked or told things (witnesses, announcements) is as before. It costs one more write a start.

--- a/src/coordination/internal/membership.cpp
+++ b/src/coordination/internal/membership.cpp
@@ -433,6 +433,10 @@
   this->life.Process(LifeEvent::kOldRunOver);
   state::HostRecord record = this->own;
   record.state = state::HostState::kLive;
+  // Failure: a host that is cut off from the others but not from the table
+  // registers again whenever it is deposed. Counted as serving, it would be
+  // named steward or planner, and what falls to it waits for its next deposing.
+  record.joining = true;
   const TimePoint now = this->hooks.now();
   record.guards = this->guardSet.Wanted(this->directory, this->lease, now)
                     .value_or(std::vector{ this->own.ref });
@@ -455,11 +459,15 @@
     wanted.state =
       this->stopWanted ? state::HostState::kLeaving : state::HostState::kLive;
   }
+  if (this->life.Phase() == HostPhase::kHolding) {
+    wanted.joining = false;
+  }
   if (!this->finished) {
     this->ChooseGuards(wanted);
   }
-  const bool changes =
-    wanted.state != this->own.state || wanted.guards != this->own.guards;
+  const bool changes = wanted.state != this->own.state ||
+                       wanted.joining != this->own.joining ||
+                       wanted.guards != this->own.guards;
   if (changes) {
     this->WriteOwn(std::move(wanted), this->own.version);
   }
@@ -668,6 +676,14 @@
   return live;
 }
 
+std::vector<state::HostRecord> Membership::ServingHosts() const
+{
+  std::vector<state::HostRecord> serving = this->LiveHosts();
+  std::erase_if(serving,
+                [](const state::HostRecord& aHost) { return aHost.joining; });
+  return serving;
+}
+
 const state::HostRecord* Membership::FindHost(const state::HostId& aHost) const
 {
   const KnownHost* const known = this->impl->directory.Find(aHost);
--- a/src/coordination/internal/router.cpp
+++ b/src/coordination/internal/router.cpp
@@ -569,7 +569,7 @@
   this->planner.Plan({ .map = this->map.Map(),
                        .configuration = this->Configuration(),
                        .endpoints = this->endpoints,
-                       .liveHosts = this->membership->LiveHosts(),
+                       .liveHosts = this->membership->ServingHosts(),
                        .isUnusable = [this](const UpstreamRef& aRef) {
                          return this->IsUnusable(aRef);
                        } });
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -89,6 +89,8 @@
 
   // Hosts registered and neither deposed nor leaving, this one included.
   std::vector<state::HostRecord> LiveHosts() const;
+  // Those of them that have held a lease: only they plan and are given keys.
+  std::vector<state::HostRecord> ServingHosts() const;
   const state::HostRecord* FindHost(const state::HostId& aHost) const;
   // Whether that run is surely over, by the table: deposed, or a later run is
   // registered.
--- a/src/coordination/planner.h
+++ b/src/coordination/planner.h
@@ -49,7 +49,7 @@
     const state::RoutingMap& map;
     const state::Configuration& configuration;
     const state::EndpointList& endpoints;
-    // Registered, neither deposed nor leaving.
+    // Have held a lease, and are neither deposed nor leaving.
     std::vector<state::HostRecord> liveHosts;
     // Upstreams that their stewards can not use now.
     std::function<bool(const state::UpstreamRef&)> isUnusable;
--- a/src/coordination/tests/membership_test.cpp
+++ b/src/coordination/tests/membership_test.cpp
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(testAllHoldAndGuardsAreSpread);
   CPPUNIT_TEST(testCutHostIsDeposedWithinFourSeconds);
   CPPUNIT_TEST(testCutDataCentreIsDeposed);
+  CPPUNIT_TEST(testCutHostThatRestartsServesOnlyWithALease);
   CPPUNIT_TEST(testHolderPausedPastItsTermStartsNothing);
   CPPUNIT_TEST(testStoreOutageLapsesNothing);
   CPPUNIT_TEST(testRestartOfTheSameIdWaitsForItsEarlierRun);
@@ -176,6 +177,47 @@
     CPPUNIT_ASSERT_EQUAL(0, net.violations);
   }
 
+  // A host that is cut from the others but not from the table registers anew
+  // whenever it is deposed. Nobody may plan with runs that never had a lease.
+  void testCutHostThatRestartsServesOnlyWithALease()
+  {
+    LeaseFixture net(12);
+    const auto serves = [&net] {
+      const auto serving = net.At(LeaseFixture::Name(2)).ServingHosts();
+      return std::ranges::any_of(serving, [](const state::HostRecord& aHost) {
+        return aHost.ref.host == kHost;
+      });
+    };
+    CPPUNIT_ASSERT(serves());
+    net.CutFromAll(kHost);
+    const auto took =
+      net.RunUntil([&] { return !serves(); }, std::chrono::seconds(4));
+    CPPUNIT_ASSERT(took);
+    int stepsServing = 0;
+    int runs = 1;
+    for (int step = 0; step < 1500; ++step) {
+      if (net.At(kHost).Phase() == HostPhase::kOver) {
+        net.Boot(kHost);
+        ++runs;
+      }
+      net.Run(milliseconds(10));
+      stepsServing += serves() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(runs > 2);
+    CPPUNIT_ASSERT_EQUAL(0, stepsServing);
+    net.Heal();
+    const auto back = net.RunUntil(
+      [&] {
+        if (net.At(kHost).Phase() == HostPhase::kOver) {
+          net.Boot(kHost);
+        }
+        return net.Holds(kHost) && serves();
+      },
+      std::chrono::seconds(10));
+    CPPUNIT_ASSERT(back);
+    CPPUNIT_ASSERT_EQUAL(0, net.violations);
+  }
+
   // A host is frozen for 6 s and thaws with work in hand. The work must not be
   // sent: the others have meanwhile put a successor in its place.
   void testHolderPausedPastItsTermStartsNothing()
--- a/src/state/internal/rows.cpp
+++ b/src/state/internal/rows.cpp
@@ -125,7 +125,8 @@
     { "dataCentre", aRecord.dataCentre.value },
     { "guards", RefsToJson(aRecord.guards) },
     { "nextGuards", RefsToJson(aRecord.nextGuards) },
-    { "state", HostStateName(aRecord.state) }
+    { "state", HostStateName(aRecord.state) },
+    { "joining", aRecord.joining }
   }.dump();
 }
 
@@ -191,6 +192,8 @@
     record.guards = RefsFromJson(aJson.at("guards"));
     record.nextGuards = RefsFromJson(aJson.at("nextGuards"));
     record.state = HostStateFromName(aJson.at("state").get<std::string>());
+    // Rows of earlier versions do not have it.
+    record.joining = aJson.value("joining", false);
     return record;
   });
 }
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -63,6 +63,8 @@
   // Set while the guards change: both sets' majorities are needed.
   std::vector<HostRef> nextGuards;
   HostState state = HostState::kLive;
+  // Its guards have not confirmed this run yet: it may never hold a lease.
+  bool joining = false;
   Version version = 0;
 };
 
