--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -482,29 +482,27 @@
   }
 
   void DeliverCommand(const HostPtr& aHost, const LeaseCommand& aCommand,
-                      Assigner::CommandDone aDone)
-  {
-    const std::string& upstream = aCommand.upstream.value;
-    const std::int64_t startedMs =
-      this->upstreams.at(upstream).holder.startedMs;
-    Connection& connection = aHost->connections[upstream];
-    if (connection.startedMs == startedMs && this->connectTime.count() == 0) {
-      this->SendOver(connection, aHost, aCommand, aDone);
+                      const Assigner::CommandDone& aDone)
+  {
+    const std::string& name = aCommand.upstream.value;
+    const Connection& current = aHost->connections[name];
+    if (current.startedMs == this->upstreams.at(name).holder.startedMs &&
+        this->connectTime.count() == 0) {
+      this->SendOver(current, aHost, aCommand, aDone);
       return;
     }
-    aHost->connectingTo.insert(aCommand.upstream.value);
-    this->RunOnHost(aHost, this->connectTime,
-                    [this, aHost, command = aCommand, done = std::move(aDone)] {
-                      const std::string& upstream = command.upstream.value;
-                      aHost->connectingTo.erase(upstream);
-                      Connection& made = aHost->connections[upstream];
-                      const auto startedMs =
-                        this->upstreams.at(upstream).holder.startedMs;
-                      if (made.startedMs != startedMs) {
-                        made = { this->now, startedMs };
-                      }
-                      this->SendOver(made, aHost, command, done);
-                    });
+    aHost->connectingTo.insert(name);
+    this->RunOnHost(
+      aHost, this->connectTime, [this, aHost, command = aCommand, aDone] {
+        const std::string& upstream = command.upstream.value;
+        aHost->connectingTo.erase(upstream);
+        Connection& made = aHost->connections[upstream];
+        const auto startedMs = this->upstreams.at(upstream).holder.startedMs;
+        if (made.startedMs != startedMs) {
+          made = { this->now, startedMs };
+        }
+        this->SendOver(made, aHost, command, aDone);
+      });
   }
 
   void SendOver(const Connection& aConnection, const HostPtr& aHost,
