--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -385,8 +385,8 @@
       this->Write(weak.lock(), aWrite, std::move(aDone));
     };
     hooks.sendCommand = [this, weak](const LeaseCommand& aCommand,
-                                     Assigner::CommandDone aDone) {
-      this->DeliverCommand(weak.lock(), aCommand, std::move(aDone));
+                                     const Assigner::CommandDone& aDone) {
+      this->DeliverCommand(weak.lock(), aCommand, aDone);
     };
     hooks.candidates = [this] {
       std::vector<OwnerCandidate> candidates;
