A holder that another upstream has replaced is released at once

Callers saw: after the loss of most hosts together with owners of keys, the keys of these owners had no owner until the hosts were back, though other upstreams answered at the owners' addresses within half a second.

Cause: a successor sent releases only once half of the hosts used its map, as a confirmed release is not final before. But the answer "other upstream" is: the holder has ended, whoever may renew its lease. It came for the grants (which prove nothing, as an extra answer may come on their connections), and was not asked for by a release.

Confirmed ones are sent again once they are final. An upstream whose entry is gone is asked at the address that it had.

Test: testKeysOfReplacedUpstreamsAreServedAfterMostHostsAreLost failed on the code before (assertion on the leases 4 s after the loss), and passes.

--- a/src/node/internal/keyedservices.cpp
+++ b/src/node/internal/keyedservices.cpp
@@ -224,6 +224,9 @@
   assignerHooks.candidates = [this, entry] {
     return this->CandidatesFor(*entry);
   };
+  assignerHooks.formerAddress = [this](const state::UpstreamId& aUpstream) {
+    return this->upstreams.LastAddressOf(aUpstream);
+  };
   assignerHooks.peers = [this, entry] {
     return this->peers.PeerStatusesFor(entry->name);
   };
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -9,7 +9,8 @@
 // - A change is stored before any lease command for it is sent. It carries a
 //   fencing token higher than all tokens that the keys had before.
 // - The new holder is granted a lease only after each previous holder has
-//   confirmed the release, or after its lease has certainly expired. The
+//   confirmed the release, or is shown to have ended, as another upstream uses
+//   its address, or after its lease has certainly expired. The
 //   release carries the new token, so that the previous holder rejects an
 //   older grant that arrives late. If the previous holder has restarted under
 //   its id, the new incarnation gets the release: it accepts grants that were
@@ -18,8 +19,8 @@
 //   predecessor reaches it then: a connection ends with the incarnation that it
 //   was made to, and a grant is sent over a connection only if the sender's
 //   claim was confirmed, or its map used by two thirds of the hosts, after the
-//   connection was there. A successor sends releases only once half of the
-//   hosts use its map, so it sends them after that.
+//   connection was there. A successor takes a release for final only if half of
+//   the hosts used its map when it was sent, so that it was sent after that.
 // - A lease has certainly expired when its duration, on a clock that may run
 //   slow, has passed since the last grant was sent, by this assigner or by a
 //   predecessor. A grant that cannot be sent at once is not sent at all.
@@ -191,6 +192,10 @@
     std::function<void(AssignmentWrite, WriteDone)> write;
     std::function<void(const LeaseCommand&, CommandDone)> sendCommand;
     std::function<std::vector<OwnerCandidate>()> candidates;
+    // Where an upstream was that is no longer a candidate; none if that is not
+    // known. May be empty.
+    std::function<std::optional<std::string>(const state::UpstreamId&)>
+      formerAddress;
     // All other hosts from which a digest was ever received.
     std::function<std::vector<PeerStatus>()> peers;
     // The hosts of the host table, this one among them. May be empty if all of
@@ -280,6 +285,9 @@
     bool commandPending = false;
     // No release is sent before. A grant may be under way until then.
     TimePoint retryAt;
+    // A release was confirmed that was sent while predecessors could renew the
+    // lease. It has to be sent again.
+    bool releasedEarly = false;
   };
 
   // An assigned range with the state of its leases.
@@ -367,6 +375,10 @@
 
   void AdvanceRanges();
   void ReleasePreviousHolders(std::size_t aRangeIndex);
+  // Whether a release that is sent now is not final.
+  bool MayBeRenewedByOthers(const PreviousHolder& aPrevious) const;
+  // Where the holder, or a later incarnation of it, is or was last.
+  std::optional<std::string> FindReleaseAddress(const Holder& aPrevious) const;
   void SendRelease(std::size_t aRangeIndex, std::size_t aHolderIndex);
   void SendGrant(std::size_t aRangeIndex);
   void OnGrantReply(Key aFirst, Key aLast, FencingToken aFencingToken,
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -398,7 +398,7 @@
     range.maybeRenewedByPredecessor = !isFirstAssigner;
     range.lastResponseAt = now;
     for (const Holder& holder : assigned.previousHolders) {
-      range.previousHolders.push_back({ holder, {}, true, false, {} });
+      range.previousHolders.push_back({ holder, {}, true });
     }
     this->ranges.push_back(std::move(range));
   }
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -295,33 +295,53 @@
   });
   for (std::size_t i = 0; i < range.previousHolders.size(); ++i) {
     const PreviousHolder& previous = range.previousHolders[i];
-    const bool isTooEarly =
-      previous.maybeRenewedByPredecessor && this->predecessorsMayRenew;
-    if (!isTooEarly && !previous.commandPending && previous.retryAt <= now) {
+    const bool waitsForPredecessors =
+      previous.releasedEarly && this->MayBeRenewedByOthers(previous);
+    if (!waitsForPredecessors && !previous.commandPending &&
+        previous.retryAt <= now) {
       this->SendRelease(aRangeIndex, i);
     }
   }
 }
 
+bool Assigner::MayBeRenewedByOthers(const PreviousHolder& aPrevious) const
+{
+  return aPrevious.maybeRenewedByPredecessor && this->predecessorsMayRenew;
+}
+
+std::optional<std::string> Assigner::FindReleaseAddress(
+  const Holder& aPrevious) const
+{
+  const auto candidate = std::ranges::find_if(
+    this->candidates, [&aPrevious](const OwnerCandidate& aCandidate) {
+      return aCandidate.holder.upstream == aPrevious.upstream &&
+             aCandidate.holder.startedMs >= aPrevious.startedMs;
+    });
+  if (candidate != this->candidates.end()) {
+    return candidate->address;
+  }
+  return this->hooks.formerAddress
+           ? this->hooks.formerAddress(aPrevious.upstream)
+           : std::nullopt;
+}
+
 // A later incarnation of the holder gets the release too: it accepts renewals
-// that were meant for the one before.
+// that were meant for the one before. A release that is sent while predecessors
+// may renew the lease shows only whether the holder has ended.
 void Assigner::SendRelease(std::size_t aRangeIndex, std::size_t aHolderIndex)
 {
   RangeState& range = this->ranges[aRangeIndex];
   PreviousHolder& previous = range.previousHolders[aHolderIndex];
-  const auto candidate = std::ranges::find_if(
-    this->candidates, [&previous](const OwnerCandidate& aCandidate) {
-      return aCandidate.holder.upstream == previous.holder.upstream &&
-             aCandidate.holder.startedMs >= previous.holder.startedMs;
-    });
-  if (candidate == this->candidates.end()) {
+  const auto address = this->FindReleaseAddress(previous.holder);
+  if (!address) {
     return;
   }
+  const bool isEarly = this->MayBeRenewedByOthers(previous);
   previous.commandPending = true;
   LeaseCommand command;
   command.kind = LeaseCommandKind::kRelease;
   command.upstream = previous.holder.upstream;
-  command.address = candidate->address;
+  command.address = *address;
   command.first = range.assigned.first;
   command.last = range.assigned.last;
   command.fencingToken = range.assigned.fencingToken;
@@ -330,7 +350,7 @@
     return this->FindRange(first, last, fencingToken) != nullptr;
   };
   this->hooks.sendCommand(
-    command, [this, first = command.first, last = command.last,
+    command, [this, isEarly, first = command.first, last = command.last,
               fencingToken = command.fencingToken,
               holder = previous.holder](const LeaseCommandReply& aReply) {
       RangeState* found = this->FindRange(first, last, fencingToken);
@@ -344,13 +364,17 @@
       }
       pendingHolder->commandPending = false;
       pendingHolder->retryAt = this->hooks.now() + kCommandRetryPause;
-      if (aReply.result == LeaseCommandResult::kDone ||
-          aReply.result == LeaseCommandResult::kOtherUpstream) {
+      const bool isDone = aReply.result == LeaseCommandResult::kDone;
+      if (!aReply.handover.empty()) {
+        found->handover = aReply.handover;
+      }
+      pendingHolder->releasedEarly = isDone && isEarly;
+      if (aReply.result == LeaseCommandResult::kOtherUpstream ||
+          (isDone && !isEarly)) {
         this->hooks.log("lease-ended",
                         DescribeEnd(found->assigned, holder,
                                     LeaseCommandResultName(aReply.result)));
         found->previousHolders.erase(pendingHolder);
-        found->handover = aReply.handover;
         this->AdvanceRanges();
       }
     });
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(testJoinedRangeWaitsForThePreviousHoldersOfBothParts);
   CPPUNIT_TEST(testKilledAssignerCausesNoLeaseToExpire);
   CPPUNIT_TEST(testAssignerAndUpstreamLostTogether);
+  CPPUNIT_TEST(testKeysOfReplacedUpstreamsAreServedAfterMostHostsAreLost);
   CPPUNIT_TEST(testStoreOutageCausesNoLeaseToExpire);
   CPPUNIT_TEST(testPlannedStopDuringStoreOutageKeepsLeases);
   CPPUNIT_TEST(testIsolatedAssignerStopsRenewing);
@@ -361,6 +362,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against keys without an owner for as long as most hosts are lost,
+  // after upstreams that other ones have replaced.
+  void testKeysOfReplacedUpstreamsAreServedAfterMostHostsAreLost()
+  {
+    for (const bool staysListed : { true, false }) {
+      AssignmentSimulation simulation(12, 14);
+      Settle(simulation);
+      KillMostHosts(simulation);
+      simulation.ReplaceUpstream("u3", "u14");
+      if (!staysListed) {
+        simulation.RunFor(milliseconds(100));
+        simulation.Unlist("u3");
+      }
+      simulation.RunFor(milliseconds(3900));
+      CPPUNIT_ASSERT(simulation.AreAllKeysLeased());
+      CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+    }
+  }
+
   // The store is unavailable to all hosts for half a minute. No host can claim
   // or change the assignment, and every upstream keeps its leases.
   void testStoreOutageCausesNoLeaseToExpire()
@@ -725,6 +745,16 @@
     aSimulation.RunFor(milliseconds(2000));
   }
 
+  // Nine of twelve hosts end at once, the assigner's among them.
+  static void KillMostHosts(AssignmentSimulation& aSimulation)
+  {
+    constexpr std::size_t kLeft = 3;
+    aSimulation.KillHost(aSimulation.AssignerName());
+    while (aSimulation.Hosts().size() > kLeft) {
+      aSimulation.KillHost(aSimulation.Hosts().back());
+    }
+  }
+
   // A host that no digest reaches claims the keys, and the assigner until then
   // goes on: it learns of nothing, as the store rejects it and the others use
   // its map.
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -127,6 +127,16 @@
     this->upstreams.at(aName).listed = {};
   }
 
+  // The upstream ends, and another one starts at its address.
+  void ReplaceUpstream(const std::string& aName, const std::string& aNewName)
+  {
+    FakeUpstream& ended = this->upstreams.at(aName);
+    ended.leases.clear();
+    ended.working.clear();
+    ended.isReplaced = true;
+    this->AddUpstream(aNewName, 1);
+  }
+
   // Begins with an assignment that parts of an earlier layout made. Must be
   // called before a host claims.
   void SetEarlierAssignment(const Assignment& aAssignment)
@@ -398,6 +408,9 @@
       }
       return candidates;
     };
+    hooks.formerAddress = [](const state::UpstreamId& aUpstream) {
+      return aUpstream.value;
+    };
     hooks.peers = [weak] {
       std::vector<PeerStatus> views;
       for (const auto& [name, view] : weak.lock()->peers) {
--- a/src/ownership/tests/fakeupstream.h
+++ b/src/ownership/tests/fakeupstream.h
@@ -33,6 +33,8 @@
   bool alive = true;
   bool mayOwn = true;
   bool cold = false;
+  // The upstream has ended, and another one uses its address.
+  bool isReplaced = false;
   // No lease command reaches the upstream, but requests may.
   bool unresponsive = false;
   // If above zero, the upstream sends no response to a grant and executes it so
@@ -51,6 +53,9 @@
 
   LeaseCommandResult Apply(const LeaseCommand& aCommand, TimePoint aArrived)
   {
+    if (this->isReplaced) {
+      return LeaseCommandResult::kOtherUpstream;
+    }
     if (aCommand.kind == LeaseCommandKind::kRelease) {
       ++this->releases;
       this->seenTokens.push_back(
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -185,7 +185,9 @@
   const auto current = this->upstreams.find(aId);
   if (current != this->upstreams.end()) {
     const UpstreamEntry& entry = current->second.entry;
-    return LastEntry{ entry.startedMs, entry.sequence, entry.leaving, {} };
+    return LastEntry{
+      entry.startedMs, entry.sequence, entry.leaving, entry.address, {}
+    };
   }
   const auto removedEntry = this->removed.find(aId);
   return removedEntry == this->removed.end()
@@ -193,6 +195,13 @@
            : std::optional(removedEntry->second);
 }
 
+std::optional<std::string> Upstreams::LastAddressOf(
+  const state::UpstreamId& aId) const
+{
+  const std::optional<LastEntry> last = this->LastEntryOf(aId);
+  return last ? std::optional(last->address) : std::nullopt;
+}
+
 void Upstreams::RemoveNow(const state::UpstreamId& aId, TimePoint aNow)
 {
   if (auto last = this->LastEntryOf(aId)) {
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -220,6 +220,9 @@
   {
     return this->addresses.contains(aAddress);
   }
+  // The address of an upstream that is known, or was removed within the last
+  // minute.
+  std::optional<std::string> LastAddressOf(const state::UpstreamId& aId) const;
   UpstreamState* Find(const state::UpstreamId& aId);
   const UpstreamState* Find(const state::UpstreamId& aId) const;
   // Valid until the next change of entries, data centres or range.
@@ -277,6 +280,7 @@
     std::int64_t startedMs = 0;
     std::int64_t sequence = 0;
     bool leaving = false;
+    std::string address;
     TimePoint removedAt;
   };
 
