The hosts that an assigner counts are stored with the assignment

Two upstreams could hold the same keys after a host had started behind a partition of over a minute: it took itself for all hosts, and moved keys beside the assigner before it. Which hosts there are was known by timers alone (five minutes of silence, a minute after a start).

Cause: two thirds and a half of the hosts overlap only if both are taken of the same hosts, and nothing made them the same.

Change: the assignment names the hosts that its assigner counts, and the assigners before it that were not shown to have stopped, with theirs. An assigner without the store needs more than half of its hosts, in the incarnations that are stored; a successor needs half of the predecessor's, or a restart of the predecessor. The host table is not counted any more.

The simulation's host table goes with the rule that used it.

--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -318,7 +318,6 @@
     this->unknownClaimant = aClaimant.host;
     this->UpdateConnections();
   };
-  hooks.listedHosts = [this] { return this->topology.AllHosts(); };
   hooks.followsStore = [this] { return this->replication->IsFollowing(); };
   hooks.publishMaps = [this] {
     if (!this->topology.Cells().IsDivided()) {
--- a/src/node/internal/keyedservices.cpp
+++ b/src/node/internal/keyedservices.cpp
@@ -233,7 +233,6 @@
   assignerHooks.publish = [this, entry] { this->PublishMap(*entry); };
   assignerHooks.preference = this->hooks.preference;
   assignerHooks.requestConnection = this->hooks.requestConnection;
-  assignerHooks.listedHosts = this->hooks.listedHosts;
   assignerHooks.claimDelay = [this] {
     return this->hooks.followsStore() ? Duration(0)
                                       : Duration(kClaimDelayBehindHubs);
--- a/src/node/internal/keyedservices.h
+++ b/src/node/internal/keyedservices.h
@@ -48,7 +48,6 @@
     // See Assigner::Hooks.
     std::function<double(const state::HostId&)> preference;
     std::function<void(const state::HostRef&)> requestConnection;
-    std::function<std::vector<state::HostId>()> listedHosts;
     // Whether this host follows tables at the store and forwards changes to
     // other hosts.
     std::function<bool()> followsStore;
--- a/src/node/internal/keypredecessors.cpp
+++ b/src/node/internal/keypredecessors.cpp
@@ -77,6 +77,7 @@
         this->Fail();
         return;
       }
+      AddEarlierAssigner(*assignment, aRows.assigner);
       this->assignments.push_back(std::move(*assignment));
       this->assigner = aRows.assigner;
     }
--- a/src/node/internal/peers.cpp
+++ b/src/node/internal/peers.cpp
@@ -43,9 +43,6 @@
   if (aDigest.sender.incarnation < peer.host.incarnation) {
     return;
   }
-  if (peer.host.incarnation != aDigest.sender.incarnation) {
-    peer.heardSince = this->clock();
-  }
   peer.host = { id, aDigest.sender.incarnation };
   peer.lastHeardAt = this->clock();
   peer.leaving = aDigest.leaving;
@@ -116,7 +113,7 @@
   std::vector<ownership::PeerStatus> statuses;
   for (const auto& [id, peer] : this->peers) {
     ownership::PeerStatus status{
-      peer.host, peer.heardSince, peer.lastHeardAt, peer.leaving, {}, {}
+      peer.host, peer.lastHeardAt, peer.leaving, {}, {}
     };
     const auto confirmedAt = peer.mapConfirmedAt.find(aPart);
     if (confirmedAt != peer.mapConfirmedAt.end()) {
--- a/src/node/internal/peers.h
+++ b/src/node/internal/peers.h
@@ -22,8 +22,7 @@
 struct KnownPeer
 {
   state::HostRef host;
-  // When the first and the last digest of its current incarnation arrived.
-  TimePoint heardSince;
+  // When the last digest of its current incarnation arrived.
   TimePoint lastHeardAt;
   bool leaving = false;
   bool reachesStore = true;
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -26,22 +26,15 @@
 //   predecessor. A grant that cannot be sent at once is not sent at all.
 //
 // When the store is unavailable, an assigner cannot confirm its claim. It goes
-// on renewing the existing leases as long as two thirds of the hosts report
-// that they use its map. This is safe beside a successor that renews the same
-// leases, or that had them released under a higher token. A successor that has
-// to wait for a lease to expire counts from the time at which the predecessor
-// has certainly stopped renewing: the predecessor's last confirmation of its
-// claim is no longer valid, and half of the hosts have used the
+// on renewing the existing leases as long as more than half of its quorum hosts
+// report that they use its map; see quorum.h. This is safe beside a successor
+// that renews the same leases, or that had them released under a higher token.
+// A successor that has to wait for a lease to expire counts from the time at
+// which each predecessor has certainly stopped renewing: the last confirmation
+// of its claim is no longer valid, and half of its quorum hosts have used the
 // successor's map for so long that their earlier reports are no longer valid
-// either. Two thirds and one half of the hosts overlap even if the
-// two assigners count a few hosts differently.
-//
-// A host that restarts forgets which map it used, and may then use an older
-// one. So more than half of the hosts that an assigner goes on with must have
-// run since before its claim was last confirmed: no successor existed then.
-// Hosts that fall silent count on, for minutes or until the claim is confirmed
-// again, and a host that has just started counts those that it has not heard
-// yet: an assigner must not take the hosts on its side of a partition for all.
+// either. The stored assignment names the predecessors of which that was not
+// shown yet, with their quorum hosts.
 
 #pragma once
 
@@ -164,8 +157,7 @@
 struct PeerStatus
 {
   state::HostRef host;
-  // When the first and the last digest of this incarnation arrived.
-  TimePoint heardSince;
+  // When the last digest of this incarnation arrived.
   TimePoint lastHeardAt;
   bool leaving = false;
   // Version of the key map that the peer uses.
@@ -198,9 +190,6 @@
       formerAddress;
     // All other hosts from which a digest was ever received.
     std::function<std::vector<PeerStatus>()> peers;
-    // The hosts of the host table, this one among them. May be empty if all of
-    // them are peers.
-    std::function<std::vector<state::HostId>()> listedHosts;
     // The host with the higher value should claim first. May be empty if all
     // hosts are equal.
     std::function<double(const state::HostId&)> preference;
@@ -342,22 +331,16 @@
   // Whether the claim was confirmed, or enough hosts have used this assigner's
   // map, at or after the given time and not too long ago.
   bool MayRenewLeases(TimePoint aSince) const;
-  // Numbers of hosts, including this one.
-  struct HostCounts
-  {
-    std::size_t known = 1;
-    // Those that use this assigner's map.
-    std::size_t followers = 1;
-    // Followers that have run since before the claim was last confirmed, and
-    // so have never used a map of a successor.
-    std::size_t lastingFollowers = 1;
-  };
-
-  // Counts as followers those that have used the map at or after the time.
-  HostCounts CountHosts(TimePoint aSince) const;
-  // Hosts of the host table that this host has not heard, in the first time
-  // after its start.
-  std::size_t CountUnheardHosts(const std::vector<PeerStatus>& aPeers) const;
+  // Whether a peer has used a map of the present claim at or after the time.
+  bool IsFollower(const PeerStatus& aPeer, TimePoint aSince) const;
+  bool HasQuorum(const QuorumHosts& aHosts,
+                 const std::vector<PeerStatus>& aPeers, TimePoint aSince) const;
+  // Whether the assigner can have neither a process nor enough hosts that use
+  // its map.
+  bool HasStopped(const EarlierAssigner& aEarlier,
+                  const std::vector<PeerStatus>& aPeers) const;
+  // The quorum hosts of the next write, in place of these.
+  QuorumHosts ChooseHosts(const QuorumHosts& aCurrent) const;
   void ReloadAssignment();
   void ResumeRenewals();
 
@@ -396,6 +379,9 @@
   bool PlanBalance(Assignment& aNext,
                    const std::vector<OwnerCandidate>& aCandidates);
   bool PlanMerges(Assignment& aNext);
+  // Brings the quorum hosts and the earlier assigners up to date. Returns
+  // whether that is worth a write of its own.
+  bool PlanQuorum(Assignment& aNext);
   void ReassignRange(Assignment& aNext, const RangeState& aRange,
                      const std::vector<Key>& aRequests,
                      std::vector<std::pair<OwnerCandidate, double>>& aLoads);
@@ -428,6 +414,9 @@
   // rows are as this host last read or wrote them.
   AssignmentRows rows;
   Assignment assignment;
+  // Quorum hosts that may be stored by now, as the outcome of their write was
+  // unknown. They count beside those of `assignment`.
+  std::vector<QuorumHosts> unconfirmedQuorums;
   std::vector<RangeState> ranges;
   // All current and previous holders in `ranges`.
   std::set<state::UpstreamId> holders;
@@ -439,10 +428,10 @@
   TimePoint planDue;
   TimePoint balanceDue;
   TimePoint mergeDue;
+  TimePoint quorumDue;
   TimePoint claimedAt;
-  // Whether predecessors may go on: less than half of the hosts have used this
-  // assigner's map yet. Releases of leases that they may have renewed wait
-  // until then.
+  // Whether predecessors may go on. Releases of leases that they may have
+  // renewed are not final until then.
   bool predecessorsMayRenew = false;
   // Leases that predecessors renewed have expired by then.
   TimePoint predecessorLeasesExpireAt;
--- a/src/ownership/assignment.h
+++ b/src/ownership/assignment.h
@@ -7,6 +7,7 @@
 #include "framework/result.h"
 #include "ownership/keymap.h"
 #include "ownership/keyparts.h"
+#include "ownership/quorum.h"
 #include "state/types.h"
 
 #include <cstdint>
@@ -50,6 +51,10 @@
   FencingToken nextFencingToken = 1;
   // In ascending order of keys, without gaps or overlaps.
   std::vector<AssignedRange> ranges;
+  // Those of the assigner that the claim names.
+  QuorumHosts quorumHosts;
+  // Assigners before it that may still renew leases.
+  std::vector<EarlierAssigner> earlierAssigners;
 };
 
 // Returns the JSON text that the store keeps as the assignment row's value.
@@ -58,8 +63,10 @@
 // does not cover all keys of the part.
 Result<Assignment> ParseAssignment(std::string_view aText,
                                    const KeyPart& aPart = {});
-// The ranges of the assignments that lie in the part. The next token is above
-// those of all of them.
+// Takes the assigner that has made the assignment for an earlier one.
+void AddEarlierAssigner(Assignment& aAssignment, const state::HostRef& aHost);
+// The ranges of the assignments that lie in the part, and the earlier assigners
+// of all of them. The next token is above those of all of them.
 Assignment CutToPart(const std::vector<Assignment>& aAssignments,
                      const KeyPart& aPart);
 // Gives keys of the part that are in no range to the holder of a range beside
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -8,7 +8,6 @@
 #include "framework/rendezvous.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace kumquat::ownership {
@@ -31,14 +30,9 @@
 // acknowledge them arrive every 300 and 500 ms, busy hosts lag by some hundred
 // milliseconds, and links lose packets.
 constexpr milliseconds kMapReportValidity{ 2000 };
-// A host without a digest for this time is not counted as a host any more. It
-// must exceed the time for which parts of the network lose each other.
-constexpr std::chrono::minutes kHostExpiry{ 5 };
-// A host that has announced a planned stop and is silent for this time has
-// ended.
-constexpr milliseconds kStopTimeout{ 10'000 };
-// In this time after its start, a host hears all others that it can reach.
-constexpr milliseconds kDiscoveryTime{ 60'000 };
+// A predecessor's clock may count this part of the time that passes here, as
+// either may be off by 2%.
+constexpr double kMinClockRate = 0.96;
 // Pause after reading an assignment that cannot be parsed.
 constexpr milliseconds kUnreadablePause{ 60'000 };
 // Time between two reads that confirm the claim.
@@ -322,7 +316,18 @@
   write.expected = aRows;
   write.claim = this->options.self;
   write.assignmentText = aRows.assignmentText;
-  if (aRows.assignmentVersion == 0 && aRows.assignmentText.empty()) {
+  if (auto known = ParseAssignment(aRows.assignmentText, this->options.part)) {
+    AddEarlierAssigner(*known, aRows.assigner);
+    // Two groups of hosts that do not hear each other take over in turns, and
+    // each has to show that the other has stopped.
+    QuorumHosts earlierHosts;
+    for (const EarlierAssigner& earlier : known->earlierAssigners) {
+      earlierHosts.insert(earlierHosts.end(), earlier.quorumHosts.begin(),
+                          earlier.quorumHosts.end());
+    }
+    known->quorumHosts = this->ChooseHosts(earlierHosts);
+    write.assignmentText = SerializeAssignment(*known);
+  } else if (aRows.assignmentVersion == 0 && aRows.assignmentText.empty()) {
     std::vector<Holder> owners;
     for (const OwnerCandidate& candidate : this->candidates) {
       if (candidate.mayOwn) {
@@ -335,8 +340,9 @@
       this->claimNotBefore = this->hooks.now() + kClaimRetryPause;
       return;
     }
-    write.assignmentText =
-      SerializeAssignment(AssignEvenly(std::move(owners), this->options.part));
+    Assignment first = AssignEvenly(std::move(owners), this->options.part);
+    first.quorumHosts = this->ChooseHosts({});
+    write.assignmentText = SerializeAssignment(first);
   }
   const TimePoint requestedAt = this->hooks.now();
   this->hooks.write(write, [this, write, requestedAt](WriteOutcome aOutcome,
@@ -391,6 +397,7 @@
   this->predecessorLeasesExpireAt =
     isFirstAssigner ? TimePoint{} : TimePoint::max();
   this->assignment = *parsed;
+  this->unconfirmedQuorums.clear();
   for (const AssignedRange& assigned : parsed->ranges) {
     RangeState range;
     range.assigned = assigned;
@@ -449,57 +456,41 @@
   }
 }
 
-Assigner::HostCounts Assigner::CountHosts(TimePoint aSince) const
+QuorumHosts Assigner::ChooseHosts(const QuorumHosts& aCurrent) const
 {
-  const TimePoint now = this->hooks.now();
-  // Without the store, nothing shows whether hosts that fall silent have ended
-  // or follow a successor.
-  const bool isConfirmed = now - this->claimConfirmedAt <= kClaimValidity;
-  const TimePoint countedAt = isConfirmed ? now : this->claimConfirmedAt;
-  const std::vector<PeerStatus> all = this->hooks.peers();
-  HostCounts counts;
-  counts.known += this->CountUnheardHosts(all);
-  for (const PeerStatus& peer : all) {
-    const bool hasStopped =
-      peer.leaving && now - peer.lastHeardAt >= kStopTimeout;
-    if (hasStopped || countedAt - peer.lastHeardAt >= kHostExpiry) {
-      continue;
-    }
-    ++counts.known;
-    // Failure: a host that resumes after a pause finds old digests in its
-    // connections. If reports counted from their arrival, they would let it
-    // renew leases that its successor has already treated as expired. See
-    // DigestSendTimes.
-    // A host that uses the map of an earlier claim may yet take a map of the
-    // assigner in between.
-    if (peer.mapVersion.assigner == this->options.self &&
-        peer.mapVersion.assignmentVersion >= this->rows.claimVersion &&
-        now - peer.mapConfirmedAt < kMapReportValidity &&
-        peer.mapConfirmedAt >= aSince) {
-      ++counts.followers;
-      counts.lastingFollowers +=
-        peer.heardSince <= this->claimConfirmedAt ? 1 : 0;
-    }
-  }
-  return counts;
+  return ChooseQuorumHosts({ aCurrent, this->hooks.peers(), this->options.self,
+                             this->options.name, this->hooks.now(),
+                             this->startedAt });
 }
 
-std::size_t Assigner::CountUnheardHosts(
-  const std::vector<PeerStatus>& aPeers) const
+// Failure: a host that resumes after a pause finds old digests in its
+// connections. If reports counted from their arrival, they would let it renew
+// leases that its successor has already treated as expired. See
+// DigestSendTimes.
+bool Assigner::IsFollower(const PeerStatus& aPeer, TimePoint aSince) const
 {
-  if (!this->hooks.listedHosts ||
-      this->hooks.now() - this->startedAt >= kDiscoveryTime) {
-    return 0;
-  }
-  std::set<state::HostId> heard{ this->options.self.host };
-  std::ranges::transform(
-    aPeers, std::inserter(heard, heard.end()),
-    [](const PeerStatus& aPeer) { return aPeer.host.host; });
-  const std::vector<state::HostId> listed = this->hooks.listedHosts();
-  return static_cast<std::size_t>(
-    std::ranges::count_if(listed, [&heard](const state::HostId& aHost) {
-      return !heard.contains(aHost);
-    }));
+  // A host that uses the map of an earlier claim may yet take a map of the
+  // assigner in between.
+  return aPeer.mapVersion.assigner == this->options.self &&
+         aPeer.mapVersion.assignmentVersion >= this->rows.claimVersion &&
+         this->hooks.now() - aPeer.mapConfirmedAt < kMapReportValidity &&
+         aPeer.mapConfirmedAt >= aSince;
+}
+
+bool Assigner::HasQuorum(const QuorumHosts& aHosts,
+                         const std::vector<PeerStatus>& aPeers,
+                         TimePoint aSince) const
+{
+  const auto followers =
+    std::ranges::count_if(aHosts, [&](const state::HostRef& aHost) {
+      return aHost == this->options.self ||
+             std::ranges::any_of(aPeers, [&](const PeerStatus& aPeer) {
+               return aPeer.host == aHost && this->IsFollower(aPeer, aSince);
+             });
+    });
+  return static_cast<std::size_t>(followers) >=
+         RequiredFollowers(aHosts.size(),
+                           this->hooks.now() - this->claimConfirmedAt);
 }
 
 bool Assigner::MayRenewLeases(TimePoint aSince) const
@@ -508,19 +499,52 @@
       this->hooks.now() - this->claimConfirmedAt <= kClaimValidity) {
     return true;
   }
-  const HostCounts hosts = this->CountHosts(aSince);
-  return hosts.followers * 3 >= hosts.known * 2 &&
-         hosts.lastingFollowers * 2 > hosts.known;
+  const std::vector<PeerStatus> peers = this->hooks.peers();
+  return this->HasQuorum(this->assignment.quorumHosts, peers, aSince) &&
+         std::ranges::all_of(this->unconfirmedQuorums,
+                             [&](const QuorumHosts& aHosts) {
+                               return this->HasQuorum(aHosts, peers, aSince);
+                             });
 }
 
-// Predecessors have certainly stopped renewing once they can have neither a
-// valid confirmation of their claim nor enough hosts that use their map. From
-// then on only the grants that they sent earlier matter. A host never returns
-// to an older map, so it made any report of an older map before it took this
-// one.
+// A host that uses this assigner's map is no follower of a predecessor any
+// more: it never returns to an older map, and of a host that has restarted
+// since, the incarnation that was counted has ended.
+bool Assigner::HasStopped(const EarlierAssigner& aEarlier,
+                          const std::vector<PeerStatus>& aPeers) const
+{
+  const auto usesOwnMap = [&](const state::HostId& aHost) {
+    return aHost == this->options.self.host ||
+           std::ranges::any_of(aPeers, [&](const PeerStatus& aPeer) {
+             return aPeer.host.host == aHost && this->IsFollower(aPeer, {});
+           });
+  };
+  const bool hasRestarted =
+    usesOwnMap(aEarlier.host.host) && aEarlier.host != this->options.self &&
+    std::ranges::none_of(aPeers, [&aEarlier](const PeerStatus& aPeer) {
+      return aPeer.host == aEarlier.host;
+    });
+  const Duration unconfirmed = std::chrono::duration_cast<Duration>(
+    (this->hooks.now() - this->claimedAt) * kMinClockRate);
+  const std::size_t required =
+    RequiredFollowers(aEarlier.quorumHosts.size(), unconfirmed);
+  const auto mayFollow = static_cast<std::size_t>(std::ranges::count_if(
+    aEarlier.quorumHosts, [&usesOwnMap](const state::HostRef& aHost) {
+      return !usesOwnMap(aHost.host);
+    }));
+  // Rows of versions that stored no hosts say nothing about who may follow.
+  const bool isRefuted =
+    aEarlier.quorumHosts.empty() ? required == kNoQuorum : mayFollow < required;
+  return hasRestarted || isRefuted;
+}
+
+// From the time on at which all predecessors have stopped, only the grants that
+// they sent earlier matter. A host made any report of an older map before it
+// took this one.
 void Assigner::CheckOtherAssigners()
 {
-  for (const PeerStatus& peer : this->hooks.peers()) {
+  const std::vector<PeerStatus> peers = this->hooks.peers();
+  for (const PeerStatus& peer : peers) {
     // A map of a later version comes from a host that has claimed since.
     if (peer.mapVersion.assignmentVersion > this->rows.assignmentVersion &&
         peer.mapVersion.assigner != this->options.self && !this->writePending) {
@@ -531,14 +555,22 @@
   if (!this->predecessorsMayRenew) {
     return;
   }
-  const HostCounts hosts = this->CountHosts({});
-  if (hosts.followers * 2 >= hosts.known) {
+  const auto& earlier = this->assignment.earlierAssigners;
+  const bool haveStopped =
+    std::ranges::all_of(earlier, [&](const EarlierAssigner& aEarlier) {
+      return this->HasStopped(aEarlier, peers);
+    });
+  if (haveStopped) {
     const TimePoint now = this->hooks.now();
     const TimePoint predecessorsStop =
       std::max(this->claimedAt + kClaimValidity, now + kMapReportValidity);
     this->predecessorLeasesExpireAt =
       this->LeaseExpiryFromNow() + (predecessorsStop - now);
     this->predecessorsMayRenew = false;
+    this->hooks.log(
+      "predecessors-stopped",
+      std::to_string(earlier.size()) + " assigners, the last " +
+        (earlier.empty() ? "unknown" : earlier.back().host.host.value));
   }
 }
 
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -53,6 +53,9 @@
   AssignmentWrite write;
   write.expected = this->rows;
   write.assignmentText = SerializeAssignment(aNext);
+  if (aNext.quorumHosts != this->assignment.quorumHosts) {
+    this->unconfirmedQuorums.push_back(aNext.quorumHosts);
+  }
   const TimePoint requestedAt = this->hooks.now();
   this->hooks.write(write, [this, aNext, requestedAt](WriteOutcome aOutcome,
                                                       state::Version aVersion) {
@@ -71,6 +74,8 @@
     }
     this->writePending = false;
     this->claimConfirmedAt = std::max(this->claimConfirmedAt, requestedAt);
+    // Earlier writes expected an older version and fail from now on.
+    this->unconfirmedQuorums.clear();
     this->ApplyAssignment(aNext, aVersion);
   });
 }
--- a/src/ownership/internal/assignerplans.cpp
+++ b/src/ownership/internal/assignerplans.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds kMergeInterval{ 2000 };
 constexpr milliseconds kPauseBeforeMerge{ 4000 };
 constexpr std::size_t kMaxMerges = 30;
+// Hosts start and stop one after the other.
+constexpr milliseconds kQuorumInterval{ 2000 };
 // An upstream that fails receives no keys for the first of these times, which
 // doubles with each further failure up to the second.
 constexpr milliseconds kFirstBackoff{ 3000 };
@@ -110,12 +112,35 @@
       next.ranges[i].previousHolders.clear();
     }
   }
+  const bool isQuorumDue = this->PlanQuorum(next);
   if (this->PlanReplacements(next, this->candidates) ||
-      this->PlanBalance(next, this->candidates) || this->PlanMerges(next)) {
+      this->PlanBalance(next, this->candidates) || this->PlanMerges(next) ||
+      isQuorumDue) {
     this->WriteAssignment(next);
   }
 }
 
+bool Assigner::PlanQuorum(Assignment& aNext)
+{
+  aNext.quorumHosts = this->ChooseHosts(aNext.quorumHosts);
+  if (!this->predecessorsMayRenew) {
+    aNext.earlierAssigners.clear();
+  }
+  const TimePoint now = this->hooks.now();
+  const bool hasChanged =
+    aNext.quorumHosts != this->assignment.quorumHosts ||
+    aNext.earlierAssigners != this->assignment.earlierAssigners;
+  if (!hasChanged || now < this->quorumDue) {
+    return false;
+  }
+  this->quorumDue = now + kQuorumInterval;
+  this->hooks.log("quorum", std::to_string(aNext.quorumHosts.size()) +
+                              " hosts, " +
+                              std::to_string(aNext.earlierAssigners.size()) +
+                              " earlier assigners");
+  return true;
+}
+
 // A holder that can be released keeps its keys until then. One that cannot has
 // to be waited for, and the sooner that begins the better.
 bool Assigner::MustWaitToRelease(const RangeState& aRange) const
--- a/src/ownership/internal/assignment.cpp
+++ b/src/ownership/internal/assignment.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 #include <map>
 #include <stdexcept>
@@ -29,6 +30,76 @@
            aText.at(1).get<std::int64_t>() };
 }
 
+json HostToJson(const state::HostRef& aHost)
+{
+  return json::array({ aHost.host.value, aHost.incarnation });
+}
+
+state::HostRef ParseHost(const json& aText)
+{
+  return { { aText.at(0).get<std::string>() },
+           aText.at(1).get<state::Incarnation>() };
+}
+
+// A host stands in the row once, and is named by its index.
+class HostList
+{
+public:
+  std::size_t IndexOf(const state::HostRef& aHost)
+  {
+    const auto [found, isNew] =
+      this->indexes.try_emplace(aHost, this->hosts.size());
+    if (isNew) {
+      this->hosts.push_back(HostToJson(aHost));
+    }
+    return found->second;
+  }
+
+  json IndexesOf(const QuorumHosts& aHosts)
+  {
+    json list = json::array();
+    std::ranges::transform(
+      aHosts, std::back_inserter(list),
+      [this](const state::HostRef& aHost) { return this->IndexOf(aHost); });
+    return list;
+  }
+
+  const json& Text() const { return this->hosts; }
+
+private:
+  json hosts = json::array();
+  std::map<state::HostRef, std::size_t> indexes;
+};
+
+QuorumHosts ParseIndexes(const json& aList,
+                         const std::vector<state::HostRef>& aHosts)
+{
+  QuorumHosts hosts;
+  std::ranges::transform(aList, std::back_inserter(hosts),
+                         [&aHosts](const json& aIndex) {
+                           return aHosts.at(aIndex.get<std::size_t>());
+                         });
+  return hosts;
+}
+
+// Rows of versions that stored no hosts have none.
+void ParseAssigners(const json& aText, Assignment& aAssignment)
+{
+  if (!aText.contains("hosts")) {
+    return;
+  }
+  std::vector<state::HostRef> hosts;
+  std::ranges::transform(aText.at("hosts"), std::back_inserter(hosts),
+                         ParseHost);
+  aAssignment.quorumHosts = ParseIndexes(aText.at("quorum"), hosts);
+  std::ranges::transform(
+    aText.at("earlier"), std::back_inserter(aAssignment.earlierAssigners),
+    [&hosts](const json& aEntry) {
+      return EarlierAssigner{ hosts.at(aEntry.at(0).get<std::size_t>()),
+                              ParseIndexes(aEntry.at(1), hosts) };
+    });
+}
+
 bool CoversAllKeys(const std::vector<AssignedRange>& aRanges,
                    const KeyPart& aPart)
 {
@@ -88,10 +159,20 @@
                            indexOf);
     ranges.push_back(std::move(entry));
   }
+  HostList hosts;
+  json quorum = hosts.IndexesOf(aAssignment.quorumHosts);
+  json earlier = json::array();
+  for (const EarlierAssigner& assigner : aAssignment.earlierAssigners) {
+    earlier.push_back(json::array(
+      { hosts.IndexOf(assigner.host), hosts.IndexesOf(assigner.quorumHosts) }));
+  }
   return json{
     { "nextFence", aAssignment.nextFencingToken },
     { "holders", std::move(holders) },
-    { "ranges", std::move(ranges) }
+    { "ranges", std::move(ranges) },
+    { "hosts", hosts.Text() },
+    { "quorum", std::move(quorum) },
+    { "earlier", std::move(earlier) }
   }.dump();
 }
 
@@ -126,6 +207,7 @@
       first = std::uint32_t{ range.last } + 1;
       assignment.ranges.push_back(std::move(range));
     }
+    ParseAssigners(text, assignment);
   } catch (const json::exception&) {
     return malformed;
   } catch (const std::out_of_range&) {
@@ -137,6 +219,22 @@
   return assignment;
 }
 
+void AddEarlierAssigner(Assignment& aAssignment, const state::HostRef& aHost)
+{
+  EarlierAssigner earlier{ aHost, std::move(aAssignment.quorumHosts) };
+  aAssignment.quorumHosts.clear();
+  // An assignment that was made from those of other parts has no assigner of
+  // its own yet, and lists theirs.
+  const bool isListed = std::ranges::any_of(
+    aAssignment.earlierAssigners, [&earlier](const EarlierAssigner& aOther) {
+      return aOther.host == earlier.host &&
+             (earlier.quorumHosts.empty() || aOther == earlier);
+    });
+  if (!isListed) {
+    aAssignment.earlierAssigners.push_back(std::move(earlier));
+  }
+}
+
 Assignment CutToPart(const std::vector<Assignment>& aAssignments,
                      const KeyPart& aPart)
 {
@@ -144,6 +242,9 @@
   for (const Assignment& assignment : aAssignments) {
     cut.nextFencingToken =
       std::max(cut.nextFencingToken, assignment.nextFencingToken);
+    cut.earlierAssigners.insert(cut.earlierAssigners.end(),
+                                assignment.earlierAssigners.begin(),
+                                assignment.earlierAssigners.end());
     for (AssignedRange range : assignment.ranges) {
       range.first = std::max(range.first, aPart.First());
       range.last = std::min(range.last, aPart.Last());
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(testReplacedAssignerDoesNotRenewOverNewConnections);
   CPPUNIT_TEST(testLeaseIsStillKnownWhenKeysReturnToTheirHolder);
   CPPUNIT_TEST(testStartedHostDoesNotTakeItselfForAllHosts);
+  CPPUNIT_TEST(testHostStartedBehindALongPartition);
   CPPUNIT_TEST(testAssignerCutOffForLongDoesNotTakeItselfForAllHosts);
   CPPUNIT_TEST(testRestartedHostsDoNotKeepAReplacedAssigner);
   CPPUNIT_TEST(testJoinedRangeWaitsForThePreviousHoldersOfBothParts);
@@ -237,6 +238,32 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against two assigners at once after a host has started behind a
+  // partition that lasts for over a minute, and takes itself for all hosts.
+  void testHostStartedBehindALongPartition()
+  {
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    const std::string old = simulation.AssignerName();
+    const std::string successor = old == "h0" ? "h1" : "h0";
+    simulation.KillHost(successor);
+    simulation.cutFromPeers.insert(successor);
+    simulation.StartHost(successor);
+    simulation.rejectedByStore.insert(old);
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.AssignerName() == successor; },
+      milliseconds(6000)));
+    simulation.RunFor(std::chrono::seconds(60));
+    FakeUpstream& leaving = simulation.Upstream("u1");
+    leaving.mayOwn = false;
+    const int before = leaving.releases;
+    simulation.RunUntil([&] { return leaving.releases > before; },
+                        milliseconds(5000));
+    simulation.RestartUnlisted("u1");
+    simulation.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
   // Guards against two assigners at once after one has been cut off for over a
   // minute: it forgot the hosts that it no longer heard, and renewed leases
   // again.
@@ -514,6 +541,8 @@
   void testHostsWithTheMapOfAnEarlierClaimDoNotCount()
   {
     ManualAssigner manual;
+    manual.peers = { manual.PeerWithOwnMap("h1", 0),
+                     manual.PeerWithOwnMap("h2", 0) };
     manual.Claim(1);
     manual.LoseClaim(3);
     manual.Claim(4);
@@ -521,12 +550,13 @@
                      manual.PeerWithOwnMap("h2", 1) };
     manual.mayOwn = { "u1" };
     manual.Run(milliseconds(1000));
-    CPPUNIT_ASSERT(!manual.pendingWrite);
+    CPPUNIT_ASSERT(manual.OwnsKeys("u0"));
     manual.peers = { manual.PeerWithOwnMap("h1", 4),
                      manual.PeerWithOwnMap("h2", 4) };
     manual.Run(milliseconds(1000));
-    manual.pendingWrite(state::WriteOutcome::kWritten, 5);
+    manual.Confirm(5);
     manual.Run(milliseconds(1000));
+    CPPUNIT_ASSERT(!manual.OwnsKeys("u0"));
     CPPUNIT_ASSERT(manual.releases > 0);
   }
 
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -141,19 +141,19 @@
   // called before a host claims.
   void SetEarlierAssignment(const Assignment& aAssignment)
   {
+    Assignment earlier = aAssignment;
+    for (const auto& [name, host] : this->hosts) {
+      earlier.quorumHosts.push_back(host->Ref());
+    }
     this->stored.assigner = { { "gone" }, 1 };
-    this->stored.assignmentText = SerializeAssignment(aAssignment);
+    this->stored.assignmentText = SerializeAssignment(earlier);
   }
 
-  // A host that is not listed is unknown to others until they hear from it.
-  void StartHost(const std::string& aName, bool aListed = true)
+  void StartHost(const std::string& aName)
   {
     auto host = std::make_shared<Host>();
     host->name = aName;
     host->incarnation = ++this->lastIncarnation;
-    if (aListed) {
-      this->ListHost(aName);
-    }
     this->hosts[aName] = host;
     host->assigner = std::make_unique<Assigner>(
       Assigner::Options{ "stoc", {}, host->Ref(), milliseconds(10'000) },
@@ -161,11 +161,6 @@
     this->Tick(host);
   }
 
-  void ListHost(const std::string& aName)
-  {
-    this->listedHosts.insert({ aName });
-  }
-
   // Begins a planned stop. The host runs on until it is killed.
   void Leave(const std::string& aName)
   {
@@ -341,8 +336,9 @@
 
   void SendDigest(const HostPtr& aHost)
   {
-    const PeerStatus digest{ aHost->Ref(),      {}, {}, aHost->leaving,
-                             aHost->mapVersion, {} };
+    const PeerStatus digest{
+      aHost->Ref(), {}, aHost->leaving, aHost->mapVersion, {}
+    };
     const std::int64_t number = aHost->digestSendTimes.RecordSend(this->now);
     const std::int64_t lastDigestNumber =
       aHost->lastDigestNumbers[aHost->mapVersion.assigner.host.value];
@@ -356,11 +352,6 @@
         peer, kLinkDelay,
         [this, peer = peer, view = digest, number, lastDigestNumber]() mutable {
           view.lastHeardAt = this->now;
-          const auto known = peer->peers.find(view.host.host.value);
-          view.heardSince =
-            known != peer->peers.end() && known->second.host == view.host
-              ? known->second.heardSince
-              : this->now;
           view.mapConfirmedAt = peer->digestSendTimes.SentAt(lastDigestNumber);
           peer->lastDigestNumbers[view.host.host.value] = number;
           peer->peers[view.host.host.value] = view;
@@ -418,10 +409,6 @@
       }
       return views;
     };
-    hooks.listedHosts = [this] {
-      return std::vector<state::HostId>{ this->listedHosts.begin(),
-                                         this->listedHosts.end() };
-    };
     hooks.publish = [weak] {
       const HostPtr host = weak.lock();
       if (host->assigner->CurrentMapVersion().IsNewerThan(host->mapVersion)) {
@@ -608,8 +595,6 @@
   std::multimap<TimePoint, std::function<void()>> events;
   std::mt19937 random;
   std::map<std::string, HostPtr> hosts;
-  // The rows of hosts stay when they end.
-  std::set<state::HostId> listedHosts;
   std::map<std::string, FakeUpstream> upstreams;
   AssignmentRows stored;
   state::Version lastVersion = 0;
--- a/src/ownership/tests/manualassigner.h
+++ b/src/ownership/tests/manualassigner.h
@@ -4,6 +4,7 @@
 
 #include "ownership/assigner.h"
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <string>
@@ -75,6 +76,24 @@
     done(state::WriteOutcome::kWritten, aVersion);
   }
 
+  // Responds to the write that is pending, if there is one.
+  void Confirm(state::Version aVersion)
+  {
+    if (const auto done = std::exchange(this->pendingWrite, nullptr)) {
+      done(state::WriteOutcome::kWritten, aVersion);
+    }
+  }
+
+  // Whether the upstream owns keys by the last write.
+  bool OwnsKeys(const std::string& aUpstream) const
+  {
+    const auto last = ParseAssignment(this->lastText);
+    return last && std::ranges::any_of(
+                     last->ranges, [&aUpstream](const AssignedRange& aRange) {
+                       return aRange.holder.upstream.value == aUpstream;
+                     });
+  }
+
   // Another host claims with this version, and the assigner learns of it.
   void LoseClaim(state::Version aVersion)
   {
--- a/src/ownership/tests/randomfaults.h
+++ b/src/ownership/tests/randomfaults.h
@@ -81,7 +81,7 @@
       &RandomFaults::ToggleCold,         &RandomFaults::ChangeConnectTime,
       &RandomFaults::SeparateTwoGroups,  &RandomFaults::HideSuccessor,
       &RandomFaults::JoinGroups,         &RandomFaults::KillSeveralHosts,
-      &RandomFaults::StartKilledHosts,   &RandomFaults::StartUnlistedHost,
+      &RandomFaults::StartKilledHosts,   &RandomFaults::StartNewHost,
       &RandomFaults::StopHost,           &RandomFaults::ChangeCommandDelay,
       &RandomFaults::ChangeWorkTime,     &RandomFaults::RestartUpstreamOften,
       &RandomFaults::MoveLoad,
@@ -218,15 +218,11 @@
     }
   }
 
-  // A host that the host table shows late, or never.
-  void StartUnlistedHost()
+  void StartNewHost()
   {
     constexpr std::size_t kMaxHosts = 10;
     if (this->simulation.Hosts().size() < kMaxHosts) {
-      this->simulation.StartHost("n" + std::to_string(this->unlistedHosts++),
-                                 false);
-    } else {
-      this->simulation.ListHost("n0");
+      this->simulation.StartHost("n" + std::to_string(this->newHosts++));
     }
   }
 
@@ -377,7 +373,7 @@
   std::mt19937 random;
   const std::vector<std::string> initialHosts;
   std::vector<Fault> kinds;
-  int unlistedHosts = 0;
+  int newHosts = 0;
   // The upstream that restarts again and again; empty if none does.
   std::string restarting;
   // Percentage of requests for the hot keys. No requests if 0.
