Tests of the stored hosts, and of the loss of many hosts

HostLossTest compares what callers get where many hosts are lost: with half of them left, keys of a lost owner have another within 10 s; with a quarter left, once the others are back, or after six minutes.

--- /dev/null
+++ b/src/ownership/tests/hostloss_test.cpp
@@ -0,0 +1,132 @@
+// Tests which keys have an owner while many hosts are lost, and after.
+
+#include "ownership/tests/assignmentsimulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+
+namespace kumquat::ownership::tests {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+class HostLossTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HostLossTest);
+  CPPUNIT_TEST(testLostOwnersKeysAreServedWithHalfOfTheHosts);
+  CPPUNIT_TEST(testLostOwnersKeysAreServedOnceHostsAreBack);
+  CPPUNIT_TEST(testLostOwnersKeysAreServedAfterMostHostsWereLostForGood);
+  CPPUNIT_TEST(testLostOwnersKeysAreServedAfterAllHostsWereReplaced);
+  CPPUNIT_TEST(testLeasesLastInAnOutageWhileLessThanHalfOfTheHostsRestart);
+  CPPUNIT_TEST(testAssignerThatRestartsWasNotRunningBeside);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void testLostOwnersKeysAreServedWithHalfOfTheHosts()
+  {
+    AssignmentSimulation simulation(12, 14);
+    LoseHostsAndOwner(simulation, 6);
+    ExpectAllKeysLeasedWithin(simulation, seconds(10));
+  }
+
+  void testLostOwnersKeysAreServedOnceHostsAreBack()
+  {
+    AssignmentSimulation simulation(12, 14);
+    const auto lost = LoseHostsAndOwner(simulation, 3);
+    simulation.RunFor(seconds(16));
+    CPPUNIT_ASSERT(!simulation.AreAllKeysLeased());
+    for (const std::string& name : lost) {
+      simulation.StartHost(name);
+    }
+    ExpectAllKeysLeasedWithin(simulation, seconds(6));
+  }
+
+  // Guards against keys without an owner for ever.
+  void testLostOwnersKeysAreServedAfterMostHostsWereLostForGood()
+  {
+    AssignmentSimulation simulation(12, 14);
+    LoseHostsAndOwner(simulation, 3);
+    ExpectAllKeysLeasedWithin(simulation, minutes(6));
+  }
+
+  // Guards against keys without an owner for ever.
+  void testLostOwnersKeysAreServedAfterAllHostsWereReplaced()
+  {
+    AssignmentSimulation simulation(2, 4);
+    LoseHostsAndOwner(simulation, 1);
+    simulation.StartHost("n0");
+    simulation.KillHost(simulation.Hosts().front());
+    ExpectAllKeysLeasedWithin(simulation, minutes(64));
+  }
+
+  void testLeasesLastInAnOutageWhileLessThanHalfOfTheHostsRestart()
+  {
+    AssignmentSimulation simulation(12, 14);
+    Settle(simulation);
+    const std::string assigner = simulation.AssignerName();
+    simulation.storeUnavailable = true;
+    int restarts = 5;
+    for (const std::string& name : simulation.Hosts()) {
+      if (name != assigner && restarts-- > 0) {
+        simulation.KillHost(name);
+        simulation.RunFor(seconds(1));
+        simulation.StartHost(name);
+        simulation.RunFor(seconds(4));
+        CPPUNIT_ASSERT(simulation.AreAllKeysLeased());
+      }
+    }
+  }
+
+  // Guards against waiting for an assigner whose host has started again.
+  void testAssignerThatRestartsWasNotRunningBeside()
+  {
+    AssignmentSimulation simulation(3, 4);
+    Settle(simulation);
+    const std::string assigner = simulation.AssignerName();
+    for (const std::string& name : simulation.Hosts()) {
+      simulation.KillHost(name);
+    }
+    simulation.Upstream("u1").alive = false;
+    simulation.StartHost(assigner);
+    ExpectAllKeysLeasedWithin(simulation, seconds(15));
+  }
+
+private:
+  static void Settle(AssignmentSimulation& aSimulation)
+  {
+    CPPUNIT_ASSERT(aSimulation.RunUntil(
+      [&] { return aSimulation.AreAllKeysLeased(); }, milliseconds(8000)));
+    aSimulation.RunFor(seconds(4));
+  }
+
+  // An owner of keys and hosts are lost together, the assigner among them.
+  // Returns the hosts.
+  static std::vector<std::string> LoseHostsAndOwner(
+    AssignmentSimulation& aSimulation, std::size_t aLeft)
+  {
+    Settle(aSimulation);
+    std::vector<std::string> lost{ aSimulation.AssignerName() };
+    aSimulation.KillHost(lost.front());
+    while (aSimulation.Hosts().size() > aLeft) {
+      lost.push_back(aSimulation.Hosts().back());
+      aSimulation.KillHost(lost.back());
+    }
+    aSimulation.Upstream("u1").alive = false;
+    return lost;
+  }
+
+  static void ExpectAllKeysLeasedWithin(AssignmentSimulation& aSimulation,
+                                        Duration aTime)
+  {
+    CPPUNIT_ASSERT(
+      aSimulation.RunUntil([&] { return aSimulation.AreAllKeysLeased(); },
+                           std::chrono::duration_cast<milliseconds>(aTime)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), aSimulation.Violation());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostLossTest);
+
+} // namespace kumquat::ownership::tests
