A release goes only to the address of the holder's own incarnation

Found by the review: an upstream that had returned under its id at another address, with its old address used by another one, could be taken for ended by an assigner whose list lagged by one incarnation. Its lease was not waited for.

Cause: the last known address was looked up by id alone. It is now that of the holder's incarnation, or none.

Test: testAddressOfAnotherIncarnationIsNotReported (by id, the address was returned for any incarnation).

--- a/src/node/internal/keyedservices.cpp
+++ b/src/node/internal/keyedservices.cpp
@@ -224,8 +224,8 @@
   assignerHooks.candidates = [this, entry] {
     return this->CandidatesFor(*entry);
   };
-  assignerHooks.formerAddress = [this](const state::UpstreamId& aUpstream) {
-    return this->upstreams.LastAddressOf(aUpstream);
+  assignerHooks.formerAddress = [this](const ownership::Holder& aHolder) {
+    return this->upstreams.LastAddressOf(aHolder.upstream, aHolder.startedMs);
   };
   assignerHooks.peers = [this, entry] {
     return this->peers.PeerStatusesFor(entry->name);
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -184,10 +184,9 @@
     std::function<void(AssignmentWrite, WriteDone)> write;
     std::function<void(const LeaseCommand&, CommandDone)> sendCommand;
     std::function<std::vector<OwnerCandidate>()> candidates;
-    // Where an upstream was that is no longer a candidate; none if that is not
+    // Where a holder was that is no longer a candidate; none if that is not
     // known. May be empty.
-    std::function<std::optional<std::string>(const state::UpstreamId&)>
-      formerAddress;
+    std::function<std::optional<std::string>(const Holder&)> formerAddress;
     // All other hosts from which a digest was ever received.
     std::function<std::vector<PeerStatus>()> peers;
     // The host with the higher value should claim first. May be empty if all
@@ -360,7 +359,7 @@
   void ReleasePreviousHolders(std::size_t aRangeIndex);
   // Whether a release that is sent now is not final.
   bool MayBeRenewedByOthers(const PreviousHolder& aPrevious) const;
-  // Where the holder, or a later incarnation of it, is or was last.
+  // Where the holder was, or where a later incarnation of it is.
   std::optional<std::string> FindReleaseAddress(const Holder& aPrevious) const;
   void SendRelease(std::size_t aRangeIndex, std::size_t aHolderIndex);
   void SendGrant(std::size_t aRangeIndex);
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -325,9 +325,8 @@
   if (candidate != this->candidates.end()) {
     return candidate->address;
   }
-  return this->hooks.formerAddress
-           ? this->hooks.formerAddress(aPrevious.upstream)
-           : std::nullopt;
+  return this->hooks.formerAddress ? this->hooks.formerAddress(aPrevious)
+                                   : std::nullopt;
 }
 
 // A later incarnation of the holder gets the release too: it accepts renewals
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -399,8 +399,8 @@
       }
       return candidates;
     };
-    hooks.formerAddress = [](const state::UpstreamId& aUpstream) {
-      return aUpstream.value;
+    hooks.formerAddress = [](const Holder& aHolder) {
+      return aHolder.upstream.value;
     };
     hooks.peers = [weak] {
       std::vector<PeerStatus> views;
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -196,10 +196,11 @@
 }
 
 std::optional<std::string> Upstreams::LastAddressOf(
-  const state::UpstreamId& aId) const
+  const state::UpstreamId& aId, std::int64_t aStartedMs) const
 {
   const std::optional<LastEntry> last = this->LastEntryOf(aId);
-  return last ? std::optional(last->address) : std::nullopt;
+  return last && last->startedMs == aStartedMs ? std::optional(last->address)
+                                               : std::nullopt;
 }
 
 void Upstreams::RemoveNow(const state::UpstreamId& aId, TimePoint aNow)
--- a/src/routing/tests/upstreams_test.cpp
+++ b/src/routing/tests/upstreams_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(testLateHeartbeatDoesNotUndoLeaving);
   CPPUNIT_TEST(testWordOfAResponseHoldsForItsIncarnation);
   CPPUNIT_TEST(testLateHeartbeatDoesNotRestoreRemovedUpstream);
+  CPPUNIT_TEST(testAddressOfAnotherIncarnationIsNotReported);
   CPPUNIT_TEST(testLateResponseOfOldAddressKeepsNewIncarnation);
   CPPUNIT_TEST(testNewIncarnationIsNotEjected);
   CPPUNIT_TEST(testExpiredEntryIsUsedDuringGrace);
@@ -150,6 +151,16 @@
     CPPUNIT_ASSERT(!this->upstreams.Find({ "u" })->entry.leaving);
   }
 
+  // Guards against asking another incarnation's address whether one has ended.
+  void testAddressOfAnotherIncarnationIsNotReported()
+  {
+    this->Put(1, false, 1);
+    CPPUNIT_ASSERT(this->upstreams.LastAddressOf({ "u" }, 1).has_value());
+    this->upstreams.RemoveEntry({ "u" }, this->now, milliseconds(0));
+    CPPUNIT_ASSERT(this->upstreams.LastAddressOf({ "u" }, 1).has_value());
+    CPPUNIT_ASSERT(!this->upstreams.LastAddressOf({ "u" }, 2).has_value());
+  }
+
   // A request to an upstream's previous address is answered by whichever
   // upstream has that address now.
   void testLateResponseOfOldAddressKeepsNewIncarnation()
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -220,9 +220,10 @@
   {
     return this->addresses.contains(aAddress);
   }
-  // The address of an upstream that is known, or was removed within the last
-  // minute.
-  std::optional<std::string> LastAddressOf(const state::UpstreamId& aId) const;
+  // The address of an incarnation that is known, or was removed within the last
+  // minute. None if the last known one is another.
+  std::optional<std::string> LastAddressOf(const state::UpstreamId& aId,
+                                           std::int64_t aStartedMs) const;
   UpstreamState* Find(const state::UpstreamId& aId);
   const UpstreamState* Find(const state::UpstreamId& aId) const;
   // Valid until the next change of entries, data centres or range.
