The response to a write of an earlier claim is ignored

Found by the review: a response that comes after the claim was lost and won again was applied to the present claim, and with it the list of earlier assigners of before, so that they could count as stopped.

Cause: the callbacks of writes and of reads after a failed write did not compare the claim. A set of hosts that was tried before is not listed again, and two ranges that become one keep what either has to send again.

Test: testResponseToAWriteOfAnEarlierClaimIsIgnored failed before (version 2 was in force in place of 4) and passes.

--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -53,13 +53,18 @@
   AssignmentWrite write;
   write.expected = this->rows;
   write.assignmentText = SerializeAssignment(aNext);
-  if (aNext.quorumHosts != this->assignment.quorumHosts) {
+  const bool isQuorumKnown =
+    aNext.quorumHosts == this->assignment.quorumHosts ||
+    std::ranges::find(this->unconfirmedQuorums, aNext.quorumHosts) !=
+      this->unconfirmedQuorums.end();
+  if (!isQuorumKnown) {
     this->unconfirmedQuorums.push_back(aNext.quorumHosts);
   }
   const TimePoint requestedAt = this->hooks.now();
-  this->hooks.write(write, [this, aNext, requestedAt](WriteOutcome aOutcome,
-                                                      state::Version aVersion) {
-    if (this->phase != Phase::kActive) {
+  const state::Version claim = this->rows.claimVersion;
+  this->hooks.write(write, [this, aNext, requestedAt, claim](
+                             WriteOutcome aOutcome, state::Version aVersion) {
+    if (this->phase != Phase::kActive || claim != this->rows.claimVersion) {
       return;
     }
     if (aOutcome == WriteOutcome::kRefused) {
@@ -92,11 +97,12 @@
 void Assigner::ReloadAssignment()
 {
   const TimePoint requestedAt = this->hooks.now();
-  this->hooks.read([this, requestedAt](Result<AssignmentRows> aRows) {
-    this->writePending = false;
-    if (this->phase != Phase::kActive) {
+  const state::Version claim = this->rows.claimVersion;
+  this->hooks.read([this, requestedAt, claim](Result<AssignmentRows> aRows) {
+    if (this->phase != Phase::kActive || claim != this->rows.claimVersion) {
       return;
     }
+    this->writePending = false;
     if (!aRows) {
       // Leases are renewed again, and the next plan repeats the change.
       this->planDue = this->hooks.now() + kPlanInterval;
@@ -243,6 +249,7 @@
       std::max(known->leaseExpiresAt, previous.leaseExpiresAt);
     known->maybeRenewedByPredecessor |= previous.maybeRenewedByPredecessor;
     known->retryAt = std::max(known->retryAt, previous.retryAt);
+    known->releasedEarly = known->releasedEarly && previous.releasedEarly;
   }
   joined.granted = aLeft.granted && aRight.granted;
   joined.grantedAt = std::max(aLeft.grantedAt, aRight.grantedAt);
--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(testResumedAssignerIgnoresStaleDigests);
   CPPUNIT_TEST(testClaimIsOldAfterAPause);
   CPPUNIT_TEST(testHostsWithTheMapOfAnEarlierClaimDoNotCount);
+  CPPUNIT_TEST(testResponseToAWriteOfAnEarlierClaimIsIgnored);
   CPPUNIT_TEST(testGrantIsNotSentAfterAPause);
   CPPUNIT_TEST(testLateGrantIsRejectedByFencingToken);
   CPPUNIT_TEST(testLeaseCountsFromTheArrivalOfASlowGrant);
@@ -560,6 +561,33 @@
     CPPUNIT_ASSERT(manual.releases > 0);
   }
 
+  // Guards against taking an assignment of an earlier claim for the present
+  // one, and with it all predecessors for stopped.
+  void testResponseToAWriteOfAnEarlierClaimIsIgnored()
+  {
+    ManualAssigner manual;
+    manual.Claim(1);
+    manual.holdsReads = true;
+    while (!manual.pendingRead) {
+      manual.Run(milliseconds(100));
+    }
+    manual.mayOwn = { "u1" };
+    while (!manual.pendingWrite) {
+      manual.Run(milliseconds(100));
+    }
+    const auto lateResponse = std::exchange(manual.pendingWrite, nullptr);
+    manual.rows.claimVersion = manual.rows.assignmentVersion = 3;
+    manual.rows.assigner = { { "h9" }, 1 };
+    manual.holdsReads = false;
+    manual.pendingRead(manual.rows);
+    CPPUNIT_ASSERT(!manual.assigner->IsAssigner());
+    manual.Claim(4);
+    lateResponse(state::WriteOutcome::kWritten, 2);
+    CPPUNIT_ASSERT_EQUAL(
+      state::Version{ 4 },
+      manual.assigner->CurrentMapVersion().assignmentVersion);
+  }
+
   // Guards against renewing a lease that others count as expired, with a grant
   // that was decided on before the host was suspended and sent after that.
   void testGrantIsNotSentAfterAPause()
--- a/src/ownership/tests/manualassigner.h
+++ b/src/ownership/tests/manualassigner.h
@@ -19,7 +19,13 @@
   {
     Assigner::Hooks hooks;
     hooks.now = [this] { return this->now; };
-    hooks.read = [this](const Assigner::ReadDone& aDone) { aDone(this->rows); };
+    hooks.read = [this](const Assigner::ReadDone& aDone) {
+      if (this->holdsReads) {
+        this->pendingRead = aDone;
+      } else {
+        aDone(this->rows);
+      }
+    };
     hooks.write = [this](const AssignmentWrite& aWrite,
                          Assigner::WriteDone aDone) {
       this->lastText = aWrite.assignmentText;
@@ -116,6 +122,9 @@
   AssignmentRows rows;
   std::string lastText;
   Assigner::WriteDone pendingWrite;
+  // Reads are answered by hand.
+  bool holdsReads = false;
+  Assigner::ReadDone pendingRead;
   std::vector<PeerStatus> peers;
   std::set<std::string> mayOwn{ "u0", "u1" };
   int releases = 0;
