--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -30,6 +30,9 @@
 // acknowledge them arrive every 300 and 500 ms, busy hosts lag by some hundred
 // milliseconds, and links lose packets.
 constexpr milliseconds kMapReportValidity{ 2000 };
+// A host that has announced a planned stop and is silent for this time has
+// ended.
+constexpr milliseconds kStopTimeout{ 10'000 };
 // A predecessor's clock may count this part of the time that passes here, as
 // either may be off by 2%.
 constexpr double kMinClockRate = 0.96;
@@ -482,13 +485,13 @@
                          TimePoint aSince) const
 {
   const auto followers =
-    std::ranges::count_if(aHosts, [&](const state::HostRef& aHost) {
-      return aHost == this->options.self ||
-             std::ranges::any_of(aPeers, [&](const PeerStatus& aPeer) {
-               return aPeer.host == aHost && this->IsFollower(aPeer, aSince);
-             });
+    std::ranges::count_if(aPeers, [&](const PeerStatus& aPeer) {
+      return std::ranges::binary_search(aHosts, aPeer.host) &&
+             this->IsFollower(aPeer, aSince);
     });
-  return static_cast<std::size_t>(followers) >=
+  const bool countsSelf =
+    std::ranges::binary_search(aHosts, this->options.self);
+  return static_cast<std::size_t>(followers) + (countsSelf ? 1 : 0) >=
          RequiredFollowers(aHosts.size(),
                            this->hooks.now() - this->claimConfirmedAt);
 }
@@ -509,7 +512,8 @@
 
 // A host that uses this assigner's map is no follower of a predecessor any
 // more: it never returns to an older map, and of a host that has restarted
-// since, the incarnation that was counted has ended.
+// since, the incarnation that was counted has ended. The predecessor's own host
+// may use the map shortly before the predecessor steps down.
 bool Assigner::HasStopped(const EarlierAssigner& aEarlier,
                           const std::vector<PeerStatus>& aPeers) const
 {
@@ -524,18 +528,25 @@
     std::ranges::none_of(aPeers, [&aEarlier](const PeerStatus& aPeer) {
       return aPeer.host == aEarlier.host;
     });
+  const auto hasLeft = [&](const state::HostRef& aHost) {
+    return std::ranges::any_of(aPeers, [&](const PeerStatus& aPeer) {
+      return aPeer.host == aHost && aPeer.leaving &&
+             this->hooks.now() - aPeer.lastHeardAt >= kStopTimeout;
+    });
+  };
+  // Rows of versions that stored no hosts name none.
+  const QuorumHosts& hosts = aEarlier.quorumHosts.empty()
+                               ? this->assignment.quorumHosts
+                               : aEarlier.quorumHosts;
   const Duration unconfirmed = std::chrono::duration_cast<Duration>(
     (this->hooks.now() - this->claimedAt) * kMinClockRate);
-  const std::size_t required =
-    RequiredFollowers(aEarlier.quorumHosts.size(), unconfirmed);
-  const auto mayFollow = static_cast<std::size_t>(std::ranges::count_if(
-    aEarlier.quorumHosts, [&usesOwnMap](const state::HostRef& aHost) {
-      return !usesOwnMap(aHost.host);
+  const auto mayFollow = static_cast<std::size_t>(
+    std::ranges::count_if(hosts, [&](const state::HostRef& aHost) {
+      return aHost == aEarlier.host ||
+             (!usesOwnMap(aHost.host) && !hasLeft(aHost));
     }));
-  // Rows of versions that stored no hosts say nothing about who may follow.
-  const bool isRefuted =
-    aEarlier.quorumHosts.empty() ? required == kNoQuorum : mayFollow < required;
-  return hasRestarted || isRefuted;
+  return hasRestarted || hasLeft(aEarlier.host) ||
+         mayFollow < RequiredFollowers(hosts.size(), unconfirmed);
 }
 
 // From the time on at which all predecessors have stopped, only the grants that
@@ -545,9 +556,11 @@
 {
   const std::vector<PeerStatus> peers = this->hooks.peers();
   for (const PeerStatus& peer : peers) {
-    // A map of a later version comes from a host that has claimed since.
+    // A map of a later version comes from a host that has claimed since, or
+    // shows a write of this one that is not confirmed yet.
     if (peer.mapVersion.assignmentVersion > this->rows.assignmentVersion &&
-        peer.mapVersion.assigner != this->options.self && !this->writePending) {
+        peer.mapVersion.assigner != this->options.self &&
+        (!this->writePending || !peer.mapVersion.assigner.host.value.empty())) {
       this->StepDown("a peer uses a map of a later version");
       return;
     }
--- a/src/ownership/internal/quorum.cpp
+++ b/src/ownership/internal/quorum.cpp
@@ -22,15 +22,21 @@
 // Hosts whose last digest is older are not added. In large deployments, digests
 // arrive every half second.
 constexpr std::chrono::milliseconds kLatelyHeard{ 2000 };
-// From this time without a confirmation on, an assigner needs nearly all of its
-// hosts, so that a successor needs few of them after a loss of most.
-constexpr std::chrono::minutes kLongOutage{ 5 };
-// The part of the hosts that an assigner may lose in a long outage.
-constexpr std::size_t kLongOutageDivisor = 6;
+// The longer an assigner is out of touch with the store, the fewer of its hosts
+// it may lose, and the fewer of them a successor needs after a loss of most.
+struct OutageStep
+{
+  std::chrono::minutes from;
+  // The part of the hosts that may be lost.
+  std::size_t divisor;
+};
+constexpr std::array<OutageStep, 2> kOutageSteps{
+  { { std::chrono::minutes(5), 3 }, { std::chrono::minutes(10), 6 } }
+};
 // An assigner that is out of touch with the store for so long stops, whoever
 // uses its map. Otherwise keys could stay without an owner for ever, if all of
 // its hosts were lost for good.
-constexpr std::chrono::minutes kMaxOutage{ 60 };
+constexpr std::chrono::minutes kMaxOutage{ 30 };
 
 bool IsLive(const PeerStatus& aPeer, TimePoint aNow, Duration aMaxSilence)
 {
@@ -44,10 +50,13 @@
   if (aUnconfirmed >= kMaxOutage) {
     return kNoQuorum;
   }
-  const std::size_t majority = aHosts / 2 + 1;
-  return aUnconfirmed < kLongOutage
-           ? majority
-           : std::max(majority, aHosts - aHosts / kLongOutageDivisor);
+  std::size_t required = aHosts / 2 + 1;
+  for (const OutageStep& step : kOutageSteps) {
+    if (aUnconfirmed >= step.from) {
+      required = std::max(required, aHosts - aHosts / step.divisor);
+    }
+  }
+  return required;
 }
 
 QuorumHosts ChooseQuorumHosts(const QuorumChoice& aChoice)
--- a/src/ownership/tests/hostloss_test.cpp
+++ b/src/ownership/tests/hostloss_test.cpp
@@ -6,6 +6,8 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace kumquat::ownership::tests {
 
@@ -19,6 +21,7 @@
   CPPUNIT_TEST(testLostOwnersKeysAreServedOnceHostsAreBack);
   CPPUNIT_TEST(testLostOwnersKeysAreServedAfterMostHostsWereLostForGood);
   CPPUNIT_TEST(testLostOwnersKeysAreServedAfterAllHostsWereReplaced);
+  CPPUNIT_TEST(testLostOwnersKeysAreServedAfterMostHostsStoppedAsPlanned);
   CPPUNIT_TEST(testLeasesLastInAnOutageWhileLessThanHalfOfTheHostsRestart);
   CPPUNIT_TEST(testAssignerThatRestartsWasNotRunningBeside);
   CPPUNIT_TEST_SUITE_END();
@@ -46,9 +49,12 @@
   // Guards against keys without an owner for ever.
   void testLostOwnersKeysAreServedAfterMostHostsWereLostForGood()
   {
-    AssignmentSimulation simulation(12, 14);
-    LoseHostsAndOwner(simulation, 3);
-    ExpectAllKeysLeasedWithin(simulation, minutes(6));
+    for (const auto& [left, time] :
+         { std::pair(5, minutes(6)), std::pair(3, minutes(11)) }) {
+      AssignmentSimulation simulation(12, 14);
+      LoseHostsAndOwner(simulation, static_cast<std::size_t>(left));
+      ExpectAllKeysLeasedWithin(simulation, time);
+    }
   }
 
   // Guards against keys without an owner for ever.
@@ -58,7 +64,29 @@
     LoseHostsAndOwner(simulation, 1);
     simulation.StartHost("n0");
     simulation.KillHost(simulation.Hosts().front());
-    ExpectAllKeysLeasedWithin(simulation, minutes(64));
+    ExpectAllKeysLeasedWithin(simulation, minutes(33));
+  }
+
+  // Guards against waiting for hosts that have announced their end.
+  void testLostOwnersKeysAreServedAfterMostHostsStoppedAsPlanned()
+  {
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    const std::string assigner = simulation.AssignerName();
+    const std::string left = assigner == "h0" ? "h1" : "h0";
+    for (const std::string& name : simulation.Hosts()) {
+      if (name != left) {
+        simulation.Leave(name);
+      }
+    }
+    simulation.RunFor(milliseconds(300));
+    for (const std::string& name : simulation.Hosts()) {
+      if (name != left) {
+        simulation.KillHost(name);
+      }
+    }
+    simulation.Upstream("u1").alive = false;
+    ExpectAllKeysLeasedWithin(simulation, seconds(25));
   }
 
   void testLeasesLastInAnOutageWhileLessThanHalfOfTheHostsRestart()
--- a/src/ownership/tests/quorum_test.cpp
+++ b/src/ownership/tests/quorum_test.cpp
@@ -78,10 +78,11 @@
   void testLongOutageLeavesFewHostsToASuccessor()
   {
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 7 }, RequiredFollowers(12, seconds(299)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 8 }, RequiredFollowers(12, seconds(300)));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 10 },
-                         RequiredFollowers(12, seconds(300)));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, RequiredFollowers(1, minutes(59)));
-    CPPUNIT_ASSERT_EQUAL(kNoQuorum, RequiredFollowers(12, minutes(60)));
+                         RequiredFollowers(12, seconds(600)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, RequiredFollowers(1, minutes(29)));
+    CPPUNIT_ASSERT_EQUAL(kNoQuorum, RequiredFollowers(12, minutes(30)));
   }
 
   // Guards against two sides of a partition of which each counts only itself.
