--- a/src/ownership/tests/manualassigner.h
+++ b/src/ownership/tests/manualassigner.h
@@ -19,7 +19,13 @@
   {
     Assigner::Hooks hooks;
     hooks.now = [this] { return this->now; };
-    hooks.read = [this](const Assigner::ReadDone& aDone) { aDone(this->rows); };
+    hooks.read = [this](const Assigner::ReadDone& aDone) {
+      if (this->holdsReads) {
+        this->pendingRead = aDone;
+        return;
+      }
+      aDone(this->rows);
+    };
     hooks.write = [this](const AssignmentWrite& aWrite,
                          Assigner::WriteDone aDone) {
       this->lastText = aWrite.assignmentText;
@@ -27,7 +33,8 @@
     };
     hooks.sendCommand = [this](const LeaseCommand& aCommand,
                                const Assigner::CommandDone& aDone) {
-      this->releases += aCommand.kind == LeaseCommandKind::kRelease ? 1 : 0;
+      ++(aCommand.kind == LeaseCommandKind::kRelease ? this->releases
+                                                     : this->grants);
       aDone({ LeaseCommandResult::kDone, {} });
     };
     hooks.candidates = [this] {
@@ -78,9 +85,22 @@
 
   // Responds to the write that is pending, if there is one.
   void Confirm(state::Version aVersion)
+  {
+    this->AnswerWrite(state::WriteOutcome::kWritten, aVersion);
+  }
+
+  void AnswerWrite(state::WriteOutcome aOutcome, state::Version aVersion)
   {
     if (const auto done = std::exchange(this->pendingWrite, nullptr)) {
-      done(state::WriteOutcome::kWritten, aVersion);
+      done(aOutcome, aVersion);
+    }
+  }
+
+  // Responds to the read that is pending, if there is one.
+  void AnswerRead()
+  {
+    if (const auto done = std::exchange(this->pendingRead, nullptr)) {
+      done(this->rows);
     }
   }
 
@@ -116,9 +136,13 @@
   AssignmentRows rows;
   std::string lastText;
   Assigner::WriteDone pendingWrite;
+  // If true, reads wait for AnswerRead().
+  bool holdsReads = false;
+  Assigner::ReadDone pendingRead;
   std::vector<PeerStatus> peers;
   std::set<std::string> mayOwn{ "u0", "u1" };
   int releases = 0;
+  int grants = 0;
   std::unique_ptr<Assigner> assigner;
 };
 
