Test that a claimant keeps the hosts of its predecessors

testHostsOfPredecessorsCountForTheirSuccessor guards the rule that WriteClaim carries over the hosts of earlier assigners. With ChooseHosts({}) in its place, the test failed (keys without an owner after 15 s), and AssignerTest and HostLossTest passed.

--- a/src/ownership/tests/assignerrules_test.cpp
+++ b/src/ownership/tests/assignerrules_test.cpp
@@ -1,6 +1,7 @@
 // Tests single rules of the assigner that decide which leases it renews, moves
 // and releases. Each test fails if its rule is taken out.
 
+#include "ownership/tests/assignmentsimulation.h"
 #include "ownership/tests/manualassigner.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -10,7 +11,6 @@
 
 namespace kumquat::ownership::tests {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 class AssignerRulesTest : public CppUnit::TestFixture
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(testClaimCheckCountsFromItsRequest);
   CPPUNIT_TEST(testWriteCountsFromItsRequest);
   CPPUNIT_TEST(testReadAfterAFailedWriteCountsFromItsRequest);
+  CPPUNIT_TEST(testHostsOfPredecessorsCountForTheirSuccessor);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,7 +101,36 @@
     ExpectGrantsOnceConfirmed(manual);
   }
 
+  // Guards against waiting for an assigner that was cut off and has ended, as
+  // it counted only itself when it claimed.
+  void testHostsOfPredecessorsCountForTheirSuccessor()
+  {
+    AssignmentSimulation simulation(5, 4);
+    Settle(simulation);
+    const std::string old = simulation.AssignerName();
+    const std::string cutOff = old == "h0" ? "h1" : "h0";
+    simulation.KillHost(cutOff);
+    simulation.cutFromPeers.insert(cutOff);
+    simulation.StartHost(cutOff);
+    simulation.rejectedByStore.insert(old);
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.AssignerName() == cutOff; }, milliseconds(6000)));
+    simulation.KillHost(cutOff);
+    simulation.KillHost(old);
+    simulation.Upstream("u1").alive = false;
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.AreAllKeysLeased(); }, milliseconds(15'000)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+  }
+
 private:
+  static void Settle(AssignmentSimulation& aSimulation)
+  {
+    CPPUNIT_ASSERT(aSimulation.RunUntil(
+      [&] { return aSimulation.AreAllKeysLeased(); }, milliseconds(8000)));
+    aSimulation.RunFor(seconds(4));
+  }
+
   // A peer that uses no map of the assigner.
   static PeerStatus OtherPeer(const std::string& aName)
   {
