--- a/src/ownership/tests/assignerrules_test.cpp
+++ b/src/ownership/tests/assignerrules_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(testWriteCountsFromItsRequest);
   CPPUNIT_TEST(testReadAfterAFailedWriteCountsFromItsRequest);
   CPPUNIT_TEST(testHostsOfPredecessorsCountForTheirSuccessor);
+  CPPUNIT_TEST(testGrantThatWaitedForItsConnectionIsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +124,19 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
   }
 
+  // Guards against a lease that outlasts the time counted for it, as its grant
+  // waited for a connection.
+  void testGrantThatWaitedForItsConnectionIsNotSent()
+  {
+    ManualAssigner manual;
+    ClaimWithoutFollowers(manual);
+    const LeaseCommand grant = manual.lastCommand;
+    CPPUNIT_ASSERT(grant.kind == LeaseCommandKind::kGrant);
+    CPPUNIT_ASSERT(grant.isStillValid({}));
+    manual.now += milliseconds(200);
+    CPPUNIT_ASSERT(!grant.isStillValid({}));
+  }
+
 private:
   static void Settle(AssignmentSimulation& aSimulation)
   {
--- a/src/ownership/tests/manualassigner.h
+++ b/src/ownership/tests/manualassigner.h
@@ -33,6 +33,7 @@
     };
     hooks.sendCommand = [this](const LeaseCommand& aCommand,
                                const Assigner::CommandDone& aDone) {
+      this->lastCommand = aCommand;
       ++(aCommand.kind == LeaseCommandKind::kRelease ? this->releases
                                                      : this->grants);
       aDone({ LeaseCommandResult::kDone, {} });
@@ -143,6 +144,7 @@
   std::set<std::string> mayOwn{ "u0", "u1" };
   int releases = 0;
   int grants = 0;
+  LeaseCommand lastCommand;
   std::unique_ptr<Assigner> assigner;
 };
 
