Model of the assigner: stored quorum hosts

Modelled: more than half of the stored incarnations; a successor counts the hosts of the row that it claimed by id, its own and the first one's included; reports outlive a restart. UNCONFIRMED_SET and NEW_SET_AT_ONCE were not run to the end on this model and are not in runs.txt. The searches without HOSTS were not run again in full.

--- a/model/assigner.pml
+++ b/model/assigner.pml
@@ -14,11 +14,16 @@
  * The hosts whose reports let an assigner go on without the store are one body,
  * which uses the map of one claim and never returns to an older one. With HOSTS
  * there are three of them beside the two assigners; they restart and forget
- * their map. To keep that search small, only the second host moves the key, and
- * grants are sent when they are decided on. runs.txt has the bounds.
+ * their map. The row names the hosts, with incarnation, that its assigner counts;
+ * the second assigner counts those that the row had when it claimed. With
+ * NEW_SET, a write that replaces them (bits: the hosts that stay, in their
+ * present incarnations) is under way at the beginning. To keep these searches
+ * small, only the second host claims and moves the key, grants are sent when
+ * they are decided on, and the first one's host restarts only without NEW_SET.
+ * runs.txt has the bounds.
  *
- * Not in this model: ranges that are divided or joined, planned stops, hosts
- * that count different numbers of hosts, backoff and other reasons to move keys,
+ * Not in this model: ranges that are divided or joined, planned stops, the
+ * higher number of hosts that is needed in a long outage, backoff and other reasons to move keys,
  * and grants that stay under way for longer than is counted for them.
  *
  * Each name below leaves out one rule and must give a counterexample:
@@ -40,9 +45,14 @@
  *   OLD_WRITE_ANSWER   the answer to a write of an earlier claim is applied
  *   NO_REPORT_WAIT     reports of predecessors' followers are not waited out
  *   MINORITY_FOLLOWS   (HOSTS) an assigner goes on with two of five hosts
- *   RESTARTED_COUNT    (HOSTS) restarted hosts count like lasting ones
+ *   RESTARTED_COUNT    (HOSTS) a host counts in any incarnation
+ *   LAST_PREDECESSOR_ONLY  (HOSTS) predecessors before the last are forgotten
  *   ANY_LIFE           a grant reaches an incarnation that began after it was
  *                      sent; not a rule but an assumption
+ *
+ * Not in runs.txt, as the searches with NEW_SET are too large: UNCONFIRMED_SET
+ * (a set written with unknown outcome does not count) and NEW_SET_AT_ONCE (it
+ * counts in place of the stored one).
  */
 
 #ifndef UPSTREAMS
@@ -54,6 +64,9 @@
 #ifndef CLAIMS
 #define CLAIMS 2
 #endif
+#ifndef NEW_SET
+#define NEW_SET 0
+#endif
 #ifndef RESTARTS
 #define RESTARTS 1
 #endif
@@ -82,7 +95,6 @@
 #define AT(u, t) ((u) * kTokens + (t))
 #define OF(a, u) ((a) * 4 + (u))
 #define kHolder 3 /* in place of an upstream: the present holder's lease */
-#define REPORT(a, h) ((a) * 3 + (h))
 #define BIT(u) (1 << (u))
 #define LESS(x) x = (x > 0 -> x - 1 : 0)
 
@@ -138,27 +150,55 @@
 #endif
 
 #ifdef HOSTS
-byte usesSecond; /* bits: hosts that use the map of the second assigner */
-byte lasting;    /* bits: have run since the first one's last confirmation */
-byte reports[6]; /* by assigner and host */
-#define COUNT(a) ((reports[REPORT(a, 0)] > 0) + (reports[REPORT(a, 1)] > 0) + \
-                  (reports[REPORT(a, 2)] > 0))
-#define COUNT_LASTING(a) \
-  ((reports[REPORT(a, 0)] > 0 && (lasting & 1)) + \
-   (reports[REPORT(a, 1)] > 0 && (lasting & 2)) + \
-   (reports[REPORT(a, 2)] > 0 && (lasting & 4)))
-#define TWO_THIRDS(a) ((COUNT(a) + 1) * 3 >= 10)
+/* Bits of hosts: the three, the second assigner's, the first assigner's. */
+#define kSecondHost 3
+#define kFirstHost 4
+byte usesSecond;  /* bits: hosts that use the map of the second assigner */
+byte reported;    /* bits: hosts with a valid report to the second one */
+bool firstRestarted;
+/* The set that is stored first, and the one that replaces it. The first
+ * assigner's own host belongs to both and has no bit. An incarnation that has
+ * ended stays a member. */
+byte members[2]; /* bits */
+byte live[2];    /* bits: members whose stored incarnation still runs */
+byte counted[2]; /* bits: valid reports to the first one by such incarnations */
+bit rowSet;
+bit mySet;       /* as the first assigner last read or wrote it */
+bool tried;      /* the other set may be stored, as far as it knows */
+byte setWrite;
+bit claimedSet;  /* that the second assigner read */
+#define NUMBER(bits) (((bits) & 1) + (((bits) >> 1) & 1) + \
+                      (((bits) >> 2) & 1) + (((bits) >> 3) & 1))
+#define SIZE(s) (1 + NUMBER(members[s]))
+#define FOLLOWERS(s) (1 + NUMBER(counted[s] & members[s]))
 #ifdef MINORITY_FOLLOWS
-#define FOLLOWED(a) (a == 0 && COUNT(a) + 1 >= 2)
-#else
-#ifdef RESTARTED_COUNT
-#define FOLLOWED(a) (a == 0 && TWO_THIRDS(a))
+#define MAJORITY(s) (FOLLOWERS(s) >= 2)
 #else
-#define FOLLOWED(a) \
-  (a == 0 && TWO_THIRDS(a) && (COUNT_LASTING(a) + 1) * 2 >= 5)
+#define MAJORITY(s) (FOLLOWERS(s) * 2 > SIZE(s))
 #endif
+#ifdef UNCONFIRMED_SET
+#define FOLLOWED(a) (a == 0 && MAJORITY(mySet))
+#else
+#ifdef NEW_SET_AT_ONCE
+#define FOLLOWED(a) (a == 0 && (tried -> MAJORITY(1) : MAJORITY(mySet)))
+#else
+#define FOLLOWED(a) (a == 0 && MAJORITY(mySet) && (!tried || MAJORITY(1)))
+#endif
+#endif
+/* Hosts of the set that may still follow the first assigner. */
+#define MAY_FOLLOW(s) \
+  (NUMBER(members[s] & ~(reported | BIT(kSecondHost))) + \
+   !HAS(reported, kFirstHost))
+#define FIRST_STOPPED \
+  (MAY_FOLLOW(claimedSet) * 2 <= SIZE(claimedSet) || \
+   (firstRestarted && HAS(reported, kFirstHost)))
+/* The second host's earlier claim stored a set of that host only, which has
+ * stopped at once. */
+#ifdef LAST_PREDECESSOR_ONLY
+#define HALF(a) (myClaim[a] == 3 || FIRST_STOPPED)
+#else
+#define HALF(a) FIRST_STOPPED
 #endif
-#define HALF(a) ((COUNT(a) + 1) * 2 > 5)
 #else
 byte follows;         /* the assigner whose map is used */
 byte followsClaim = 1;
@@ -168,17 +208,11 @@
 #endif
 
 #define MAY_RENEW(a) (confirmed[a] > 0 || FOLLOWED(a))
-#define HAS(bits, u) ((bits) & BIT(u))
+#define HAS(bits, u) (((bits) & BIT(u)) != 0)
 
 inline Confirm(a)
 {
-  confirmed[a] = kClaimValidity;
-#ifdef HOSTS
-  if
-  :: a == 0 -> lasting = 7
-  :: else
-  fi
-#endif
+  confirmed[a] = kClaimValidity
 }
 
 inline StepDown(a)
@@ -262,8 +296,10 @@
 #define IS_ACTIVE(a) (phase[a] == kActive)
 #ifdef HOSTS
 #define PLANS(a) (a == 1)
+#define MAY_CLAIM(a) (a == 1)
 #else
 #define PLANS(a) true
+#define MAY_CLAIM(a) true
 #endif
 #define CAN_PLAN(a) \
   (IS_ACTIVE(a) && PLANS(a) && waiting[a] == 0 && moves < MOVES && myToken[a] < kTokens - 1)
@@ -343,10 +379,15 @@
 {
   do
   /* Claims the key. */
-  :: d_step { phase[a] == kIdle && claimWrite[a] == 0 && claim < CLAIMS ->
+  :: d_step { phase[a] == kIdle && MAY_CLAIM(a) && claimWrite[a] == 0 &&
+              claim < CLAIMS ->
        phase[a] = kClaiming; claimWrite[a] = kUnderWay;
        claimExpects[a] = version;
        myHolder[a] = holder; myToken[a] = token; myPrevious[a] = previous;
+#ifdef HOSTS
+       /* An earlier claim of this host has kept the first assigner's set. */
+       claimedSet = rowSet;
+#endif
        confirmed[a] = kClaimValidity }
   :: d_step { phase[a] == kClaiming && claimWrite[a] == kWritten ->
        phase[a] = kActive; claimWrite[a] = 0;
@@ -356,8 +397,10 @@
 #endif
        claimedFor[a] = kClaimValidity;
        stopped[a] = kNever;
+#ifdef HOSTS
+       usesSecond = usesSecond | BIT(kSecondHost);
+#else
 #ifndef OWN_OLD_MAP
-#ifndef HOSTS
        report[a] = 0;
 #endif
 #endif
@@ -378,10 +421,15 @@
        Confirm(a) }
   :: d_step { IS_ACTIVE(a) && claim != myClaim[a] -> StepDown(a) }
 
-  /* Predecessors have lost more than half of the hosts. */
+  /* Predecessors cannot have enough hosts any more. */
   :: d_step { IS_ACTIVE(a) && stopped[a] == kNever && HALF(a) ->
        stopped[a] = (claimedFor[a] > kReportWait -> claimedFor[a] : kReportWait) +
-                    kExpiry }
+                    kExpiry;
+#ifdef HOSTS
+       /* Later reports to it decide nothing. */
+       reported = 0
+#endif
+     }
 
   /* Changes the assignment. */
   MOVE_TO(0)
@@ -460,6 +508,12 @@
     :: else
     fi
   }
+#ifdef HOSTS
+  if
+  :: setWrite == kUnderWay && version != 1 -> setWrite = kOver
+  :: else
+  fi;
+#endif
   i = 0
 #endif
 }
@@ -507,6 +561,10 @@
 #endif
   STORE_CLAIM(0)
   STORE_CLAIM(1)
+#ifdef HOSTS
+  :: d_step { setWrite == kUnderWay && EXPECTED(1) ->
+       version++; rowSet = 1; setWrite = kWritten; DropVoidWrites() }
+#endif
   od
 }
 
@@ -563,7 +621,7 @@
        for (i : 0 .. 14) { LESS(sent[i]) }
        for (i : 0 .. 7) { LESS(expiry[i]) };
 #ifdef HOSTS
-       for (i : 0 .. 5) { LESS(reports[i]) };
+       reported = 0; counted[0] = 0; counted[1] = 0;
 #endif
        for (i : 0 .. 2) { LESS(lease[i]) }
        for (i : 0 .. 1) {
@@ -586,17 +644,28 @@
 }
 
 #ifdef HOSTS
+#ifdef RESTARTED_COUNT
+#define COUNTS(s, h) HAS(members[s], h)
+#else
+#define COUNTS(s, h) HAS(live[s], h)
+#endif
+#define COUNT_IN(s, h) \
+  counted[s] = (COUNTS(s, h) -> counted[s] | BIT(h) : counted[s] & ~BIT(h))
+/* A report is valid until the next tick, also if its host restarts. It adds
+ * nothing to a confirmation, which is valid as long and could be had as well
+ * before the second claim. */
+#define REPORT_TO_FIRST(h) \
+  :: d_step { IS_ACTIVE(0) && claim > 1 && confirmed[0] == 0 && \
+              !HAS(usesSecond, h) -> \
+       COUNT_IN(0, h); COUNT_IN(1, h) }
 #define HOST(h) \
-  :: d_step { IS_ACTIVE(1) && !HAS(usesSecond, h) -> \
-       usesSecond = usesSecond | BIT(h) } \
-  :: d_step { IS_ACTIVE(0) && !HAS(usesSecond, h) -> \
-       reports[REPORT(0, h)] = kReportValidity } \
-  :: d_step { IS_ACTIVE(1) && HAS(usesSecond, h) -> \
-       reports[REPORT(1, h)] = kReportValidity } \
+  REPORT_TO_FIRST(h) \
+  :: d_step { IS_ACTIVE(1) && stopped[1] == kNever -> \
+       usesSecond = usesSecond | BIT(h); reported = reported | BIT(h) } \
   /* A host that restarts takes the first map that it hears. */ \
   :: d_step { HAS(usesSecond, h) -> \
-       usesSecond = usesSecond & ~BIT(h); lasting = lasting & ~BIT(h); \
-       reports[REPORT(0, h)] = 0 }
+       usesSecond = usesSecond & ~BIT(h); \
+       live[0] = live[0] & ~BIT(h); live[1] = live[1] & ~BIT(h) }
 #else
 /* The map of a later claim is newer. */
 #ifdef OWN_OLD_MAP
@@ -618,6 +687,16 @@
   HOST(1)
 #ifdef HOSTS
   HOST(2)
+  REPORT_TO_FIRST(kSecondHost)
+  /* The first assigner's host. */
+  :: d_step { NEW_SET == 0 && IS_ACTIVE(0) && claim > 1 -> firstRestarted = true; StepDown(0) }
+  :: d_step { IS_ACTIVE(1) && !IS_ACTIVE(0) && stopped[1] == kNever ->
+       reported = reported | BIT(kFirstHost) }
+  :: d_step { IS_ACTIVE(0) && setWrite == kWritten ->
+       setWrite = kOver; mySet = 1; tried = false; live[0] = 0; counted[0] = 0 }
+  /* The response is lost; it may read the row. */
+  :: d_step { setWrite == kWritten -> setWrite = kOver }
+  :: d_step { IS_ACTIVE(0) && tried && claim == 1 -> mySet = rowSet; Confirm(0) }
 #endif
   od
 }
@@ -628,7 +707,15 @@
     phase[0] = kActive; myClaim[0] = 1; myVersion[0] = 1; myToken[0] = 1;
     confirmed[0] = kClaimValidity;
 #ifdef HOSTS
-    lasting = 7
+    members[0] = 15; live[0] = 15;
+#if NEW_SET > 0
+    /* The hosts are alike, so it does not matter which one has restarted. */
+    setWrite = kUnderWay; tried = true;
+    members[1] = NEW_SET; live[1] = NEW_SET;
+#if NEW_SET == 15
+    live[0] = 14
+#endif
+#endif
 #endif
   }
   atomic {
