--- a/model/assigner.pml
+++ b/model/assigner.pml
@@ -23,7 +23,8 @@
  * runs.txt has the bounds.
  *
  * Not in this model: ranges that are divided or joined, planned stops, the
- * higher number of hosts that is needed in a long outage, backoff and other reasons to move keys,
+ * higher number of hosts that is needed in a long outage, backoff and other
+ * reasons to move keys,
  * and grants that stay under way for longer than is counted for them.
  *
  * Each name below leaves out one rule and must give a counterexample:
