A replaced assigner that runs on is not waited for

Its own host counted for it, as the host may use the successor's map before the assigner steps down.

Change: an assigner renews nothing from the moment on at which its own host uses a successor's map, and its digests say that it does. So it has stopped when they say so. Assigners of parts of an earlier layout go by other maps, and are marked in the row; their own hosts count for them as before.

Test: testReplacedAssignerThatRunsOnIsNotWaitedFor failed before and passes.

--- a/src/node/internal/keyedservices.cpp
+++ b/src/node/internal/keyedservices.cpp
@@ -227,6 +227,7 @@
   assignerHooks.formerAddress = [this](const ownership::Holder& aHolder) {
     return this->upstreams.LastAddressOf(aHolder.upstream, aHolder.startedMs);
   };
+  assignerHooks.usedMap = [entry] { return entry->map.CurrentVersion(); };
   assignerHooks.peers = [this, entry] {
     return this->peers.PeerStatusesFor(entry->name);
   };
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -189,6 +189,9 @@
     std::function<std::optional<std::string>(const Holder&)> formerAddress;
     // All other hosts from which a digest was ever received.
     std::function<std::vector<PeerStatus>()> peers;
+    // The version of the map that this host uses, as its digests say. May be
+    // empty.
+    std::function<MapVersion()> usedMap;
     // The host with the higher value should claim first. May be empty if all
     // hosts are equal.
     std::function<double(const state::HostId&)> preference;
@@ -330,12 +333,15 @@
   // Whether the claim was confirmed, or enough hosts have used this assigner's
   // map, at or after the given time and not too long ago.
   bool MayRenewLeases(TimePoint aSince) const;
+  // Whether this host uses the map of a successor. Its digests say so, and the
+  // successor relies on it that no lease is renewed from then on.
+  bool HasSuccessor() const;
   // Whether a peer has used a map of the present claim at or after the time.
   bool IsFollower(const PeerStatus& aPeer, TimePoint aSince) const;
   bool HasQuorum(const QuorumHosts& aHosts,
                  const std::vector<PeerStatus>& aPeers, TimePoint aSince) const;
-  // Whether the assigner can have neither a process nor enough hosts that use
-  // its map.
+  // Whether the assigner has ended or stepped down, or cannot have enough hosts
+  // that use its map.
   bool HasStopped(const EarlierAssigner& aEarlier,
                   const std::vector<PeerStatus>& aPeers) const;
   // The quorum hosts of the next write, in place of these.
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -496,8 +496,22 @@
                            this->hooks.now() - this->claimConfirmedAt);
 }
 
+bool Assigner::HasSuccessor() const
+{
+  if (!this->hooks.usedMap) {
+    return false;
+  }
+  const MapVersion used = this->hooks.usedMap();
+  return used.assignmentVersion > this->rows.assignmentVersion &&
+         used.assigner != this->options.self &&
+         !used.assigner.host.value.empty();
+}
+
 bool Assigner::MayRenewLeases(TimePoint aSince) const
 {
+  if (this->HasSuccessor()) {
+    return false;
+  }
   if (this->claimConfirmedAt >= aSince &&
       this->hooks.now() - this->claimConfirmedAt <= kClaimValidity) {
     return true;
@@ -512,8 +526,9 @@
 
 // A host that uses this assigner's map is no follower of a predecessor any
 // more: it never returns to an older map, and of a host that has restarted
-// since, the incarnation that was counted has ended. The predecessor's own host
-// may use the map shortly before the predecessor steps down.
+// since, the incarnation that was counted has ended. A predecessor whose own
+// host uses the map renews no leases any more, unless it is of another part: it
+// goes by the maps of that part.
 bool Assigner::HasStopped(const EarlierAssigner& aEarlier,
                           const std::vector<PeerStatus>& aPeers) const
 {
@@ -523,11 +538,13 @@
              return aPeer.host.host == aHost && this->IsFollower(aPeer, {});
            });
   };
-  const bool hasRestarted =
-    usesOwnMap(aEarlier.host.host) && aEarlier.host != this->options.self &&
-    std::ranges::none_of(aPeers, [&aEarlier](const PeerStatus& aPeer) {
+  const bool isRunning =
+    aEarlier.host == this->options.self ||
+    std::ranges::any_of(aPeers, [&aEarlier](const PeerStatus& aPeer) {
       return aPeer.host == aEarlier.host;
     });
+  const bool hasSteppedDown =
+    usesOwnMap(aEarlier.host.host) && (!isRunning || !aEarlier.isOfEarlierPart);
   const auto hasLeft = [&](const state::HostRef& aHost) {
     return std::ranges::any_of(aPeers, [&](const PeerStatus& aPeer) {
       return aPeer.host == aHost && aPeer.leaving &&
@@ -545,7 +562,7 @@
       return aHost == aEarlier.host ||
              (!usesOwnMap(aHost.host) && !hasLeft(aHost));
     }));
-  return hasRestarted || hasLeft(aEarlier.host) ||
+  return hasSteppedDown || hasLeft(aEarlier.host) ||
          mayFollow < RequiredFollowers(hosts.size(), unconfirmed);
 }
 
@@ -565,6 +582,10 @@
       return;
     }
   }
+  if (this->HasSuccessor()) {
+    this->StepDown("this host uses a map of a later version");
+    return;
+  }
   if (!this->predecessorsMayRenew) {
     return;
   }
--- a/src/ownership/internal/assignment.cpp
+++ b/src/ownership/internal/assignment.cpp
@@ -96,7 +96,8 @@
     aText.at("earlier"), std::back_inserter(aAssignment.earlierAssigners),
     [&hosts](const json& aEntry) {
       return EarlierAssigner{ hosts.at(aEntry.at(0).get<std::size_t>()),
-                              ParseIndexes(aEntry.at(1), hosts) };
+                              ParseIndexes(aEntry.at(1), hosts),
+                              aEntry.at(2).get<bool>() };
     });
 }
 
@@ -163,8 +164,9 @@
   json quorum = hosts.IndexesOf(aAssignment.quorumHosts);
   json earlier = json::array();
   for (const EarlierAssigner& assigner : aAssignment.earlierAssigners) {
-    earlier.push_back(json::array(
-      { hosts.IndexOf(assigner.host), hosts.IndexesOf(assigner.quorumHosts) }));
+    earlier.push_back(json::array({ hosts.IndexOf(assigner.host),
+                                    hosts.IndexesOf(assigner.quorumHosts),
+                                    assigner.isOfEarlierPart }));
   }
   return json{
     { "nextFence", aAssignment.nextFencingToken },
@@ -221,7 +223,7 @@
 
 void AddEarlierAssigner(Assignment& aAssignment, const state::HostRef& aHost)
 {
-  EarlierAssigner earlier{ aHost, std::move(aAssignment.quorumHosts) };
+  EarlierAssigner earlier{ aHost, std::move(aAssignment.quorumHosts), false };
   aAssignment.quorumHosts.clear();
   // An assignment that was made from those of other parts has no assigner of
   // its own yet, and lists theirs.
@@ -242,9 +244,10 @@
   for (const Assignment& assignment : aAssignments) {
     cut.nextFencingToken =
       std::max(cut.nextFencingToken, assignment.nextFencingToken);
-    cut.earlierAssigners.insert(cut.earlierAssigners.end(),
-                                assignment.earlierAssigners.begin(),
-                                assignment.earlierAssigners.end());
+    for (EarlierAssigner earlier : assignment.earlierAssigners) {
+      earlier.isOfEarlierPart = true;
+      cut.earlierAssigners.push_back(std::move(earlier));
+    }
     for (AssignedRange range : assignment.ranges) {
       range.first = std::max(range.first, aPart.First());
       range.last = std::min(range.last, aPart.Last());
--- a/src/ownership/quorum.h
+++ b/src/ownership/quorum.h
@@ -30,6 +30,8 @@
 {
   state::HostRef host;
   QuorumHosts quorumHosts;
+  // Its claim was for a part of an earlier layout.
+  bool isOfEarlierPart = false;
 
   friend bool operator==(const EarlierAssigner&,
                          const EarlierAssigner&) = default;
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -409,6 +409,7 @@
       }
       return views;
     };
+    hooks.usedMap = [weak] { return weak.lock()->mapVersion; };
     hooks.publish = [weak] {
       const HostPtr host = weak.lock();
       if (host->assigner->CurrentMapVersion().IsNewerThan(host->mapVersion)) {
--- a/src/ownership/tests/hostloss_test.cpp
+++ b/src/ownership/tests/hostloss_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(testLostOwnersKeysAreServedAfterMostHostsWereLostForGood);
   CPPUNIT_TEST(testLostOwnersKeysAreServedAfterAllHostsWereReplaced);
   CPPUNIT_TEST(testLostOwnersKeysAreServedAfterMostHostsStoppedAsPlanned);
+  CPPUNIT_TEST(testReplacedAssignerThatRunsOnIsNotWaitedFor);
   CPPUNIT_TEST(testLeasesLastInAnOutageWhileLessThanHalfOfTheHostsRestart);
   CPPUNIT_TEST(testAssignerThatRestartsWasNotRunningBeside);
   CPPUNIT_TEST_SUITE_END();
@@ -89,6 +90,22 @@
     ExpectAllKeysLeasedWithin(simulation, seconds(25));
   }
 
+  // Guards against keys without an owner while an assigner that counted only
+  // itself runs on after its successor's claim.
+  void testReplacedAssignerThatRunsOnIsNotWaitedFor()
+  {
+    AssignmentSimulation simulation(1, 4);
+    Settle(simulation);
+    simulation.cutFromPeers.insert("h0");
+    simulation.StartHost("h1");
+    simulation.rejectedByStore.insert("h0");
+    CPPUNIT_ASSERT(simulation.RunUntil(
+      [&] { return simulation.AssignerName() == "h1"; }, milliseconds(6000)));
+    simulation.cutFromPeers.clear();
+    simulation.Upstream("u1").alive = false;
+    ExpectAllKeysLeasedWithin(simulation, seconds(15));
+  }
+
   void testLeasesLastInAnOutageWhileLessThanHalfOfTheHostsRestart()
   {
     AssignmentSimulation simulation(12, 14);
--- a/src/ownership/tests/quorum_test.cpp
+++ b/src/ownership/tests/quorum_test.cpp
@@ -137,7 +137,7 @@
     Assignment assignment = SmallAssignment();
     assignment.quorumHosts = { Host("h0"), Host("h1", 5) };
     assignment.earlierAssigners = { { Host("h1", 4), { Host("h1", 4) } },
-                                    { Host("h2"), {} } };
+                                    { Host("h2"), {}, true } };
     const auto read = ParseAssignment(SerializeAssignment(assignment));
     CPPUNIT_ASSERT(read.has_value());
     CPPUNIT_ASSERT(assignment.quorumHosts == read->quorumHosts);
