--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -187,7 +187,7 @@
     // Where a holder was that is no longer a candidate; none if that is not
     // known. May be empty.
     std::function<std::optional<std::string>(const Holder&)> formerAddress;
-    // All other hosts from which a digest was ever received.
+    // All other hosts from which a digest was ever received, each once.
     std::function<std::vector<PeerStatus>()> peers;
     // The version of the map that this host uses, as its digests say. May be
     // empty.
@@ -336,6 +336,9 @@
   // Whether this host uses the map of a successor. Its digests say so, and the
   // successor relies on it that no lease is renewed from then on.
   bool HasSuccessor() const;
+  // Whether a map is of a later version than the assignment, and not this
+  // assigner's.
+  bool IsLaterMap(const MapVersion& aVersion) const;
   // Whether a peer has used a map of the present claim at or after the time.
   bool IsFollower(const PeerStatus& aPeer, TimePoint aSince) const;
   bool HasQuorum(const QuorumHosts& aHosts,
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -502,9 +502,13 @@
     return false;
   }
   const MapVersion used = this->hooks.usedMap();
-  return used.assignmentVersion > this->rows.assignmentVersion &&
-         used.assigner != this->options.self &&
-         !used.assigner.host.value.empty();
+  return this->IsLaterMap(used) && !used.assigner.host.value.empty();
+}
+
+bool Assigner::IsLaterMap(const MapVersion& aVersion) const
+{
+  return aVersion.assignmentVersion > this->rows.assignmentVersion &&
+         aVersion.assigner != this->options.self;
 }
 
 bool Assigner::MayRenewLeases(TimePoint aSince) const
@@ -532,24 +536,26 @@
 bool Assigner::HasStopped(const EarlierAssigner& aEarlier,
                           const std::vector<PeerStatus>& aPeers) const
 {
+  const auto findPeer = [&aPeers](const state::HostId& aHost) {
+    return std::ranges::find_if(aPeers, [&aHost](const PeerStatus& aPeer) {
+      return aPeer.host.host == aHost;
+    });
+  };
   const auto usesOwnMap = [&](const state::HostId& aHost) {
+    const auto peer = findPeer(aHost);
     return aHost == this->options.self.host ||
-           std::ranges::any_of(aPeers, [&](const PeerStatus& aPeer) {
-             return aPeer.host.host == aHost && this->IsFollower(aPeer, {});
-           });
+           (peer != aPeers.end() && this->IsFollower(*peer, {}));
   };
+  const auto assigner = findPeer(aEarlier.host.host);
   const bool isRunning =
     aEarlier.host == this->options.self ||
-    std::ranges::any_of(aPeers, [&aEarlier](const PeerStatus& aPeer) {
-      return aPeer.host == aEarlier.host;
-    });
+    (assigner != aPeers.end() && assigner->host == aEarlier.host);
   const bool hasSteppedDown =
     usesOwnMap(aEarlier.host.host) && (!isRunning || !aEarlier.isOfEarlierPart);
   const auto hasLeft = [&](const state::HostRef& aHost) {
-    return std::ranges::any_of(aPeers, [&](const PeerStatus& aPeer) {
-      return aPeer.host == aHost && aPeer.leaving &&
-             this->hooks.now() - aPeer.lastHeardAt >= kStopTimeout;
-    });
+    const auto peer = findPeer(aHost.host);
+    return peer != aPeers.end() && peer->host == aHost && peer->leaving &&
+           this->hooks.now() - peer->lastHeardAt >= kStopTimeout;
   };
   // Rows of versions that stored no hosts name none.
   const QuorumHosts& hosts = aEarlier.quorumHosts.empty()
@@ -575,8 +581,7 @@
   for (const PeerStatus& peer : peers) {
     // A map of a later version comes from a host that has claimed since, or
     // shows a write of this one that is not confirmed yet.
-    if (peer.mapVersion.assignmentVersion > this->rows.assignmentVersion &&
-        peer.mapVersion.assigner != this->options.self &&
+    if (this->IsLaterMap(peer.mapVersion) &&
         (!this->writePending || !peer.mapVersion.assigner.host.value.empty())) {
       this->StepDown("a peer uses a map of a later version");
       return;
