What is known of a lease is one value

Its expiry, the doubt about predecessors, and the time before which no release goes out stood beside each other in ranges and previous holders, and were joined by hand in four places. One type joins them now; the check whether a release is final is one, and comes before the search of the candidates. No change of behaviour.

--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -266,16 +266,28 @@
     kStopped,
   };
 
+  // What is known of a lease of one holder.
+  struct Lease
+  {
+    // The clock's epoch if this assigner has granted none.
+    TimePoint expiresAt;
+    // A predecessor of this assigner may have renewed the lease as well.
+    bool maybeRenewedByPredecessor = false;
+    // No release is sent before: a grant may be under way until then, and a
+    // release must not overtake it. If the upstream restarts after the release,
+    // it accepts the grant.
+    TimePoint releaseNotBefore;
+
+    // Takes what is known of another lease of the same holder as well.
+    void Join(const Lease& aOther);
+  };
+
   // A previous holder whose lease may not have expired yet.
   struct PreviousHolder
   {
     Holder holder;
-    TimePoint leaseExpiresAt;
-    // A predecessor of this assigner may have renewed the lease as well.
-    bool maybeRenewedByPredecessor = false;
+    Lease lease;
     bool commandPending = false;
-    // No release is sent before. A grant may be under way until then.
-    TimePoint retryAt;
     // A release was confirmed that was sent while predecessors could renew the
     // lease. It has to be sent again.
     bool releasedEarly = false;
@@ -291,14 +303,8 @@
     bool granted = false;
     TimePoint grantedAt;
     std::string handover;
-    // Expiry of the holder's lease; the clock's epoch if none was granted.
-    TimePoint leaseExpiresAt;
-    bool maybeRenewedByPredecessor = false;
+    Lease lease;
     TimePoint lastResponseAt;
-    // The last grant has arrived by then; the clock's epoch if there was a
-    // response. A release must not overtake it: if the upstream restarts after
-    // the release, it accepts the grant.
-    TimePoint grantArrivesBy;
     TimePoint nextGrantAt;
     bool commandPending = false;
     int consecutiveFailures = 0;
@@ -360,14 +366,13 @@
   // either of them has to wait for.
   static RangeState JoinStates(const RangeState& aLeft,
                                const RangeState& aRight);
-  TimePoint LeaseExpiry(TimePoint aExpiresAt,
-                        bool aMaybeRenewedByPredecessor) const;
+  TimePoint LeaseExpiry(const Lease& aLease) const;
   TimePoint LeaseExpiryFromNow() const;
 
   void AdvanceRanges();
   void ReleasePreviousHolders(std::size_t aRangeIndex);
-  // Whether a release that is sent now is not final.
-  bool MayBeRenewedByOthers(const PreviousHolder& aPrevious) const;
+  // Whether a release of the lease that is sent now is not final.
+  bool MayBeRenewedByOthers(const Lease& aLease) const;
   // Where the holder was, or where a later incarnation of it is.
   std::optional<std::string> FindReleaseAddress(const Holder& aPrevious) const;
   void SendRelease(std::size_t aRangeIndex, std::size_t aHolderIndex);
--- a/src/ownership/internal/assigner.cpp
+++ b/src/ownership/internal/assigner.cpp
@@ -405,10 +405,10 @@
     RangeState range;
     range.assigned = assigned;
     range.granted = !isFirstAssigner && assigned.previousHolders.empty();
-    range.maybeRenewedByPredecessor = !isFirstAssigner;
+    range.lease.maybeRenewedByPredecessor = !isFirstAssigner;
     range.lastResponseAt = now;
     for (const Holder& holder : assigned.previousHolders) {
-      range.previousHolders.push_back({ holder, {}, true });
+      range.previousHolders.push_back({ holder, { {}, true, {} } });
     }
     this->ranges.push_back(std::move(range));
   }
--- a/src/ownership/internal/assignercommands.cpp
+++ b/src/ownership/internal/assignercommands.cpp
@@ -132,12 +132,19 @@
          kMaxSendDelay + kMaxGrantDelay;
 }
 
-TimePoint Assigner::LeaseExpiry(TimePoint aExpiresAt,
-                                bool aMaybeRenewedByPredecessor) const
+TimePoint Assigner::LeaseExpiry(const Lease& aLease) const
 {
-  return aMaybeRenewedByPredecessor
-           ? std::max(aExpiresAt, this->predecessorLeasesExpireAt)
-           : aExpiresAt;
+  return aLease.maybeRenewedByPredecessor
+           ? std::max(aLease.expiresAt, this->predecessorLeasesExpireAt)
+           : aLease.expiresAt;
+}
+
+void Assigner::Lease::Join(const Lease& aOther)
+{
+  this->expiresAt = std::max(this->expiresAt, aOther.expiresAt);
+  this->maybeRenewedByPredecessor |= aOther.maybeRenewedByPredecessor;
+  this->releaseNotBefore =
+    std::max(this->releaseNotBefore, aOther.releaseNotBefore);
 }
 
 void Assigner::ApplyAssignment(const Assignment& aAssignment,
@@ -202,27 +209,16 @@
                       old.previousHolders.empty();
     for (const PreviousHolder& previous : old.previousHolders) {
       if (previous.holder == aAssigned.holder) {
-        range.leaseExpiresAt =
-          std::max(range.leaseExpiresAt, previous.leaseExpiresAt);
-        range.maybeRenewedByPredecessor =
-          range.maybeRenewedByPredecessor || previous.maybeRenewedByPredecessor;
-        range.grantArrivesBy = std::max(range.grantArrivesBy, previous.retryAt);
+        range.lease.Join(previous.lease);
       } else {
-        range.previousHolders.push_back(
-          { previous.holder, previous.leaseExpiresAt,
-            previous.maybeRenewedByPredecessor, false, previous.retryAt });
+        range.previousHolders.push_back({ previous.holder, previous.lease });
       }
     }
     if (isSameHolder) {
-      range.leaseExpiresAt = std::max(range.leaseExpiresAt, old.leaseExpiresAt);
-      range.maybeRenewedByPredecessor =
-        range.maybeRenewedByPredecessor || old.maybeRenewedByPredecessor;
-      range.grantArrivesBy = std::max(range.grantArrivesBy, old.grantArrivesBy);
-    } else if (old.leaseExpiresAt != TimePoint{} ||
-               old.maybeRenewedByPredecessor) {
-      range.previousHolders.push_back({ old.assigned.holder, old.leaseExpiresAt,
-                                        old.maybeRenewedByPredecessor, false,
-                                        old.grantArrivesBy });
+      range.lease.Join(old.lease);
+    } else if (old.lease.expiresAt != TimePoint{} ||
+               old.lease.maybeRenewedByPredecessor) {
+      range.previousHolders.push_back({ old.assigned.holder, old.lease });
     }
   }
   if (kept) {
@@ -245,17 +241,12 @@
       joined.previousHolders.push_back(previous);
       continue;
     }
-    known->leaseExpiresAt =
-      std::max(known->leaseExpiresAt, previous.leaseExpiresAt);
-    known->maybeRenewedByPredecessor |= previous.maybeRenewedByPredecessor;
-    known->retryAt = std::max(known->retryAt, previous.retryAt);
+    known->lease.Join(previous.lease);
     known->releasedEarly = known->releasedEarly && previous.releasedEarly;
   }
   joined.granted = aLeft.granted && aRight.granted;
   joined.grantedAt = std::max(aLeft.grantedAt, aRight.grantedAt);
-  joined.grantArrivesBy = std::max(aLeft.grantArrivesBy, aRight.grantArrivesBy);
-  joined.leaseExpiresAt = std::max(aLeft.leaseExpiresAt, aRight.leaseExpiresAt);
-  joined.maybeRenewedByPredecessor |= aRight.maybeRenewedByPredecessor;
+  joined.lease.Join(aRight.lease);
   joined.lastResponseAt = std::min(aLeft.lastResponseAt, aRight.lastResponseAt);
   joined.nextGrantAt = std::min(aLeft.nextGrantAt, aRight.nextGrantAt);
   joined.consecutiveFailures =
@@ -277,9 +268,7 @@
     // A holder whose lease has expired refuses the keys from now on. The map
     // without an owner lets hosts tell callers so at once, before the holder
     // would refuse their requests.
-    if (range.granted &&
-        this->LeaseExpiry(range.leaseExpiresAt,
-                          range.maybeRenewedByPredecessor) <= now) {
+    if (range.granted && this->LeaseExpiry(range.lease) <= now) {
       range.granted = false;
       this->hooks.log("keys-lapsed", Describe(range.assigned));
       this->PublishMap();
@@ -296,9 +285,7 @@
   const TimePoint now = this->hooks.now();
   RangeState& range = this->ranges[aRangeIndex];
   std::erase_if(range.previousHolders, [&](const PreviousHolder& aPrevious) {
-    const bool hasExpired =
-      this->LeaseExpiry(aPrevious.leaseExpiresAt,
-                        aPrevious.maybeRenewedByPredecessor) <= now;
+    const bool hasExpired = this->LeaseExpiry(aPrevious.lease) <= now;
     if (hasExpired) {
       this->hooks.log("lease-ended",
                       DescribeEnd(range.assigned, aPrevious.holder, "expired"));
@@ -308,17 +295,17 @@
   for (std::size_t i = 0; i < range.previousHolders.size(); ++i) {
     const PreviousHolder& previous = range.previousHolders[i];
     const bool waitsForPredecessors =
-      previous.releasedEarly && this->MayBeRenewedByOthers(previous);
+      previous.releasedEarly && this->MayBeRenewedByOthers(previous.lease);
     if (!waitsForPredecessors && !previous.commandPending &&
-        previous.retryAt <= now) {
+        previous.lease.releaseNotBefore <= now) {
       this->SendRelease(aRangeIndex, i);
     }
   }
 }
 
-bool Assigner::MayBeRenewedByOthers(const PreviousHolder& aPrevious) const
+bool Assigner::MayBeRenewedByOthers(const Lease& aLease) const
 {
-  return aPrevious.maybeRenewedByPredecessor && this->predecessorsMayRenew;
+  return aLease.maybeRenewedByPredecessor && this->predecessorsMayRenew;
 }
 
 std::optional<std::string> Assigner::FindReleaseAddress(
@@ -347,7 +334,7 @@
   if (!address) {
     return;
   }
-  const bool isEarly = this->MayBeRenewedByOthers(previous);
+  const bool isEarly = this->MayBeRenewedByOthers(previous.lease);
   previous.commandPending = true;
   LeaseCommand command;
   command.kind = LeaseCommandKind::kRelease;
@@ -374,7 +361,8 @@
         return;
       }
       pendingHolder->commandPending = false;
-      pendingHolder->retryAt = this->hooks.now() + kCommandRetryPause;
+      pendingHolder->lease.releaseNotBefore =
+        this->hooks.now() + kCommandRetryPause;
       const bool isDone = aReply.result == LeaseCommandResult::kDone;
       if (!aReply.handover.empty()) {
         found->handover = aReply.handover;
@@ -403,9 +391,9 @@
     return;
   }
   range.commandPending = true;
-  range.leaseExpiresAt =
-    std::max(range.leaseExpiresAt, this->LeaseExpiryFromNow());
-  range.grantArrivesBy = now + kMaxGrantDelay;
+  range.lease.expiresAt =
+    std::max(range.lease.expiresAt, this->LeaseExpiryFromNow());
+  range.lease.releaseNotBefore = now + kMaxGrantDelay;
   range.nextGrantAt = now + this->leaseDuration / kRenewalsPerLease;
   LeaseCommand command;
   command.upstream = range.assigned.holder.upstream;
@@ -454,7 +442,7 @@
   const TimePoint now = this->hooks.now();
   range->commandPending = false;
   if (aReply.result != LeaseCommandResult::kNoAnswer) {
-    range->grantArrivesBy = {};
+    range->lease.releaseNotBefore = {};
   }
   if (aReply.result == LeaseCommandResult::kDone) {
     range->lastResponseAt = now;
--- a/src/ownership/internal/assignerplans.cpp
+++ b/src/ownership/internal/assignerplans.cpp
@@ -146,14 +146,12 @@
 bool Assigner::MustWaitToRelease(const RangeState& aRange) const
 {
   const Holder& holder = aRange.assigned.holder;
-  const bool canRelease =
-    !this->IsBackedOff(holder.upstream) &&
-    std::ranges::any_of(this->candidates,
-                        [&holder](const OwnerCandidate& aCandidate) {
-                          return aCandidate.holder == holder;
-                        });
-  return canRelease && aRange.granted && aRange.maybeRenewedByPredecessor &&
-         this->predecessorsMayRenew;
+  return aRange.granted && this->MayBeRenewedByOthers(aRange.lease) &&
+         !this->IsBackedOff(holder.upstream) &&
+         std::ranges::any_of(this->candidates,
+                             [&holder](const OwnerCandidate& aCandidate) {
+                               return aCandidate.holder == holder;
+                             });
 }
 
 // Reassigns the keys of holders that may not own keys or do not respond.
