Tests of the assigner share their set-up and their last steps

Settling, cutting off the assigner, restarting a host that no digest reaches, and the suspension before a late response stood up to five times. The assertions, bounds and times are those of before.

--- a/src/ownership/tests/assigner_test.cpp
+++ b/src/ownership/tests/assigner_test.cpp
@@ -174,15 +174,7 @@
       AssignmentSimulation simulation(5, 4);
       Settle(simulation);
       simulation.RunFor(kTick * phase);
-      const std::string old = simulation.AssignerName();
-      simulation.rejectedByStore.insert(old);
-      simulation.cutFromPeers.insert(old);
-      CPPUNIT_ASSERT(simulation.RunUntil(
-        [&] {
-          const std::string name = simulation.AssignerName();
-          return !name.empty() && name != old;
-        },
-        milliseconds(6000)));
+      const std::string old = CutOffAssigner(simulation);
       FakeUpstream& leaving = simulation.Upstream("u1");
       leaving.mayOwn = false;
       CPPUNIT_ASSERT(simulation.RunUntil([&] { return leaving.releases > 0; },
@@ -223,20 +215,9 @@
   {
     AssignmentSimulation simulation(5, 4);
     Settle(simulation);
-    const std::string successor =
-      simulation.AssignerName() == "h0" ? "h1" : "h0";
-    simulation.KillHost(successor);
-    simulation.cutFromPeers.insert(successor);
-    simulation.StartHost(successor);
+    RestartHostCutOff(simulation);
     TakeOverUnnoticed(simulation);
-    FakeUpstream& leaving = simulation.Upstream("u1");
-    leaving.mayOwn = false;
-    const int before = leaving.releases;
-    simulation.RunUntil([&] { return leaving.releases > before; },
-                        milliseconds(5000));
-    simulation.RestartUnlisted("u1");
-    simulation.RunFor(milliseconds(4000));
-    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+    ExpectReleasesAreFinal(simulation);
   }
 
   // Guards against two assigners at once after a host has started behind a
@@ -246,23 +227,13 @@
     AssignmentSimulation simulation(5, 4);
     Settle(simulation);
     const std::string old = simulation.AssignerName();
-    const std::string successor = old == "h0" ? "h1" : "h0";
-    simulation.KillHost(successor);
-    simulation.cutFromPeers.insert(successor);
-    simulation.StartHost(successor);
+    const std::string successor = RestartHostCutOff(simulation);
     simulation.rejectedByStore.insert(old);
     CPPUNIT_ASSERT(simulation.RunUntil(
       [&] { return simulation.AssignerName() == successor; },
       milliseconds(6000)));
     simulation.RunFor(std::chrono::seconds(60));
-    FakeUpstream& leaving = simulation.Upstream("u1");
-    leaving.mayOwn = false;
-    const int before = leaving.releases;
-    simulation.RunUntil([&] { return leaving.releases > before; },
-                        milliseconds(5000));
-    simulation.RestartUnlisted("u1");
-    simulation.RunFor(milliseconds(4000));
-    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Violation());
+    ExpectReleasesAreFinal(simulation);
   }
 
   // Guards against two assigners at once after one has been cut off for over a
@@ -291,15 +262,7 @@
   {
     AssignmentSimulation simulation(5, 4);
     Settle(simulation);
-    const std::string old = simulation.AssignerName();
-    simulation.rejectedByStore.insert(old);
-    simulation.cutFromPeers.insert(old);
-    CPPUNIT_ASSERT(simulation.RunUntil(
-      [&] {
-        const std::string name = simulation.AssignerName();
-        return !name.empty() && name != old;
-      },
-      milliseconds(6000)));
+    const std::string old = CutOffAssigner(simulation);
     const std::string successor = simulation.AssignerName();
     simulation.RunFor(milliseconds(6000));
     simulation.cutFromPeers = { successor };
@@ -796,13 +759,6 @@
   }
 
 private:
-  static void Settle(AssignmentSimulation& aSimulation)
-  {
-    CPPUNIT_ASSERT(aSimulation.RunUntil(
-      [&] { return aSimulation.AreAllKeysLeased(); }, milliseconds(8000)));
-    aSimulation.RunFor(milliseconds(2000));
-  }
-
   // Nine of twelve hosts end at once, the assigner's among them.
   static void KillMostHosts(AssignmentSimulation& aSimulation)
   {
--- a/src/ownership/tests/assignerrules_test.cpp
+++ b/src/ownership/tests/assignerrules_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <functional>
 #include <string>
 
 namespace kumquat::ownership::tests {
@@ -56,12 +57,7 @@
     manual.holdsReads = true;
     manual.Run(seconds(3));
     CPPUNIT_ASSERT(manual.pendingRead);
-    const int before = manual.grants;
-    manual.now += seconds(10);
-    manual.AnswerRead();
-    manual.Run(milliseconds(100));
-    CPPUNIT_ASSERT_EQUAL(before, manual.grants);
-    ExpectGrantsOnceConfirmed(manual);
+    ExpectNoGrantsAfterASuspension(manual, [&] { manual.AnswerRead(); });
   }
 
   // Guards against renewing after a suspension, by a write of the assignment
@@ -73,13 +69,8 @@
     manual.mayOwn = { "u1" };
     manual.Run(milliseconds(500));
     CPPUNIT_ASSERT(manual.pendingWrite);
-    const int before = manual.grants;
     manual.holdsReads = true;
-    manual.now += seconds(10);
-    manual.Confirm(2);
-    manual.Run(milliseconds(100));
-    CPPUNIT_ASSERT_EQUAL(before, manual.grants);
-    ExpectGrantsOnceConfirmed(manual);
+    ExpectNoGrantsAfterASuspension(manual, [&] { manual.Confirm(2); });
   }
 
   // Guards against renewing after a suspension, by a read that a failed write
@@ -94,12 +85,7 @@
     manual.holdsReads = true;
     manual.AnswerWrite(state::WriteOutcome::kUnknown, 0);
     CPPUNIT_ASSERT(manual.pendingRead);
-    const int before = manual.grants;
-    manual.now += seconds(10);
-    manual.AnswerRead();
-    manual.Run(milliseconds(100));
-    CPPUNIT_ASSERT_EQUAL(before, manual.grants);
-    ExpectGrantsOnceConfirmed(manual);
+    ExpectNoGrantsAfterASuspension(manual, [&] { manual.AnswerRead(); });
   }
 
   // Guards against waiting for an assigner that was cut off and has ended, as
@@ -107,12 +93,9 @@
   void testHostsOfPredecessorsCountForTheirSuccessor()
   {
     AssignmentSimulation simulation(5, 4);
-    Settle(simulation);
+    Settle(simulation, seconds(4));
     const std::string old = simulation.AssignerName();
-    const std::string cutOff = old == "h0" ? "h1" : "h0";
-    simulation.KillHost(cutOff);
-    simulation.cutFromPeers.insert(cutOff);
-    simulation.StartHost(cutOff);
+    const std::string cutOff = RestartHostCutOff(simulation);
     simulation.rejectedByStore.insert(old);
     CPPUNIT_ASSERT(simulation.RunUntil(
       [&] { return simulation.AssignerName() == cutOff; }, milliseconds(6000)));
@@ -138,13 +121,6 @@
   }
 
 private:
-  static void Settle(AssignmentSimulation& aSimulation)
-  {
-    CPPUNIT_ASSERT(aSimulation.RunUntil(
-      [&] { return aSimulation.AreAllKeysLeased(); }, milliseconds(8000)));
-    aSimulation.RunFor(seconds(4));
-  }
-
   // A peer that uses no map of the assigner.
   static PeerStatus OtherPeer(const std::string& aName)
   {
@@ -161,9 +137,16 @@
     CPPUNIT_ASSERT(aManual.grants > 0);
   }
 
-  static void ExpectGrantsOnceConfirmed(ManualAssigner& aManual)
+  // A response that was requested before a suspension must not count as one of
+  // after it. The next read confirms the claim.
+  static void ExpectNoGrantsAfterASuspension(
+    ManualAssigner& aManual, const std::function<void()>& aRespond)
   {
     const int before = aManual.grants;
+    aManual.now += seconds(10);
+    aRespond();
+    aManual.Run(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(before, aManual.grants);
     aManual.holdsReads = false;
     aManual.AnswerRead();
     aManual.Run(milliseconds(100));
--- a/src/ownership/tests/assignmentsimulation.h
+++ b/src/ownership/tests/assignmentsimulation.h
@@ -10,6 +10,8 @@
 #include "ownership/digestsendtimes.h"
 #include "ownership/tests/fakeupstream.h"
 
+#include <cppunit/TestAssert.h>
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -604,4 +606,54 @@
   std::string violation;
 };
 
+// Runs until all keys are leased, and on until nothing changes any more.
+inline void Settle(AssignmentSimulation& aSimulation,
+                   milliseconds aAfterwards = milliseconds(2000))
+{
+  CPPUNIT_ASSERT(aSimulation.RunUntil(
+    [&] { return aSimulation.AreAllKeysLeased(); }, milliseconds(8000)));
+  aSimulation.RunFor(aAfterwards);
+}
+
+// Restarts a host that is not the assigner, which no digest reaches from then
+// on. Returns its name.
+inline std::string RestartHostCutOff(AssignmentSimulation& aSimulation)
+{
+  std::string host = aSimulation.AssignerName() == "h0" ? "h1" : "h0";
+  aSimulation.KillHost(host);
+  aSimulation.cutFromPeers.insert(host);
+  aSimulation.StartHost(host);
+  return host;
+}
+
+// Cuts the assigner off from its peers and the store, and waits for its
+// successor. Returns the name of the assigner that was cut off.
+inline std::string CutOffAssigner(AssignmentSimulation& aSimulation)
+{
+  std::string old = aSimulation.AssignerName();
+  aSimulation.rejectedByStore.insert(old);
+  aSimulation.cutFromPeers.insert(old);
+  CPPUNIT_ASSERT(aSimulation.RunUntil(
+    [&] {
+      const std::string name = aSimulation.AssignerName();
+      return !name.empty() && name != old;
+    },
+    milliseconds(6000)));
+  return old;
+}
+
+// Moves the keys of an upstream, which restarts once it has released some, and
+// expects that nobody renews the leases of before.
+inline void ExpectReleasesAreFinal(AssignmentSimulation& aSimulation)
+{
+  FakeUpstream& leaving = aSimulation.Upstream("u1");
+  leaving.mayOwn = false;
+  const int before = leaving.releases;
+  aSimulation.RunUntil([&] { return leaving.releases > before; },
+                       milliseconds(5000));
+  aSimulation.RestartUnlisted("u1");
+  aSimulation.RunFor(milliseconds(4000));
+  CPPUNIT_ASSERT_EQUAL(std::string(), aSimulation.Violation());
+}
+
 } // namespace kumquat::ownership::tests
--- a/src/ownership/tests/hostloss_test.cpp
+++ b/src/ownership/tests/hostloss_test.cpp
@@ -72,7 +72,7 @@
   void testLostOwnersKeysAreServedAfterMostHostsStoppedAsPlanned()
   {
     AssignmentSimulation simulation(5, 4);
-    Settle(simulation);
+    Settle(simulation, seconds(4));
     const std::string assigner = simulation.AssignerName();
     const std::string left = assigner == "h0" ? "h1" : "h0";
     for (const std::string& name : simulation.Hosts()) {
@@ -95,7 +95,7 @@
   void testReplacedAssignerThatRunsOnIsNotWaitedFor()
   {
     AssignmentSimulation simulation(1, 4);
-    Settle(simulation);
+    Settle(simulation, seconds(4));
     simulation.cutFromPeers.insert("h0");
     simulation.StartHost("h1");
     simulation.rejectedByStore.insert("h0");
@@ -109,7 +109,7 @@
   void testLeasesLastInAnOutageWhileLessThanHalfOfTheHostsRestart()
   {
     AssignmentSimulation simulation(12, 14);
-    Settle(simulation);
+    Settle(simulation, seconds(4));
     const std::string assigner = simulation.AssignerName();
     simulation.storeUnavailable = true;
     int restarts = 5;
@@ -128,7 +128,7 @@
   void testAssignerThatRestartsWasNotRunningBeside()
   {
     AssignmentSimulation simulation(3, 4);
-    Settle(simulation);
+    Settle(simulation, seconds(4));
     const std::string assigner = simulation.AssignerName();
     for (const std::string& name : simulation.Hosts()) {
       simulation.KillHost(name);
@@ -139,19 +139,12 @@
   }
 
 private:
-  static void Settle(AssignmentSimulation& aSimulation)
-  {
-    CPPUNIT_ASSERT(aSimulation.RunUntil(
-      [&] { return aSimulation.AreAllKeysLeased(); }, milliseconds(8000)));
-    aSimulation.RunFor(seconds(4));
-  }
-
   // An owner of keys and hosts are lost together, the assigner among them.
   // Returns the hosts.
   static std::vector<std::string> LoseHostsAndOwner(
     AssignmentSimulation& aSimulation, std::size_t aLeft)
   {
-    Settle(aSimulation);
+    Settle(aSimulation, seconds(4));
     std::vector<std::string> lost{ aSimulation.AssignerName() };
     aSimulation.KillHost(lost.front());
     while (aSimulation.Hosts().size() > aLeft) {
