Interface of owner proxies: choice, requests passed on, frames

Agreed on before the parts are built: which host of a cell queues and sends the requests for an owner of keys, what the receiving host keeps of a request that it has passed on, and the three frames between them. Nothing uses it yet.

--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -425,6 +425,46 @@
   6: list<UpstreamLeaving> leaving
 }
 
+// A caller's request, passed to the host that queues and sends the cell's
+// requests for an upstream: see ProxiedRequests in src/routing.
+struct ProxyRequest {
+  // Counts the sender's requests; replies and cancellations name it.
+  1: i64 number
+  2: string id
+  3: string hostName
+  4: i32 key
+  5: string method
+  6: string target
+  7: list<Header> headers
+  // Since the request arrived at the sender.
+  8: i64 ageMicros
+  // From its arrival on.
+  9: i32 timeoutMs
+  // Version of the configuration that the sender uses.
+  10: i64 configuration
+  11: i32 earlierRuns
+}
+
+struct ProxyReply {
+  1: i64 number
+  // The request was not taken and will not run; nothing else is set.
+  2: bool declined
+  // An ErrorKind; 0 if an upstream has responded.
+  3: i32 error
+  4: i32 status
+  5: list<Header> headers
+  6: binary body
+  // 0 if there is none.
+  7: i32 retryAfterMs
+  // The upstream's response is too large to pass on.
+  8: bool tooLarge
+}
+
+// The caller has left.
+struct ProxyCancel {
+  1: i64 number
+}
+
 // Another frame, as zlib compresses its bytes.
 struct CompressedFrame {
   1: binary bytes
@@ -467,4 +507,7 @@
   38: optional QuotaAsk quotaAsk
   39: optional QuotaReply quotaReply
   40: optional Notices notices
+  41: optional ProxyRequest proxyRequest
+  42: optional ProxyReply proxyReply
+  43: optional ProxyCancel proxyCancel
 }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -50,6 +50,9 @@
   // The team that the credentials belong to, if any, and its priority.
   admission::TeamName team;
   std::optional<int> teamPriority;
+  // Number of upstreams that may have run it on behalf of another host; see
+  // ProxiedRequests.
+  int earlierRuns = 0;
 };
 
 // An upstream's response, with what the dispatcher needs to know of it.
