Gateways pass requests for keys to the proxies of the keys' owners

Where many hosts stand before many owners of keys, a host meets each owner too seldom to keep a connection to it. With the setting proxy_owner_requests, and while routing::CallsForProxies holds, a gateway passes such requests to one host of its cell for each owner. Digests say which hosts take them, so that a host of an older version, or without the setting, gets none.

A host that loses a connection to a peer ends the requests that it has taken for it and says so, as the peer may have seen the loss earlier or not at all: each side can send over a connection of its own. PeerNetwork tells of the end of both, and sends nothing over a connection whose end it is telling of.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -66,6 +66,7 @@
   kCollectionUnsure = 4005,
   kKeys = 4006,
   kQuotaLender = 4007,
+  kOwnerProxies = 4008,
 
   kConfigurationInForce = 5001,
   kConfigurationNotLowered = 5002,
@@ -98,6 +99,8 @@
   kRequestAnswered = 8001,
   kRequestRefused = 8002,
   kRequestGivenUp = 8003,
+  kRequestProxied = 8004,
+  kRequestProxyLeft = 8005,
 };
 
 enum class EventLevel
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -110,6 +110,9 @@
               "the assigner of a service or its key assignment has changed" },
   EventEntry{ Event::kQuotaLender, "quota-lender", kInfo,
               "the host that lends the tokens of teams' quotas has changed" },
+  EventEntry{ Event::kOwnerProxies, "owner-proxies", kInfo,
+              "requests for a service's keys pass through proxies from now on, "
+              "or no longer" },
 
   EventEntry{ Event::kConfigurationInForce, "configuration-in-force", kInfo,
               "a configuration became active on this host" },
@@ -178,6 +181,11 @@
               "a request was refused and has not run" },
   EventEntry{ Event::kRequestGivenUp, "request-given-up", kWarn,
               "a request ended without a response; it may have run" },
+  EventEntry{ Event::kRequestProxied, "request-proxied", kInfo,
+              "a request that was passed to the proxy of its key's owner has "
+              "ended; the proxy's line of the same id tells how" },
+  EventEntry{ Event::kRequestProxyLeft, "request-proxy-left", kInfo,
+              "a request was dispatched here in place of its proxy" },
 };
 
 static_assert(std::ranges::is_sorted(kEntries, {}, &EventEntry::event),
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -53,6 +53,9 @@
 // Part of that reserve in which the last responses are sent.
 constexpr milliseconds kLastResponsesTime{ 400 };
 constexpr milliseconds kStopCheckInterval{ 20 };
+constexpr auto kProxiedRequests = "kumquat_proxied_requests_total";
+constexpr auto kProxiedRequestsHelp =
+  "Requests passed to the proxies of their keys' owners, and taken for peers.";
 
 } // namespace
 
@@ -69,6 +72,10 @@
   , restsAsked(this->metrics.GetOrCreateCounter(
       "kumquat_upstream_rests_total",
       "Times that an upstream asked this host for rest."))
+  , proxiedSent(this->metrics.GetOrCreateCounter(
+      kProxiedRequests, kProxiedRequestsHelp, { { "direction", "sent" } }))
+  , proxiedTaken(this->metrics.GetOrCreateCounter(
+      kProxiedRequests, kProxiedRequestsHelp, { { "direction", "taken" } }))
   , log({ .level = aSettings.logLevel,
           .json = true,
           .host = aSettings.host.value,
@@ -155,6 +162,8 @@
                         { { "lender", aLender.value },
                           { "lends", static_cast<std::int64_t>(aLends) } });
       } });
+  this->requestProxies =
+    std::make_unique<RequestProxies>(this->self, this->RequestProxiesHooks());
   this->storeClient = std::make_unique<StoreClient>(
     this->storeThread, this->settings.storeAddress,
     IpOf(this->settings.peerAddress),
@@ -258,6 +267,9 @@
                            const protocol::Frame& aFrame) {
     this->OnFrame(aFrom, aFrame);
   };
+  options.onLinkLost = [this](const protocol::HostRef& aPeer) {
+    this->requestProxies->OnPeerLost({ aPeer.host });
+  };
   options.onTraffic = [this](const protocol::Frame& aFrame,
                              transport::TrafficDirection aDirection,
                              std::size_t aFrames, std::size_t aBytes) {
@@ -270,6 +282,7 @@
       this->SendAllNotices(aPeer.host);
     } else {
       this->connectedPeers.erase(aPeer.host);
+      this->requestProxies->OnPeerLost({ aPeer.host });
     }
     this->log.Write(aUp ? Event::kPeerUp : Event::kPeerDown,
                     { { "peer", aPeer.host } });
@@ -379,6 +392,7 @@
   this->callerServer->StopAccepting();
   const auto isBusy = [this] {
     return this->callerServer->Connections() > 0 ||
+           this->requestProxies->TakenCount() > 0 ||
            (this->relayServer && this->relayServer->Busy() > 0);
   };
   const auto waitUntil = [&isBusy](TimePoint aLatest) {
@@ -387,10 +401,19 @@
     }
   };
   waitUntil(latest);
-  if (this->callerServer->Connections() > 0) {
-    this->serving.Hand([this] { this->dispatcher->EndAllRequests(); });
+  if (this->callerServer->Connections() > 0 ||
+      this->requestProxies->TakenCount() > 0) {
+    this->serving.Hand([this] {
+      this->dispatcher->EndAllRequests();
+      // The dispatcher takes none of them.
+      this->requestProxies->TakeBackAll();
+    });
     waitUntil(latest + kLastResponsesTime);
   }
+  if (this->proxiedTaken.Value() > 0) {
+    // The last reply was just handed to the peer's connection.
+    std::this_thread::sleep_for(kStopCheckInterval);
+  }
   const bool isClean = this->callerServer->Busy() == 0;
   this->log.Write(
     Event::kStopped,
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -18,6 +18,7 @@
 #include "node/internal/peertraffic.h"
 #include "node/internal/registration.h"
 #include "node/internal/relaychoice.h"
+#include "node/internal/requestproxies.h"
 #include "node/internal/storeclient.h"
 #include "node/internal/tablereplication.h"
 #include "node/internal/teamquotas.h"
@@ -103,6 +104,36 @@
   void Dispatch(routing::CallerRequest aRequest,
                 const std::shared_ptr<transport::CallerLink>& aLink,
                 const transport::HttpServer::Respond& aRespond);
+  // Dispatches the request at this host.
+  void DispatchHere(routing::CallerRequest aRequest,
+                    routing::Dispatcher::Respond aRespond);
+  RequestProxies::Hooks RequestProxiesHooks();
+  // Whether this host passes requests to proxies, and is one.
+  bool TakesProxied() const;
+  // The route of the request if its requests may be passed on, else null.
+  const routing::Route* FindProxiedRoute(
+    const routing::CallerRequest& aRequest) const;
+  const routing::UpstreamState* FindUsableOwner(
+    const state::ServiceName& aService, routing::Key aKey) const;
+  // The host to pass the request to; empty if it is dispatched here.
+  std::optional<state::HostId> FindProxy(
+    const routing::CallerRequest& aRequest);
+  std::optional<ProxyDecline> FindDecline(
+    const routing::CallerRequest& aRequest, std::int64_t aConfiguration) const;
+  void PassOn(const state::HostId& aProxy, routing::CallerRequest aRequest,
+              routing::Dispatcher::Respond aRespond);
+  void OnProxiedEnded(const routing::CallerRequest& aRequest,
+                      const state::HostId& aProxy,
+                      const routing::CallerResponse& aResponse);
+  void UpdateProxyMembers(const std::vector<state::HostId>& aLiveMembers);
+  void UpdateProxiedServices();
+  bool CallsForProxies(const state::ServiceName& aService,
+                       std::size_t aMembers);
+  void CountByReason(const std::string& aName, std::string_view aHelp,
+                     std::string_view aReason);
+  Summary& LatencyOf(const std::string& aService);
+  // Whether the end of a request with an upstream's response is logged.
+  static bool IsServedLogged(const std::string& aRequestId, int aStatus);
   std::optional<state::HostId> FindQuotaLender() const;
   bool IsReachable(const state::HostId& aHost) const;
   // Whether digests of the peer arrive in time.
@@ -180,7 +211,8 @@
   void OnCaughtUp(const std::string& aTable, Duration aBehind);
   // Whether every removed upstream is past its grace period.
   bool AreRemovedUpstreamsExpired() const;
-  // Sets the timer for the dispatcher's next due time.
+  // Sets the timer for the next due time of the dispatcher and of the requests
+  // that are with proxies.
   void ScheduleDispatcher();
   void UpdateGauges();
   bool IsReady() const;
@@ -203,6 +235,9 @@
   protocol::ErrorCounters retries;
   Counter& answeredRequests;
   Counter& restsAsked;
+  // Requests passed to proxies, and taken for peers.
+  Counter& proxiedSent;
+  Counter& proxiedTaken;
   EventLog log;
   std::mt19937_64 random;
   std::map<std::string, Summary*> latencies;
@@ -230,6 +265,9 @@
   std::unique_ptr<TableReplication> replication;
   std::unique_ptr<Registration> registration;
   std::unique_ptr<TeamQuotas> quotas;
+  std::unique_ptr<RequestProxies> requestProxies;
+  // Services whose requests pass through proxies.
+  std::set<state::ServiceName> proxiedServices;
   ServerPtr callerServer;
   ServerPtr readinessServer;
   ServerPtr metricsServer;
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -255,6 +255,15 @@
     this->quotas->OnReply({ aFrom.host }, aFrame.quotaReply);
   } else if (aFrame.__isset.notices) {
     this->OnNotices(aFrame.notices);
+  } else if (aFrame.__isset.proxyRequest) {
+    this->requestProxies->OnRequest({ aFrom.host }, aFrame.correlation,
+                                    aFrame.proxyRequest);
+  } else if (aFrame.__isset.proxyReply) {
+    this->requestProxies->OnReply({ aFrom.host }, aFrame.correlation,
+                                  aFrame.proxyReply);
+  } else if (aFrame.__isset.proxyCancel) {
+    this->requestProxies->OnCancel({ aFrom.host }, aFrame.correlation,
+                                   aFrame.proxyCancel);
   }
 }
 
@@ -303,12 +312,14 @@
   this->UpdateRelays();
   for (const state::HostId& silent : this->peers.TakeNewlySilent()) {
     this->upstreams.ForgetPeer(silent);
+    this->requestProxies->OnPeerLost(silent);
     // A connection on which nothing arrives any more does not recover; a new
     // one may work.
     this->peerNetwork->Close(silent.value);
   }
   const std::vector<state::HostId> live = this->LiveCellMembers();
   this->UpdateDispatcherHosts(live);
+  this->UpdateProxyMembers(live);
   this->UpdateReach();
   this->registration->OnTimer();
   this->UpdateFollowedTables(live);
@@ -322,6 +333,7 @@
   if (now - this->connectionsUpdatedAt >= kConnectionUpdateInterval) {
     this->connectionsUpdatedAt = now;
     this->UpdateConnections();
+    this->UpdateProxiedServices();
     this->UpdateGauges();
     this->peerTraffic.OnTimer();
     this->dispatcher->Suspects().RemoveOld();
@@ -386,6 +398,7 @@
   digest.__set_keyMaps(this->keyedServices->MapVersions());
   digest.__set_lendsQuotas(this->quotas->Lender().IsLending());
   digest.__set_offersRelays(this->OffersRelays());
+  digest.__set_takesProxied(this->TakesProxied());
   return digest;
 }
 
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -302,11 +302,24 @@
                                      *aRequest.key);
     }
   }
-  const routing::RequestNumber number = this->dispatcher->OnRequest(
-    std::move(aRequest), [id, aRespond](routing::CallerResponse aResponse) {
-      aRespond(platform::MakeCallerResponse(std::move(aResponse), id));
-    });
-  aLink->onGone = [this, number] {
+  const auto respond = [id, aRespond](routing::CallerResponse aResponse) {
+    aRespond(platform::MakeCallerResponse(std::move(aResponse), id));
+  };
+  aRequest.message.link = aLink;
+  if (const auto proxy = this->FindProxy(aRequest)) {
+    this->PassOn(*proxy, std::move(aRequest), respond);
+  } else {
+    this->DispatchHere(std::move(aRequest), respond);
+  }
+}
+
+void Gateway::Impl::DispatchHere(routing::CallerRequest aRequest,
+                                 routing::Dispatcher::Respond aRespond)
+{
+  const auto link = aRequest.message.link;
+  const routing::RequestNumber number =
+    this->dispatcher->OnRequest(std::move(aRequest), std::move(aRespond));
+  link->onGone = [this, number] {
     this->dispatcher->OnCallerGone(number);
     this->ScheduleDispatcher();
   };
@@ -369,23 +382,32 @@
     });
 }
 
+Summary& Gateway::Impl::LatencyOf(const std::string& aService)
+{
+  Summary*& summary = this->latencies[aService];
+  if (summary == nullptr) {
+    summary = &this->metrics.GetOrCreateSummary(
+      "kumquat_request_seconds",
+      "From a request's arrival at this host to its answer.",
+      { { "service", aService } });
+  }
+  return *summary;
+}
+
+bool Gateway::Impl::IsServedLogged(const std::string& aRequestId, int aStatus)
+{
+  const bool hasFailed = aStatus >= 500;
+  return hasFailed ||
+         XXH3_64bits(aRequestId.data(), aRequestId.size()) % kServedSample == 0;
+}
+
 void Gateway::Impl::OnRequestEnded(const routing::RequestTrace& aTrace)
 {
   this->upstreamCalls.erase(aTrace.number);
   if (aTrace.error == ErrorKind::kNone) {
     this->answeredRequests.Add();
-    Summary*& summary = this->latencies[aTrace.service];
-    if (summary == nullptr) {
-      summary = &this->metrics.GetOrCreateSummary(
-        "kumquat_request_seconds",
-        "From a request's arrival at this host to its answer.",
-        { { "service", aTrace.service } });
-    }
-    summary->Observe(aTrace.took);
-    const bool hasFailed = aTrace.status >= 500;
-    const bool isSampled =
-      XXH3_64bits(aTrace.id.data(), aTrace.id.size()) % kServedSample == 0;
-    if (!hasFailed && !isSampled) {
+    this->LatencyOf(aTrace.service).Observe(aTrace.took);
+    if (!IsServedLogged(aTrace.id, aTrace.status)) {
       return;
     }
   } else {
@@ -418,7 +440,10 @@
 
 void Gateway::Impl::ScheduleDispatcher()
 {
-  const auto due = this->dispatcher->NextDue();
+  std::optional<TimePoint> due = this->dispatcher->NextDue();
+  if (const auto proxied = this->requestProxies->NextDue()) {
+    due = std::min(due.value_or(*proxied), *proxied);
+  }
   if (!due || *due >= this->dispatchDueAt) {
     return;
   }
@@ -431,6 +456,7 @@
       }
       this->dispatchDueAt = TimePoint::max();
       this->dispatcher->OnTimer();
+      this->requestProxies->OnTimer();
       this->ScheduleDispatcher();
     });
 }
--- a/src/node/internal/peers.cpp
+++ b/src/node/internal/peers.cpp
@@ -49,6 +49,7 @@
   peer.reachesStore = aDigest.reachesStore;
   peer.lendsQuotas = aDigest.lendsQuotas;
   peer.offersRelays = aDigest.offersRelays;
+  peer.takesProxied = aDigest.takesProxied;
   peer.operatorVersion = aDigest.operatorVersion;
   peer.upstreamVersion = aDigest.upstreamVersion;
   peer.hostsVersion = aDigest.hostsVersion;
--- a/src/node/internal/peers.h
+++ b/src/node/internal/peers.h
@@ -28,6 +28,8 @@
   bool reachesStore = true;
   bool lendsQuotas = false;
   bool offersRelays = false;
+  // See HostDigest::takesProxied.
+  bool takesProxied = false;
   state::Version operatorVersion = 0;
   state::Version upstreamVersion = 0;
   state::Version hostsVersion = 0;
--- a/src/node/internal/peertraffic.cpp
+++ b/src/node/internal/peertraffic.cpp
@@ -21,6 +21,7 @@
   std::pair{ FramePurpose::kTableChange, std::string_view("table_change") },
   std::pair{ FramePurpose::kQuota, std::string_view("quota") },
   std::pair{ FramePurpose::kNotices, std::string_view("notices") },
+  std::pair{ FramePurpose::kProxied, std::string_view("proxied") },
   std::pair{ FramePurpose::kOther, std::string_view("other") },
 };
 
@@ -56,6 +57,10 @@
   if (aFrame.__isset.notices) {
     return FramePurpose::kNotices;
   }
+  if (aFrame.__isset.proxyRequest || aFrame.__isset.proxyReply ||
+      aFrame.__isset.proxyCancel) {
+    return FramePurpose::kProxied;
+  }
   return aFrame.__isset.quotaAsk || aFrame.__isset.quotaReply
            ? FramePurpose::kQuota
            : FramePurpose::kOther;
@@ -127,7 +132,9 @@
               { "table_copy_sent", sent(FramePurpose::kTableCopy) },
               { "table_copy_received", received(FramePurpose::kTableCopy) },
               { "quota_sent", sent(FramePurpose::kQuota) },
-              { "quota_received", received(FramePurpose::kQuota) } });
+              { "quota_received", received(FramePurpose::kQuota) },
+              { "proxied_sent", sent(FramePurpose::kProxied) },
+              { "proxied_received", received(FramePurpose::kProxied) } });
 }
 
 } // namespace kumquat::node
--- a/src/node/internal/peertraffic.h
+++ b/src/node/internal/peertraffic.h
@@ -26,6 +26,7 @@
   kTableChange,
   kQuota,
   kNotices,
+  kProxied,
   kOther,
 };
 
@@ -46,7 +47,7 @@
   void OnTimer();
 
 private:
-  static constexpr std::size_t kPurposes = 8;
+  static constexpr std::size_t kPurposes = 9;
   static constexpr std::size_t kDirections = 2;
 
   struct Totals
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -290,6 +290,9 @@
   12: bool keyMapsPartial
   // The sender has its links to upstreams, and relays connections to them.
   13: bool offersRelays
+  // The sender takes requests for the owners whose proxy it is; see
+  // ProxyRequest.
+  14: bool takesProxied
 }
 
 struct KeyRange {
--- a/src/routing/ownerproxies.h
+++ b/src/routing/ownerproxies.h
@@ -74,8 +74,10 @@
 // What a proxy replies.
 struct ProxyReply
 {
-  // The proxy has not taken the request, and will not run it.
+  // The proxy has no response and will not have one.
   bool isDeclined = false;
+  // Of a declined request: an upstream may have run it.
+  bool mayHaveRun = false;
   // Set unless it is declined.
   CallerResponse response;
 };
@@ -118,6 +120,8 @@
   // The connection to the proxy has ended, or the proxy has been silent for too
   // long: its replies do not arrive any more. Its requests may have run.
   void OnProxyLost(const state::HostId& aProxy);
+  // The same for all proxies; this host stops.
+  void OnAllProxiesLost();
   // Ends the requests that are due.
   void OnTimer();
   // When OnTimer is due next; empty if no request is with a proxy.
--- a/src/state/internal/settings.cpp
+++ b/src/state/internal/settings.cpp
@@ -194,6 +194,9 @@
       .value_or(settings.processors);
   settings.isFirstStart =
     fields.Boolean("first_start").value_or(settings.isFirstStart);
+  if (fields.Boolean("proxy_owner_requests").value_or(false)) {
+    settings.proxyUse = ProxyUse::kWhereSeldomMet;
+  }
   settings.logLevel = ReadLogLevel(fields, settings.logLevel);
   fields.Finish();
   if (reader.HasFaults()) {
@@ -222,6 +225,7 @@
     { "memory_mb", aSettings.memoryBytes >> kMegabyteShift },
     { "processors", aSettings.processors },
     { "first_start", aSettings.isFirstStart },
+    { "proxy_owner_requests", aSettings.proxyUse != ProxyUse::kNever },
     { "log_level", aSettings.logLevel },
   };
   return text.dump(2);
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -37,6 +37,16 @@
   bool logJson = false;
 };
 
+// Whether requests for keys pass through the proxies of the keys' owners.
+enum class ProxyUse
+{
+  kNever,
+  // Where hosts meet owners too seldom; see routing::CallsForProxies.
+  kWhereSeldomMet,
+  // Whatever the number of hosts and owners. For tests: no text asks for it.
+  kAlways,
+};
+
 // Settings of a host whose platform keeps versioned rows: upstreams register
 // and operators write in that store, and nothing else has to be named.
 struct GatewaySettings
@@ -70,6 +80,7 @@
   double processors = 1;
   // All hosts of the deployment start for the first time, within moments.
   bool isFirstStart = false;
+  ProxyUse proxyUse = ProxyUse::kNever;
   std::string logLevel = "info";
 };
 
--- a/src/transport/internal/peernetwork.cpp
+++ b/src/transport/internal/peernetwork.cpp
@@ -122,20 +122,18 @@
 
   void CloseLink(const std::string& aHost)
   {
-    const auto found = this->links.find(aHost);
-    if (found != this->links.end()) {
-      CloseSocket(*found->second.front());
+    if (const LinkPtr link = this->LinkTo(aHost)) {
+      CloseSocket(*link);
     }
   }
 
   bool Send(const std::string& aHost, const protocol::Frame& aFrame)
   {
-    const auto found = this->links.find(aHost);
-    if (found == this->links.end()) {
+    const LinkPtr link = this->LinkTo(aHost);
+    if (!link) {
       this->Dial(aHost);
       return false;
     }
-    const LinkPtr& link = found->second.front();
     std::string bytes = protocol::EncodeFrame(aFrame);
     if (link->readsCompressed) {
       bytes = protocol::CompressFrame(bytes);
@@ -159,11 +157,10 @@
     std::size_t frames = 0;
     std::size_t bytes = 0;
     for (const std::string& host : aHosts) {
-      const auto found = this->links.find(host);
-      if (found == this->links.end()) {
+      const LinkPtr link = this->LinkTo(host);
+      if (!link) {
         continue;
       }
-      const LinkPtr& link = found->second.front();
       const EncodedFrame& encoded = link->readsCompressed ? compressed : plain;
       if (this->Enqueue(link, encoded)) {
         ++frames;
@@ -174,6 +171,15 @@
   }
 
 private:
+  // The connection that this host sends over; null if there is none.
+  LinkPtr LinkTo(const std::string& aHost) const
+  {
+    const auto found = this->links.find(aHost);
+    return found == this->links.end() || found->second.empty()
+             ? nullptr
+             : found->second.front();
+  }
+
   void TellTraffic(const protocol::Frame& aFrame, TrafficDirection aDirection,
                    std::size_t aFrames, std::size_t aBytes) const
   {
@@ -386,7 +392,9 @@
     }
     std::vector<LinkPtr>& all = found->second;
     const bool wasInUse = !all.empty() && all.front() == aLink;
-    std::erase(all, aLink);
+    if (std::erase(all, aLink) > 0 && this->options.onLinkLost) {
+      this->options.onLinkLost(*aLink->peer);
+    }
     if (!wasInUse) {
       return;
     }
@@ -404,7 +412,8 @@
   const Options options;
   tcp::acceptor acceptor;
   tcp::endpoint local;
-  // By host; never empty. Send uses the first.
+  // By host; empty only while the hooks are told of a connection's end. Send
+  // uses the first.
   std::unordered_map<std::string, std::vector<LinkPtr>> links;
   std::unordered_map<std::string, std::string> addresses;
   std::unordered_map<std::string, bool> dialling;
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -41,6 +41,10 @@
     // All on the network's thread.
     std::function<void(const protocol::HostRef&, protocol::Frame)> onFrame;
     std::function<void(const protocol::HostRef&, bool)> onUp;
+    // Told when a connection to the peer has ended, also one over which this
+    // host did not send: what the peer sent over it may be lost. Runs before
+    // onUp; may be empty.
+    std::function<void(const protocol::HostRef&)> onLinkLost;
     // Told of frames that were received or queued for sending, with their
     // number and bytes; may be empty.
     std::function<void(const protocol::Frame&, TrafficDirection,
