--- a/src/transport/internal/peernetwork.cpp
+++ b/src/transport/internal/peernetwork.cpp
@@ -55,6 +55,13 @@
 
 using LinkPtr = std::shared_ptr<Link>;
 
+// Requests that pass between hosts come one by one, so that compressing them
+// would cost more than passing them on.
+bool IsCompressed(const protocol::Frame& aFrame)
+{
+  return !aFrame.__isset.proxyRequest && !aFrame.__isset.proxyReply;
+}
+
 void CloseSocket(Link& aLink)
 {
   boost::system::error_code ignored;
@@ -135,7 +142,7 @@
       return false;
     }
     std::string bytes = protocol::EncodeFrame(aFrame);
-    if (link->readsCompressed) {
+    if (link->readsCompressed && IsCompressed(aFrame)) {
       bytes = protocol::CompressFrame(bytes);
     }
     const std::size_t size = bytes.size();
