--- a/src/routing/internal/ownerproxies.cpp
+++ b/src/routing/internal/ownerproxies.cpp
@@ -118,7 +118,9 @@
   }
   Entry entry = this->Take(found);
   if (aReply.isDeclined) {
-    this->hooks.onFallback(entry.proxy, "declined");
+    entry.request.earlierRuns += aReply.mayHaveRun ? 1 : 0;
+    this->hooks.onFallback(entry.proxy,
+                           aReply.mayHaveRun ? "no-response" : "declined");
     this->hooks.dispatch(std::move(entry.request), std::move(entry.respond));
     return;
   }
@@ -139,10 +141,22 @@
 }
 
 void ProxiedRequests::OnProxyLost(const state::HostId& aProxy)
+{
+  this->TakeBack(
+    [&aProxy](const state::HostId& aOne) { return aOne == aProxy; });
+}
+
+void ProxiedRequests::OnAllProxiesLost()
+{
+  this->TakeBack([](const state::HostId&) { return true; });
+}
+
+void ProxiedRequests::TakeBack(
+  const std::function<bool(const state::HostId&)>& aIsLost)
 {
   std::vector<ProxyNumber> numbers;
   for (const auto& [number, entry] : this->requests) {
-    if (entry.proxy == aProxy) {
+    if (aIsLost(entry.proxy)) {
       numbers.push_back(number);
     }
   }
--- a/src/routing/ownerproxies.h
+++ b/src/routing/ownerproxies.h
@@ -137,6 +137,8 @@
     std::multimap<TimePoint, ProxyNumber>::iterator deadline;
   };
 
+  // Dispatches the requests of the proxies here.
+  void TakeBack(const std::function<bool(const state::HostId&)>& aIsLost);
   // Removes the request and returns it.
   Entry Take(std::map<ProxyNumber, Entry>::iterator aEntry);
 
