A request that may have run on behalf of another host is a retry

Cause: a host that loses the proxy of a request dispatches it itself, and the proxy may have sent it to the owner. Change: earlierRuns counts among the runs of a request. It is sent only where the route allows one more run and the retry budget has a token, which it spends; no refusal says that it has not run. Measured: DispatcherTest passes, with three new tests (linked with the routing objects alone).

--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -270,6 +270,8 @@
   bool IsKeyed(const Request& aRequest) const;
   QueueForecast Forecast(const Request& aRequest);
   QueueForecast ForecastForOwner(const Request& aRequest);
+  void TurnAway(const RequestPtr& aRequest, protocol::ErrorKind aError,
+                std::optional<std::chrono::milliseconds> aRetryAfter = {});
   bool TrySend(const RequestPtr& aRequest);
   bool HasLostAccess(Request& aRequest) const;
   const UpstreamState* Choose(const Request& aRequest);
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -182,19 +182,18 @@
   request->routes = this->routes;
   request->route = this->routes->FindRoute(request->caller.hostName,
                                            request->caller.message.target);
+  request->mayHaveRunAt = request->caller.earlierRuns;
   const TimePoint arrived = request->caller.arrived;
   if (request->route == nullptr) {
     request->deadline = this->deadlines.end();
     const bool known = this->routes->CurrentConfiguration().version > 0;
-    this->Finish(request, { {},
-                            known ? ErrorKind::kUnknownService
-                                  : ErrorKind::kStoreUnavailable,
-                            {} });
+    this->TurnAway(request, known ? ErrorKind::kUnknownService
+                                  : ErrorKind::kStoreUnavailable);
     return request->number;
   }
   if (!this->isAccepting) {
     request->deadline = this->deadlines.end();
-    this->Finish(request, { {}, ErrorKind::kStopping, kStoppingRetryAfter });
+    this->TurnAway(request, ErrorKind::kStopping, kStoppingRetryAfter);
     return request->number;
   }
   const Route& route = *request->route;
@@ -207,6 +206,10 @@
   request->deadline =
     this->deadlines.emplace(request->waiting.deadline, request->number);
   this->StateOf(request->service).budget.OnRequest();
+  if (request->mayHaveRunAt > 0) {
+    this->Retry(request, ErrorKind::kUpstreamBroken);
+    return request->number;
+  }
   if (this->IsQuarantined(*request)) {
     this->RefuseQuarantined(request);
     return request->number;
@@ -228,6 +231,18 @@
   return request->number;
 }
 
+// Ends a request that this host does not take. Unless it may have run on behalf
+// of another host, the caller is told that it has not.
+void Dispatcher::TurnAway(const RequestPtr& aRequest, ErrorKind aError,
+                          std::optional<milliseconds> aRetryAfter)
+{
+  if (aRequest->mayHaveRunAt > 0) {
+    this->Finish(aRequest, { {}, ErrorKind::kUpstreamBroken, {} });
+    return;
+  }
+  this->Finish(aRequest, { {}, aError, aRetryAfter });
+}
+
 // Whether the request's API key was removed while the request was here. If the
 // key was moved to another team, the request goes on as that team's.
 bool Dispatcher::HasLostAccess(Request& aRequest) const
--- a/src/routing/internal/dispatchernotices.cpp
+++ b/src/routing/internal/dispatchernotices.cpp
@@ -48,14 +48,8 @@
 // "Not run" is said of this attempt of the caller, and is true of it.
 void Dispatcher::RefuseQuarantined(const RequestPtr& aRequest)
 {
-  if (aRequest->mayHaveRunAt > 0) {
-    this->Finish(aRequest, { {}, ErrorKind::kUpstreamBroken, {} });
-    return;
-  }
-  this->Finish(aRequest,
-               { {},
-                 ErrorKind::kRequestQuarantined,
-                 this->suspects.QuarantineLeft(ContentOf(*aRequest)) });
+  this->TurnAway(aRequest, ErrorKind::kRequestQuarantined,
+                 this->suspects.QuarantineLeft(ContentOf(*aRequest)));
 }
 
 void Dispatcher::ReportCrashes(const std::vector<CrashReport>& aReports) const
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -74,6 +74,9 @@
   CPPUNIT_TEST(testRequestIsSentAgainAfterItsQuarantine);
   CPPUNIT_TEST(testRetriesKeepToTheirBudget);
   CPPUNIT_TEST(testNewHostUsesOnlyItsPartOfTheBudget);
+  CPPUNIT_TEST(testEarlierRunsCountAsAttempts);
+  CPPUNIT_TEST(testRequestsOfALostProxyKeepToTheBudget);
+  CPPUNIT_TEST(testNotRunIsNeverStatedAfterAnEarlierRun);
   CPPUNIT_TEST(testCallerGoneCancelsIdempotentRequests);
   CPPUNIT_TEST(testTimeoutResponseComesBeforeTheDeadline);
   CPPUNIT_TEST(testRequestThatCannotBeInTimeIsRefusedAtOnce);
@@ -312,6 +315,63 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->attempts.size());
   }
 
+  // Guards against more runs than the route allows where one was on behalf of
+  // another host. It allows two.
+  void testEarlierRunsCountAsAttempts()
+  {
+    const auto once = this->StartRequestAfterRuns("/look/1", 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->attempts.size());
+    CPPUNIT_ASSERT_EQUAL(1, this->retryCount);
+    this->dispatcher->OnSendFailed(once, TransportError::kBroken);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->attempts.size());
+    CPPUNIT_ASSERT(this->OutcomeOf(once) == Outcome::kUnknown);
+    const auto twice = this->StartRequestAfterRuns("/look/1", 2);
+    CPPUNIT_ASSERT(this->OutcomeOf(twice) == Outcome::kUnknown);
+    const auto unsafe = this->StartRequestAfterRuns("/book/1", 1);
+    CPPUNIT_ASSERT(this->OutcomeOf(unsafe) == Outcome::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->attempts.size());
+    CPPUNIT_ASSERT_EQUAL(1, this->retryCount);
+  }
+
+  // Guards against a wave of retries when a proxy is lost with many requests: a
+  // new host has one token and gets a few with its requests.
+  void testRequestsOfALostProxyKeepToTheBudget()
+  {
+    this->dispatcher->SetHosts(HostNames(1), HostNames(1), false);
+    for (int i = 0; i < 50; ++i) {
+      const auto number = this->StartRequestAfterRuns("/look/1", 1);
+      if (!this->responses.contains(number)) {
+        this->Respond(number, 200);
+      }
+      CPPUNIT_ASSERT(this->responses.at(number).message ||
+                     this->OutcomeOf(number) == Outcome::kUnknown);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(this->retryCount), this->attempts.size());
+    CPPUNIT_ASSERT(this->retryCount >= 2 && this->retryCount <= 1 + 50 / 10);
+  }
+
+  // Guards against "not run" from a host that refuses a request which a lost
+  // proxy may have sent: as it does not know the route, has stopped, its
+  // upstreams refuse, or the time is up.
+  void testNotRunIsNeverStatedAfterAnEarlierRun()
+  {
+    const auto unknown = this->StartRequestAfterRuns("/none/1", 1);
+    const auto refused = this->StartRequestAfterRuns("/look/1", 1);
+    for (int i = 0; i < 4 && !this->responses.contains(refused); ++i) {
+      this->Respond(refused, 503, true);
+      this->PassFullPause();
+    }
+    this->owner = KeyOwner{ {}, std::chrono::hours(1) };
+    const auto waits = this->StartRequestAfterRuns("/stock/1", 1, Key{ 1 });
+    this->now += milliseconds(1200);
+    this->dispatcher->OnTimer();
+    this->dispatcher->StopAccepting();
+    const auto stopped = this->StartRequestAfterRuns("/look/1", 1);
+    for (const auto number : { unknown, refused, waits, stopped }) {
+      CPPUNIT_ASSERT(this->OutcomeOf(number) == Outcome::kUnknown);
+    }
+  }
+
   // Every second request fails at its upstream. With unlimited retries, a
   // failing service would get half as many requests again.
   void testRetriesKeepToTheirBudget()
@@ -1109,8 +1169,16 @@
   RequestNumber StartRequest(const std::string& aTarget,
                              milliseconds aPatience = milliseconds(1200),
                              std::optional<Key> aKey = {})
+  {
+    return this->StartRequestAfterRuns(aTarget, 0, aKey, aPatience);
+  }
+
+  RequestNumber StartRequestAfterRuns(
+    const std::string& aTarget, int aEarlierRuns, std::optional<Key> aKey = {},
+    milliseconds aPatience = milliseconds(1200))
   {
     CallerRequest request;
+    request.earlierRuns = aEarlierRuns;
     request.message.target = aTarget;
     request.id = "r";
     request.hostName = "tents";
