Waiting requests are counted by key, and left in constant time

Cause: the forecast for one owner looked up the owner of every waiting request and built a map of all counts; a request left the list by a search; each check asked again for the same closed owner, and ranked requests at each comparison. Change: counts by key kept as requests come and go, a request's own place in the list, ranks computed once, and one question for each key while no attempt starts or ends. Decisions are the same. Measured: DispatcherTest and LoadTest pass (linked with the routing objects alone).

--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -251,6 +251,8 @@
   std::size_t WaitingCount() const;
   // Number of waiting requests for each upstream that owns their keys.
   std::map<state::UpstreamId, int> WaitingByOwner() const;
+  // Of these, those for one upstream.
+  int WaitingFor(const state::UpstreamId& aOwner) const;
   // Number of attempts that are running.
   std::size_t RunningCount() const { return this->runningCount; }
   // Attempts started plus attempts ended, since the start.
@@ -303,6 +305,8 @@
   const UpstreamRateLimiter& LimiterFor(const Request& aRequest) const;
   void Send(const RequestPtr& aRequest, const UpstreamState& aUpstream);
   void Enqueue(const RequestPtr& aRequest);
+  // Takes the request out of the waiting list, if it is there.
+  void Unqueue(Request& aRequest);
   void SendWaiting(const state::ServiceName& aName);
   void WithdrawAttempt(const RequestPtr& aRequest);
   bool MayRetry(const Request& aRequest, protocol::ErrorKind aWhy);
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <numeric>
+#include <set>
 #include <utility>
 
 namespace kumquat::routing {
@@ -323,10 +324,30 @@
 {
   aRequest->refusedBy = {};
   ServiceState& service = this->StateOf(aRequest->service);
-  service.waiting.push_back(aRequest);
+  aRequest->place = service.waiting.insert(service.waiting.end(), aRequest);
+  if (this->IsKeyed(*aRequest)) {
+    ++service.waitingByKey[*aRequest->caller.key];
+  }
   service.nextCheckAt = this->hooks.now() + kCheckInterval;
 }
 
+void Dispatcher::Unqueue(Request& aRequest)
+{
+  if (!aRequest.place) {
+    return;
+  }
+  ServiceState& service = this->StateOf(aRequest.service);
+  // Erased last: the list may hold the only reference to the request.
+  const auto place = *std::exchange(aRequest.place, std::nullopt);
+  if (this->IsKeyed(aRequest)) {
+    const auto count = service.waitingByKey.find(*aRequest.caller.key);
+    if (--count->second == 0) {
+      service.waitingByKey.erase(count);
+    }
+  }
+  service.waiting.erase(place);
+}
+
 void Dispatcher::SendWaiting(const state::ServiceName& aName)
 {
   ServiceState& service = this->StateOf(aName);
@@ -335,42 +356,61 @@
   }
   const TimePoint now = this->hooks.now();
   const double typicalMs = this->TypicalMs(aName);
-  std::vector<RequestPtr> order(service.waiting.begin(), service.waiting.end());
-  std::ranges::stable_sort(
-    order, [&](const RequestPtr& aOne, const RequestPtr& aOther) {
-      return IsServedBefore(aOne->waiting, aOther->waiting, now, typicalMs);
+  std::vector<std::pair<WaitingRank, RequestPtr>> order;
+  order.reserve(service.waiting.size());
+  std::ranges::transform(
+    service.waiting, std::back_inserter(order), [&](const RequestPtr& aOne) {
+      return std::pair(RankOf(aOne->waiting, now, typicalMs), aOne);
     });
-  for (const RequestPtr& request : order) {
+  std::ranges::stable_sort(
+    order, {}, [](const auto& aItem) -> const auto& { return aItem.first; });
+  // Keys, by configuration, whose owners cannot take a request as long as no
+  // attempt starts or ends.
+  std::set<std::pair<Key, const RouteTable*>> closed;
+  std::int64_t closedAt = this->loadChangeCount;
+  for (const auto& [rank, request] : order) {
     if (!this->requests.contains(request->number) || request->isRunning) {
       continue;
     }
     if (this->HasLostAccess(*request)) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->Fail(request, ErrorKind::kApiKeyUnknown);
       continue;
     }
     if (this->IsQuarantined(*request)) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->RefuseQuarantined(request);
       continue;
     }
     if (this->IsKeptByRest(*request)) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->Refuse(request, ErrorKind::kUpstreamResting);
       continue;
     }
     if (!IsWorthWaiting(request->waiting, now, typicalMs)) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->Refuse(request, ErrorKind::kNoUpstream);
       continue;
     }
     if (request->notBefore > now) {
       continue;
     }
+    if (closedAt != this->loadChangeCount) {
+      closed.clear();
+      closedAt = this->loadChangeCount;
+    }
+    const bool isKeyed = this->IsKeyed(*request);
+    const std::pair ofKey(request->caller.key.value_or(0),
+                          request->routes.get());
+    if (isKeyed && closed.contains(ofKey)) {
+      continue;
+    }
     const UpstreamState* upstream = this->Choose(*request);
     if (upstream != nullptr) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->Send(request, *upstream);
+    } else if (isKeyed) {
+      closed.insert(ofKey);
     }
   }
   service.nextCheckAt = now + kCheckInterval;
@@ -393,7 +433,7 @@
     this->hooks.cancel(aNumber);
     this->EndAttempt(*request, AttemptResult::kAbandoned, {}, "caller-gone");
   } else {
-    this->StateOf(request->service).waiting.remove(request);
+    this->Unqueue(*request);
   }
   request->respond = nullptr;
   this->Finish(request, { {}, ErrorKind::kCallerGone, {} });
@@ -722,7 +762,7 @@
 void Dispatcher::OnDeadline(const RequestPtr& aRequest)
 {
   if (!aRequest->isRunning) {
-    this->StateOf(aRequest->service).waiting.remove(aRequest);
+    this->Unqueue(*aRequest);
     this->Refuse(aRequest, ErrorKind::kNoUpstream);
     return;
   }
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -120,7 +120,7 @@
   // much per host as in this cell.
   const double knownShare = static_cast<double>(this->cellHostCount) /
                             static_cast<double>(this->hostCount);
-  const int here = this->WaitingByOwner()[owner.upstream];
+  const int here = this->WaitingFor(owner.upstream);
   forecast.queued = static_cast<std::size_t>(here) +
                     static_cast<std::size_t>(one->waitingAtPeers);
   const double totalPerSecond = 1000.0 * one->entry.slots / forecast.typicalMs;
@@ -165,15 +165,26 @@
 {
   std::map<state::UpstreamId, int> counts;
   for (const auto& [name, service] : this->services) {
-    for (const RequestPtr& request : service->waiting) {
-      if (this->IsKeyed(*request)) {
-        ++counts[this->hooks.findOwner(name, *request->caller.key).upstream];
-      }
+    for (const auto& [key, count] : service->waitingByKey) {
+      counts[this->hooks.findOwner(name, key).upstream] += count;
     }
   }
   return counts;
 }
 
+int Dispatcher::WaitingFor(const state::UpstreamId& aOwner) const
+{
+  int sum = 0;
+  for (const auto& [name, service] : this->services) {
+    for (const auto& [key, count] : service->waitingByKey) {
+      if (this->hooks.findOwner(name, key).upstream == aOwner) {
+        sum += count;
+      }
+    }
+  }
+  return sum;
+}
+
 bool Dispatcher::IsWithinColdRate(const Request& aRequest,
                                   const UpstreamState& aOne) const
 {
--- a/src/routing/internal/dispatcherparts.h
+++ b/src/routing/internal/dispatcherparts.h
@@ -34,6 +34,8 @@
   bool hasEndedUpstream = false;
   // The request is not checked before; for keys that are being handed over.
   TimePoint notBefore;
+  // Its place in the waiting list of its service; empty unless it waits.
+  std::optional<std::list<RequestPtr>::iterator> place;
 
   // While an attempt is running.
   bool isRunning = false;
@@ -53,6 +55,8 @@
 struct Dispatcher::ServiceState
 {
   std::list<RequestPtr> waiting;
+  // Number of waiting requests for each key that has an owner.
+  std::map<Key, int> waitingByKey;
   coordination::RetryBudget budget;
   SpilloverWindow spillover;
   TimePoint nextCheckAt;
--- a/src/routing/internal/waiting.cpp
+++ b/src/routing/internal/waiting.cpp
@@ -3,7 +3,6 @@
 #include "routing/waiting.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace kumquat::routing {
 
@@ -35,14 +34,6 @@
 // Callers return after a pause over this part of its length.
 constexpr double kPauseSpread = 0.25;
 
-auto RankOf(const WaitingRequest& aRequest, TimePoint aNow, double aTypicalMs)
-{
-  const auto aged =
-    static_cast<int>((aNow - aRequest.arrived) / Duration(kAgeing));
-  return std::make_tuple(!CanMeetTarget(aRequest, aNow, aTypicalMs),
-                         aRequest.priority - aged, aRequest.target);
-}
-
 } // namespace
 
 bool CanMeetTarget(const WaitingRequest& aRequest, TimePoint aNow,
@@ -68,6 +59,15 @@
                        aTypicalMs);
 }
 
+WaitingRank RankOf(const WaitingRequest& aRequest, TimePoint aNow,
+                   double aTypicalMs)
+{
+  const auto aged =
+    static_cast<int>((aNow - aRequest.arrived) / Duration(kAgeing));
+  return { !CanMeetTarget(aRequest, aNow, aTypicalMs), aRequest.priority - aged,
+           aRequest.target };
+}
+
 bool IsServedBefore(const WaitingRequest& aOne, const WaitingRequest& aOther,
                     TimePoint aNow, double aTypicalMs)
 {
--- a/src/routing/waiting.h
+++ b/src/routing/waiting.h
@@ -14,7 +14,8 @@
 #include "framework/clock.h"
 
 #include <chrono>
-#include <cstdint>
+#include <cstddef>
+#include <tuple>
 
 namespace kumquat::routing {
 
@@ -60,6 +61,12 @@
 bool IsWorthWaiting(const WaitingRequest& aRequest, TimePoint aNow,
                     double aTypicalMs);
 
+// Requests are served in the order of their ranks.
+using WaitingRank = std::tuple<bool, int, TimePoint>;
+
+WaitingRank RankOf(const WaitingRequest& aRequest, TimePoint aNow,
+                   double aTypicalMs);
+
 // Whether aOne is served before aOther.
 bool IsServedBefore(const WaitingRequest& aOne, const WaitingRequest& aOther,
                     TimePoint aNow, double aTypicalMs);
