--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -251,6 +251,8 @@
   std::size_t WaitingCount() const;
   // Number of waiting requests for each upstream that owns their keys.
   std::map<state::UpstreamId, int> WaitingByOwner() const;
+  // Of these, those for one upstream.
+  int WaitingFor(const state::UpstreamId& aOwner) const;
   // Number of attempts that are running.
   std::size_t RunningCount() const { return this->runningCount; }
   // Attempts started plus attempts ended, since the start.
@@ -270,6 +272,8 @@
   bool IsKeyed(const Request& aRequest) const;
   QueueForecast Forecast(const Request& aRequest);
   QueueForecast ForecastForOwner(const Request& aRequest);
+  void TurnAway(const RequestPtr& aRequest, protocol::ErrorKind aError,
+                std::optional<std::chrono::milliseconds> aRetryAfter = {});
   bool TrySend(const RequestPtr& aRequest);
   bool HasLostAccess(Request& aRequest) const;
   const UpstreamState* Choose(const Request& aRequest);
@@ -301,6 +305,8 @@
   const UpstreamRateLimiter& LimiterFor(const Request& aRequest) const;
   void Send(const RequestPtr& aRequest, const UpstreamState& aUpstream);
   void Enqueue(const RequestPtr& aRequest);
+  // Takes the request out of the waiting list, if it is there.
+  void Unqueue(Request& aRequest);
   void SendWaiting(const state::ServiceName& aName);
   void WithdrawAttempt(const RequestPtr& aRequest);
   bool MayRetry(const Request& aRequest, protocol::ErrorKind aWhy);
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <numeric>
+#include <set>
 #include <utility>
 
 namespace kumquat::routing {
@@ -182,19 +183,18 @@
   request->routes = this->routes;
   request->route = this->routes->FindRoute(request->caller.hostName,
                                            request->caller.message.target);
+  request->mayHaveRunAt = request->caller.earlierRuns;
   const TimePoint arrived = request->caller.arrived;
   if (request->route == nullptr) {
     request->deadline = this->deadlines.end();
     const bool known = this->routes->CurrentConfiguration().version > 0;
-    this->Finish(request, { {},
-                            known ? ErrorKind::kUnknownService
-                                  : ErrorKind::kStoreUnavailable,
-                            {} });
+    this->TurnAway(request, known ? ErrorKind::kUnknownService
+                                  : ErrorKind::kStoreUnavailable);
     return request->number;
   }
   if (!this->isAccepting) {
     request->deadline = this->deadlines.end();
-    this->Finish(request, { {}, ErrorKind::kStopping, kStoppingRetryAfter });
+    this->TurnAway(request, ErrorKind::kStopping, kStoppingRetryAfter);
     return request->number;
   }
   const Route& route = *request->route;
@@ -207,6 +207,10 @@
   request->deadline =
     this->deadlines.emplace(request->waiting.deadline, request->number);
   this->StateOf(request->service).budget.OnRequest();
+  if (request->mayHaveRunAt > 0) {
+    this->Retry(request, ErrorKind::kUpstreamBroken);
+    return request->number;
+  }
   if (this->IsQuarantined(*request)) {
     this->RefuseQuarantined(request);
     return request->number;
@@ -228,6 +232,18 @@
   return request->number;
 }
 
+// Ends a request that this host does not take. Unless it may have run on behalf
+// of another host, the caller is told that it has not.
+void Dispatcher::TurnAway(const RequestPtr& aRequest, ErrorKind aError,
+                          std::optional<milliseconds> aRetryAfter)
+{
+  if (aRequest->mayHaveRunAt > 0) {
+    this->Finish(aRequest, { {}, ErrorKind::kUpstreamBroken, {} });
+    return;
+  }
+  this->Finish(aRequest, { {}, aError, aRetryAfter });
+}
+
 // Whether the request's API key was removed while the request was here. If the
 // key was moved to another team, the request goes on as that team's.
 bool Dispatcher::HasLostAccess(Request& aRequest) const
@@ -308,10 +324,30 @@
 {
   aRequest->refusedBy = {};
   ServiceState& service = this->StateOf(aRequest->service);
-  service.waiting.push_back(aRequest);
+  aRequest->place = service.waiting.insert(service.waiting.end(), aRequest);
+  if (this->IsKeyed(*aRequest)) {
+    ++service.waitingByKey[*aRequest->caller.key];
+  }
   service.nextCheckAt = this->hooks.now() + kCheckInterval;
 }
 
+void Dispatcher::Unqueue(Request& aRequest)
+{
+  if (!aRequest.place) {
+    return;
+  }
+  ServiceState& service = this->StateOf(aRequest.service);
+  // Erased last: the list may hold the only reference to the request.
+  const auto place = *std::exchange(aRequest.place, std::nullopt);
+  if (this->IsKeyed(aRequest)) {
+    const auto count = service.waitingByKey.find(*aRequest.caller.key);
+    if (--count->second == 0) {
+      service.waitingByKey.erase(count);
+    }
+  }
+  service.waiting.erase(place);
+}
+
 void Dispatcher::SendWaiting(const state::ServiceName& aName)
 {
   ServiceState& service = this->StateOf(aName);
@@ -320,42 +356,61 @@
   }
   const TimePoint now = this->hooks.now();
   const double typicalMs = this->TypicalMs(aName);
-  std::vector<RequestPtr> order(service.waiting.begin(), service.waiting.end());
-  std::ranges::stable_sort(
-    order, [&](const RequestPtr& aOne, const RequestPtr& aOther) {
-      return IsServedBefore(aOne->waiting, aOther->waiting, now, typicalMs);
+  std::vector<std::pair<WaitingRank, RequestPtr>> order;
+  order.reserve(service.waiting.size());
+  std::ranges::transform(
+    service.waiting, std::back_inserter(order), [&](const RequestPtr& aOne) {
+      return std::pair(RankOf(aOne->waiting, now, typicalMs), aOne);
     });
-  for (const RequestPtr& request : order) {
+  std::ranges::stable_sort(
+    order, {}, [](const auto& aItem) -> const auto& { return aItem.first; });
+  // Keys, by configuration, whose owners cannot take a request as long as no
+  // attempt starts or ends.
+  std::set<std::pair<Key, const RouteTable*>> closed;
+  std::int64_t closedAt = this->loadChangeCount;
+  for (const auto& [rank, request] : order) {
     if (!this->requests.contains(request->number) || request->isRunning) {
       continue;
     }
     if (this->HasLostAccess(*request)) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->Fail(request, ErrorKind::kApiKeyUnknown);
       continue;
     }
     if (this->IsQuarantined(*request)) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->RefuseQuarantined(request);
       continue;
     }
     if (this->IsKeptByRest(*request)) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->Refuse(request, ErrorKind::kUpstreamResting);
       continue;
     }
     if (!IsWorthWaiting(request->waiting, now, typicalMs)) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->Refuse(request, ErrorKind::kNoUpstream);
       continue;
     }
     if (request->notBefore > now) {
       continue;
     }
+    if (closedAt != this->loadChangeCount) {
+      closed.clear();
+      closedAt = this->loadChangeCount;
+    }
+    const bool isKeyed = this->IsKeyed(*request);
+    const std::pair ofKey(request->caller.key.value_or(0),
+                          request->routes.get());
+    if (isKeyed && closed.contains(ofKey)) {
+      continue;
+    }
     const UpstreamState* upstream = this->Choose(*request);
     if (upstream != nullptr) {
-      service.waiting.remove(request);
+      this->Unqueue(*request);
       this->Send(request, *upstream);
+    } else if (isKeyed) {
+      closed.insert(ofKey);
     }
   }
   service.nextCheckAt = now + kCheckInterval;
@@ -378,7 +433,7 @@
     this->hooks.cancel(aNumber);
     this->EndAttempt(*request, AttemptResult::kAbandoned, {}, "caller-gone");
   } else {
-    this->StateOf(request->service).waiting.remove(request);
+    this->Unqueue(*request);
   }
   request->respond = nullptr;
   this->Finish(request, { {}, ErrorKind::kCallerGone, {} });
@@ -707,7 +762,7 @@
 void Dispatcher::OnDeadline(const RequestPtr& aRequest)
 {
   if (!aRequest->isRunning) {
-    this->StateOf(aRequest->service).waiting.remove(aRequest);
+    this->Unqueue(*aRequest);
     this->Refuse(aRequest, ErrorKind::kNoUpstream);
     return;
   }
