--- a/src/node/tests/requestproxies_test.cpp
+++ b/src/node/tests/requestproxies_test.cpp
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(testEachReasonToDeclineIsCounted);
   CPPUNIT_TEST(testTooLargeResponseIsRunHereAndItsRouteIsLeftOut);
   CPPUNIT_TEST(testLostProxyGivesItsRequestsBack);
+  CPPUNIT_TEST(testAllAreTakenBackWhereTheHostStops);
   CPPUNIT_TEST(testRequestsOfALostPeerEnd);
   CPPUNIT_TEST(testRequestThatOnlyOneSideSawLostIsGivenBack);
   CPPUNIT_TEST(testCancelEndsTheRun);
@@ -244,6 +245,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->receiver->dispatched.size());
   }
 
+  // Guards against callers of a host that stops without a response.
+  void testAllAreTakenBackWhereTheHostStops()
+  {
+    this->PassAndTake();
+    this->Pass();
+    this->receiver->proxies->TakeBackAll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->receiver->dispatched.size());
+    CPPUNIT_ASSERT_EQUAL(2, this->receiver->dispatched.back().earlierRuns);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 },
+                         this->receiver->proxies->PassedCount());
+  }
+
   // Guards against running requests on for a host that is gone.
   void testRequestsOfALostPeerEnd()
   {
--- a/src/transport/tests/peernetwork_test.cpp
+++ b/src/transport/tests/peernetwork_test.cpp
@@ -39,6 +39,9 @@
         this->up.set_value();
       }
     };
+    options.onLinkLost = [this](const protocol::HostRef&) {
+      this->linkLost.set_value();
+    };
     auto listening =
       PeerNetwork::Listen(this->thread.Context(), std::move(options));
     CPPUNIT_ASSERT(listening.has_value());
@@ -60,6 +63,7 @@
   int ups = 0;
   std::promise<void> up;
   std::promise<void> complete;
+  std::promise<void> linkLost;
 };
 
 } // namespace
@@ -68,6 +72,7 @@
 {
   CPPUNIT_TEST_SUITE(PeerNetworkTest);
   CPPUNIT_TEST(testSecondConnectionDoesNotSplitTheFrames);
+  CPPUNIT_TEST(testEndOfAConnectionThatOnlyThePeerSendsOverIsTold);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,6 +101,25 @@
     CPPUNIT_ASSERT(got == std::future_status::ready);
     CPPUNIT_ASSERT(second.taken.empty());
   }
+
+  // Guards against waiting for replies that were lost with a connection over
+  // which this host did not send.
+  void testEndOfAConnectionThatOnlyThePeerSendsOverIsTold()
+  {
+    Peer first("b", kAddressOfB);
+    auto second = std::make_unique<Peer>("b", kSecondAddressOfB);
+    Peer sender("a", kAddressOfA);
+    first.Dial("a", kAddressOfA);
+    first.up.get_future().wait();
+    sender.up.get_future().wait();
+    second->Dial("a", kAddressOfA);
+    second->up.get_future().wait();
+    second.reset();
+    const auto told =
+      sender.linkLost.get_future().wait_for(std::chrono::seconds(10));
+    CPPUNIT_ASSERT(told == std::future_status::ready);
+    CPPUNIT_ASSERT_EQUAL(1, sender.ups);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerNetworkTest);
