No memory of closed owners in a check of the waiting requests

Cause: the set of keys whose owners cannot take a request cost more than it saved; the look-up of the owner is most of a choice. Change: removed; ranks, counts by key and places stay.

--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <iterator>
 #include <numeric>
-#include <set>
 #include <utility>
 
 namespace kumquat::routing {
@@ -364,10 +363,6 @@
     });
   std::ranges::stable_sort(
     order, {}, [](const auto& aItem) -> const auto& { return aItem.first; });
-  // Keys, by configuration, whose owners cannot take a request as long as no
-  // attempt starts or ends.
-  std::set<std::pair<Key, const RouteTable*>> closed;
-  std::int64_t closedAt = this->loadChangeCount;
   for (const auto& [rank, request] : order) {
     if (!this->requests.contains(request->number) || request->isRunning) {
       continue;
@@ -395,22 +390,10 @@
     if (request->notBefore > now) {
       continue;
     }
-    if (closedAt != this->loadChangeCount) {
-      closed.clear();
-      closedAt = this->loadChangeCount;
-    }
-    const bool isKeyed = this->IsKeyed(*request);
-    const std::pair ofKey(request->caller.key.value_or(0),
-                          request->routes.get());
-    if (isKeyed && closed.contains(ofKey)) {
-      continue;
-    }
     const UpstreamState* upstream = this->Choose(*request);
     if (upstream != nullptr) {
       this->Unqueue(*request);
       this->Send(request, *upstream);
-    } else if (isKeyed) {
-      closed.insert(ofKey);
     }
   }
   service.nextCheckAt = now + kCheckInterval;
