Cells share a busy owner of keys by the load that it reports

Cause: hosts of different cells do not report to each other. Each cell fills an owner's slots, and the rest waits in the owner's queue, where nobody can order or refuse it. Change: OwnerWindows, behind DispatcherOptions::sharesOwnersByLoad, which is off by default; off, decisions are as before.

--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -14,6 +14,7 @@
 #include "protocol/errorkind.h"
 #include "routing/configuration.h"
 #include "routing/crashsuspects.h"
+#include "routing/ownerwindow.h"
 #include "routing/placement.h"
 #include "routing/upstreamratelimiter.h"
 #include "routing/upstreams.h"
@@ -146,6 +147,9 @@
   double resendExtra = 20;
   // Random; see RequestFingerprint.
   std::uint64_t fingerprintKey = 0;
+  // Whether this cell limits its requests at owners of keys that other cells
+  // use too; see OwnerWindows.
+  bool sharesOwnersByLoad = false;
 };
 
 class Dispatcher
@@ -341,6 +345,8 @@
   UpstreamRateLimiter cellRateLimiter;
   // A cold owner of keys gets requests from all cells.
   UpstreamRateLimiter ownerRateLimiter;
+  // Empty unless options.sharesOwnersByLoad is set.
+  OwnerWindows ownerWindows;
   CrashSuspects suspects;
   UpstreamSignals signals;
   // Reachable hosts of this host's cell, and of all cells; itself included.
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -430,6 +430,13 @@
   this->upstreams.OnAttemptEnded(aRequest.upstream, aRequest.sentAt,
                                  aRequest.requestsAhead, aResult, aLoad, now);
   aRequest.isRunning = false;
+  if (this->options.sharesOwnersByLoad && this->IsKeyed(aRequest)) {
+    const UpstreamState* owner = this->upstreams.Find(aRequest.upstream);
+    if (owner != nullptr) {
+      this->ownerWindows.OnEnded(owner->entry, aRequest.sentAt, aResult, aLoad,
+                                 now);
+    }
+  }
   if (aRequest.isInOtherCell) {
     const bool busy =
       aResult != AttemptResult::kServed || (aLoad && aLoad->waiting > 0);
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -308,9 +308,10 @@
 {
   const UpstreamState* one = this->upstreams.Find(
     this->hooks.findOwner(aRequest.service, *aRequest.caller.key).upstream);
+  const TimePoint now = this->hooks.now();
   return one != nullptr && this->upstreams.IsUsable(*one) &&
-             HasCapacity(*one, this->hooks.now()) &&
-             this->IsOpen(aRequest, *one)
+             HasCapacity(*one, now) && this->IsOpen(aRequest, *one) &&
+             this->ownerWindows.IsOpen(one->entry.id, one->Outstanding(), now)
            ? one
            : nullptr;
 }
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(testFullOwnerIsNotRetriedAtOnce);
   CPPUNIT_TEST(testRequestWaitsForOwnerWithShortQueue);
   CPPUNIT_TEST(testRequestForOwnerWithLongQueueIsRefusedAtOnce);
+  CPPUNIT_TEST(testOwnerIsSharedByLoadOnlyIfSwitchedOn);
   CPPUNIT_TEST(testRequestOfGoneCallerDoesNotCountAgainstUpstream);
   CPPUNIT_TEST(testReplacedUpstreamIsRemoved);
   CPPUNIT_TEST(testStoppingHostRefusesNewRequests);
@@ -521,6 +522,38 @@
     CPPUNIT_ASSERT(!this->responses.contains(next));
   }
 
+  // Guards against other decisions than before where owners have no proxies,
+  // and against filling the queue of an owner that other cells use too.
+  void testOwnerIsSharedByLoadOnlyIfSwitchedOn()
+  {
+    for (const bool isShared : { false, true }) {
+      this->attempts.clear();
+      this->MakeDispatcher(TwoRoutes(), isShared);
+      const auto send = [this] {
+        const std::size_t before = this->attempts.size();
+        for (int i = 0; i < 5; ++i) {
+          this->StartRequest("/stock/1", milliseconds(1200), Key{ 1 });
+        }
+        return this->attempts.size() - before;
+      };
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, send());
+      this->now += milliseconds(10);
+      for (std::size_t i = 0; i < 4; ++i) {
+        UpstreamResponse response;
+        response.message.status = 200;
+        response.isSigned = true;
+        response.load = UpstreamLoad{ 3, 6, 3, {} };
+        this->dispatcher->OnUpstreamResponse(this->attempts[i].number,
+                                             response);
+      }
+      // One of them waited for the first response.
+      send();
+      CPPUNIT_ASSERT_EQUAL(std::size_t(isShared ? 3 : 4),
+                           this->attempts.size() - 4);
+      this->dispatcher->EndAllRequests();
+    }
+  }
+
   // The connection shows that the caller has left right before its deposit is
   // sent. The deposit has not run, nobody reads a response, and the attempt
   // must not count against the upstream.
@@ -1107,7 +1140,8 @@
     return load;
   }
 
-  void MakeDispatcher(Configuration aConfiguration)
+  void MakeDispatcher(Configuration aConfiguration,
+                      bool aSharesOwnersByLoad = false)
   {
     Dispatcher::Hooks hooks;
     hooks.now = [this] { return this->now; };
@@ -1131,8 +1165,9 @@
       std::ranges::copy(aReports, std::back_inserter(this->crashReports));
     };
     this->dispatcher.emplace(
-      DispatcherOptions{ { "h0" }, { "caerdydd" }, 0.1, 20 }, this->upstreams,
-      hooks);
+      DispatcherOptions{
+        { "h0" }, { "caerdydd" }, 0.1, 20, 0, aSharesOwnersByLoad },
+      this->upstreams, hooks);
     this->dispatcher->SetRoutes(
       std::make_shared<const RouteTable>(std::move(aConfiguration)));
   }
