A load test of proxies: 80 hosts in five cells before 160 owners

Cause: what proxies are for had no test without a network. Change: the load simulation passes requests on, counts pairs that exchange requests, and starts out of order; one test compares with and without.

--- a/src/routing/tests/load_test.cpp
+++ b/src/routing/tests/load_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testHotKeyOfManyHostsLeavesOtherKeysServed);
   CPPUNIT_TEST(testCallersRefusedByAFaultyOwnerAreServedInTime);
   CPPUNIT_TEST(testCallersThatMoveToAnotherDataCentreAreServed);
+  CPPUNIT_TEST(testProxiesKeepTheOrderAndFillNoOwner);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,6 +119,37 @@
     }
   }
 
+  // Guards against owners that refuse what hosts without a common queue send
+  // them, and against requests that overtake those of other hosts: 80 hosts in
+  // five cells, 160 owners, four keys with a tenth of all requests. Without
+  // proxies 6 of 100 arrivals are refused, and a quarter of the pairs that
+  // exchange requests do so less often than each ten seconds.
+  void testProxiesKeepTheOrderAndFillNoOwner()
+  {
+    LoadSimulation::Options options = ManyHosts(5);
+    options.hostsPerCentre = 16;
+    options.upstreamsPerCentre = 32;
+    options.load = 0.5;
+    options.hotShare = 0.1;
+    options.hotKeys = 4;
+    const LoadResult direct =
+      LoadSimulation(options).Simulate(std::chrono::seconds(20));
+    options.proxies = true;
+    const LoadResult proxied =
+      LoadSimulation(options).Simulate(std::chrono::seconds(20));
+    CPPUNIT_ASSERT(direct.startsOutOfOrder > 0);
+    CPPUNIT_ASSERT_EQUAL(0, proxied.startsOutOfOrder);
+    CPPUNIT_ASSERT(direct.RefusedArrivalShare() > 0.03);
+    CPPUNIT_ASSERT(proxied.RefusedArrivalShare() < 0.001);
+    CPPUNIT_ASSERT(direct.rarePairs > direct.pairs / 5);
+    CPPUNIT_ASSERT_EQUAL(0, proxied.rarePairs);
+    // Each owner has a proxy in each cell.
+    CPPUNIT_ASSERT_EQUAL(160 * 5, proxied.pairs);
+    CPPUNIT_ASSERT(proxied.InTimeShare() >= direct.InTimeShare());
+    CPPUNIT_ASSERT(proxied.RefusedShare() < direct.RefusedShare() + 0.005);
+    CPPUNIT_ASSERT_EQUAL(0, proxied.lost);
+  }
+
 private:
   // 120 hosts, as many cells as data centres, upstreams with three slots.
   static LoadSimulation::Options ManyHosts(int aCentres = 20)
--- a/src/routing/tests/loadsimulation.h
+++ b/src/routing/tests/loadsimulation.h
@@ -8,6 +8,7 @@
 
 #include "framework/tests/mostinspan.h"
 #include "routing/dispatcher.h"
+#include "routing/ownerproxies.h"
 
 #include <algorithm>
 #include <cmath>
@@ -47,6 +48,15 @@
   // The most requests at a faulty upstream in half a second, from the end of
   // its first rest until it needs none.
   std::ptrdiff_t mostInHalfSecond = 0;
+  // Pairs of a host and an upstream that exchanged requests, and those of them
+  // that did so less often than each ten seconds.
+  int pairs = 0;
+  int rarePairs = 0;
+  // Requests that started at their owner while one that goes before them waited
+  // for it at another host of the cell.
+  int startsOutOfOrder = 0;
+  // Requests that passed through a proxy.
+  int passedOn = 0;
 
   double InTimeShare() const { return ShareOfRequests(this->inTime); }
   double RefusedShare() const { return ShareOfRequests(this->refused); }
@@ -97,6 +107,9 @@
     std::size_t upstreamQueue = 24;
     // Share of all requests that is for one hot key.
     double hotShare = 0;
+    int hotKeys = 1;
+    // Whether hosts pass requests for keys to the proxies of their owners.
+    bool proxies = false;
     // Share of the upstreams that is faulty, and the share of their requests
     // that these refuse although they have capacity.
     double faultyShare = 0;
@@ -143,6 +156,10 @@
     for (const auto& [id, upstream] : this->upstreams) {
       this->CountInRests(upstream);
     }
+    for (const auto& [pair, count] : this->exchanges) {
+      ++this->result.pairs;
+      this->result.rarePairs += count * std::chrono::seconds(10) < aFor ? 1 : 0;
+    }
     return this->result;
   }
 
@@ -159,6 +176,15 @@
     state::DataCentre dataCentre;
     Upstreams upstreams;
     std::unique_ptr<Dispatcher> dispatcher;
+    std::unique_ptr<ProxyChoice> choice;
+    std::unique_ptr<ProxiedRequests> proxied;
+  };
+
+  // A request that waits at a host for the owner of its key.
+  struct Held
+  {
+    Host* host = nullptr;
+    WaitingRequest request;
   };
 
   struct Job
@@ -235,13 +261,24 @@
         host->upstreams.PutEntry(one.entry, this->now);
       }
       host->dispatcher = std::make_unique<Dispatcher>(
-        DispatcherOptions{ host->id, host->dataCentre, 0.1, 20 },
+        DispatcherOptions{ host->id, host->dataCentre, 0.1, 20, 0,
+                           this->options.proxies },
         host->upstreams, this->HooksOf(*host));
+      host->choice = std::make_unique<ProxyChoice>(host->id);
+      host->proxied =
+        std::make_unique<ProxiedRequests>(this->ProxyHooksOf(*host));
       host->dispatcher->SetRoutes(routes);
       this->hosts.push_back(std::move(host));
     }
     for (const auto& host : this->hosts) {
-      host->dispatcher->SetHosts(this->CellMembersOf(*host), all);
+      const std::vector<state::HostId> cell = this->CellMembersOf(*host);
+      host->dispatcher->SetHosts(cell, all);
+      std::vector<ProxyCandidate> members;
+      std::ranges::transform(cell, std::back_inserter(members),
+                             [](const state::HostId& aHost) {
+                               return ProxyCandidate{ aHost, 1 };
+                             });
+      host->choice->SetMembers(std::move(members));
       if (this->options.inCells) {
         const double centre = std::stod(host->dataCentre.value);
         host->upstreams.SetCellRange(
@@ -277,6 +314,8 @@
     };
     hooks.send = [this, &aHost](const UpstreamRequest& aRequest) {
       Upstream& upstream = this->upstreams.at(aRequest.upstream);
+      ++this->exchanges[{ &aHost, aRequest.upstream }];
+      this->CheckOrder(aHost, aRequest);
       this->Schedule(TripTo(aHost, upstream),
                      [this, &aHost, &upstream, number = aRequest.number] {
                        this->OnArrival(upstream, { &aHost, number });
@@ -284,17 +323,91 @@
     };
     hooks.cancel = [](RequestNumber) {};
     hooks.findOwner = [this](const state::ServiceName&, Key aKey) {
-      auto owner = this->upstreams.begin();
-      std::advance(owner, aKey % this->upstreams.size());
-      return KeyOwner{ owner->first, Duration(0) };
+      return KeyOwner{ this->OwnerOf(aKey), Duration(0) };
     };
     hooks.reportNotOwner = [](const state::ServiceName&, Key,
                               const state::UpstreamId&) {};
-    hooks.onRequestEnded = [](const RequestTrace&) {};
+    hooks.onRequestEnded = [this](const RequestTrace& aTrace) {
+      if (aTrace.key) {
+        this->held[this->OwnerOf(*aTrace.key)].erase(aTrace.id);
+      }
+    };
     hooks.onRetry = [](protocol::ErrorKind) {};
     return hooks;
   }
 
+  const state::UpstreamId& OwnerOf(Key aKey) const
+  {
+    auto owner = this->upstreams.begin();
+    std::advance(owner, aKey % this->upstreams.size());
+    return owner->first;
+  }
+
+  // Messages between hosts are not lost here.
+  ProxiedRequests::Hooks ProxyHooksOf(Host& aHost)
+  {
+    ProxiedRequests::Hooks hooks;
+    hooks.now = [this] { return this->now; };
+    hooks.send = [this, &aHost](const state::HostId& aProxy,
+                                ProxyNumber aNumber,
+                                const CallerRequest& aRequest) {
+      Host& proxy = **std::ranges::find(
+        this->hosts, aProxy,
+        [](const auto& aOne) -> const auto& { return aOne->id; });
+      const auto reply = [this, &aHost, aProxy,
+                          aNumber](CallerResponse aResponse) {
+        this->Schedule(kLocalTrip, [&aHost, aProxy, aNumber, aResponse] {
+          aHost.proxied->OnReply(aProxy, aNumber, { false, aResponse });
+        });
+      };
+      this->Schedule(kLocalTrip, [this, &proxy, aRequest, reply] {
+        this->Dispatch(proxy, aRequest, reply);
+      });
+      ++this->result.passedOn;
+      return true;
+    };
+    hooks.cancel = [](const state::HostId&, ProxyNumber) {};
+    hooks.dispatch = [this, &aHost](CallerRequest aRequest,
+                                    Dispatcher::Respond aRespond) {
+      this->Dispatch(aHost, std::move(aRequest), std::move(aRespond));
+    };
+    hooks.onEnded = [](const CallerRequest&, const state::HostId&,
+                       const CallerResponse&) {};
+    hooks.onFallback = [](const state::HostId&, std::string_view) {};
+    return hooks;
+  }
+
+  void Dispatch(Host& aHost, CallerRequest aRequest,
+                Dispatcher::Respond aRespond)
+  {
+    if (aRequest.key) {
+      this->held[this->OwnerOf(*aRequest.key)][aRequest.id] = {
+        &aHost,
+        { 0, aRequest.arrived, aRequest.arrived + this->options.target,
+          aRequest.arrived + aRequest.timeout }
+      };
+    }
+    aHost.dispatcher->OnRequest(std::move(aRequest), std::move(aRespond));
+  }
+
+  void CheckOrder(const Host& aHost, const UpstreamRequest& aRequest)
+  {
+    std::map<std::string, Held>& waiting = this->held[aRequest.upstream];
+    const auto started = waiting.find(aRequest.id);
+    if (started == waiting.end()) {
+      return;
+    }
+    const WaitingRequest request = started->second.request;
+    waiting.erase(started);
+    const bool isBefore = std::ranges::any_of(waiting, [&](const auto& aItem) {
+      const Held& other = aItem.second;
+      return other.host != &aHost && this->AreInOneCell(*other.host, aHost) &&
+             IsServedBefore(other.request, request, this->now,
+                            this->options.meanMs);
+    });
+    this->result.startsOutOfOrder += isBefore ? 1 : 0;
+  }
+
   static Duration TripTo(const Host& aHost, const Upstream& aUpstream)
   {
     return aHost.dataCentre == aUpstream.entry.dataCentre ? kLocalTrip
@@ -438,7 +551,10 @@
       std::bernoulli_distribution(this->options.hotShare)(this->random);
     if (this->options.keyed) {
       caller.key =
-        caller.isHot ? Key{ 0 } : static_cast<Key>(key(this->random));
+        !caller.isHot ? static_cast<Key>(key(this->random))
+        : this->options.hotKeys == 1
+          ? Key{ 0 }
+          : static_cast<Key>(key(this->random) % this->options.hotKeys);
     }
     caller.dataCentre = std::to_string(centre(this->random));
     const bool moves =
@@ -464,15 +580,25 @@
     CallerRequest request;
     request.message.target = "/x";
     request.hostName = "h";
-    request.id = "r";
+    request.id = "r" + std::to_string(++this->lastId);
     request.arrived = this->now;
     request.timeout = std::chrono::duration_cast<milliseconds>(
       aCaller.first + this->options.deadline - this->now);
     request.key = aCaller.key;
-    localHosts[host(this->random)]->dispatcher->OnRequest(
-      std::move(request), [this, aCaller](const CallerResponse& aResponse) {
-        this->OnCallerResponse(aCaller, aResponse);
-      });
+    Host& receiver = *localHosts[host(this->random)];
+    const auto respond = [this, aCaller](const CallerResponse& aResponse) {
+      this->OnCallerResponse(aCaller, aResponse);
+    };
+    const state::HostId proxy =
+      this->options.proxies && request.key
+        ? receiver.choice->ProxyOf(this->OwnerOf(*request.key))
+        : receiver.id;
+    if (proxy == receiver.id) {
+      this->Dispatch(receiver, std::move(request), respond);
+    } else {
+      const TimePoint deadline = this->now + request.timeout;
+      receiver.proxied->Pass(proxy, std::move(request), deadline, respond);
+    }
   }
 
   void OnCallerResponse(Caller aCaller, const CallerResponse& aResponse)
@@ -507,6 +633,7 @@
   void Tick(Host& aHost)
   {
     aHost.dispatcher->OnTimer();
+    aHost.proxied->OnTimer();
     this->Schedule(kTickInterval, [this, &aHost] { this->Tick(aHost); });
   }
 
@@ -529,6 +656,11 @@
   std::multimap<TimePoint, std::function<void()>> events;
   std::map<state::UpstreamId, Upstream> upstreams;
   std::vector<std::unique_ptr<Host>> hosts;
+  // Requests that wait for their first attempt, by owner and id.
+  std::map<state::UpstreamId, std::map<std::string, Held>> held;
+  // Requests of each pair of a host and an upstream.
+  std::map<std::pair<const Host*, state::UpstreamId>, int> exchanges;
+  std::int64_t lastId = 0;
   TimePoint callersMoveAt;
   TimePoint startedAt;
   LoadResult result;
