--- a/src/node/internal/requestproxies.cpp
+++ b/src/node/internal/requestproxies.cpp
@@ -126,7 +126,8 @@
   }
   reply.__set_status(message.status);
   reply.__set_headers(ToWire(message.headers));
-  reply.__set_body(std::move(message.body));
+  reply.body = std::move(message.body);
+  reply.__isset.body = true;
   return reply;
 }
 
