Owners are shared by load for the services that use proxies

Cause: whether requests of a service pass through proxies changes with hosts and owners; an option of the dispatcher cannot follow, and would change decisions where the condition does not hold. Change: Dispatcher::SetSharedServices in place of DispatcherOptions::sharesOwnersByLoad.

--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -29,7 +29,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kumquat::routing {
@@ -147,9 +149,6 @@
   double resendExtra = 20;
   // Random; see RequestFingerprint.
   std::uint64_t fingerprintKey = 0;
-  // Whether this cell limits its requests at owners of keys that other cells
-  // use too; see OwnerWindows.
-  bool sharesOwnersByLoad = false;
 };
 
 class Dispatcher
@@ -210,6 +209,13 @@
                 const std::vector<state::HostId>& aAll,
                 bool aAreAllKnown = true);
 
+  // Sets the keyed services whose requests pass through proxies. This cell
+  // limits its requests at their owners; see OwnerWindows. None at first.
+  void SetSharedServices(std::set<state::ServiceName> aServices)
+  {
+    this->sharedServices = std::move(aServices);
+  }
+
   // Requests under which upstreams have ended. The owner of the dispatcher
   // passes on what peers say of them, and sets how many peers are heard.
   CrashSuspects& Suspects() { return this->suspects; }
@@ -345,7 +351,8 @@
   UpstreamRateLimiter cellRateLimiter;
   // A cold owner of keys gets requests from all cells.
   UpstreamRateLimiter ownerRateLimiter;
-  // Empty unless options.sharesOwnersByLoad is set.
+  std::set<state::ServiceName> sharedServices;
+  // Of the owners of these services.
   OwnerWindows ownerWindows;
   CrashSuspects suspects;
   UpstreamSignals signals;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -430,7 +430,8 @@
   this->upstreams.OnAttemptEnded(aRequest.upstream, aRequest.sentAt,
                                  aRequest.requestsAhead, aResult, aLoad, now);
   aRequest.isRunning = false;
-  if (this->options.sharesOwnersByLoad && this->IsKeyed(aRequest)) {
+  if (this->sharedServices.contains(aRequest.service) &&
+      this->IsKeyed(aRequest)) {
     const UpstreamState* owner = this->upstreams.Find(aRequest.upstream);
     if (owner != nullptr) {
       this->ownerWindows.OnEnded(owner->entry, aRequest.sentAt, aResult, aLoad,
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -311,7 +311,8 @@
   const TimePoint now = this->hooks.now();
   return one != nullptr && this->upstreams.IsUsable(*one) &&
              HasCapacity(*one, now) && this->IsOpen(aRequest, *one) &&
-             this->ownerWindows.IsOpen(one->entry.id, one->Outstanding(), now)
+             (!this->sharedServices.contains(aRequest.service) ||
+              this->ownerWindows.IsOpen(one->entry.id, one->Outstanding(), now))
            ? one
            : nullptr;
 }
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -528,7 +528,10 @@
   {
     for (const bool isShared : { false, true }) {
       this->attempts.clear();
-      this->MakeDispatcher(TwoRoutes(), isShared);
+      this->MakeDispatcher(TwoRoutes());
+      if (isShared) {
+        this->dispatcher->SetSharedServices({ { "stoc" } });
+      }
       const auto send = [this] {
         const std::size_t before = this->attempts.size();
         for (int i = 0; i < 5; ++i) {
@@ -1140,8 +1143,7 @@
     return load;
   }
 
-  void MakeDispatcher(Configuration aConfiguration,
-                      bool aSharesOwnersByLoad = false)
+  void MakeDispatcher(Configuration aConfiguration)
   {
     Dispatcher::Hooks hooks;
     hooks.now = [this] { return this->now; };
@@ -1165,9 +1167,8 @@
       std::ranges::copy(aReports, std::back_inserter(this->crashReports));
     };
     this->dispatcher.emplace(
-      DispatcherOptions{
-        { "h0" }, { "caerdydd" }, 0.1, 20, 0, aSharesOwnersByLoad },
-      this->upstreams, hooks);
+      DispatcherOptions{ { "h0" }, { "caerdydd" }, 0.1, 20 }, this->upstreams,
+      hooks);
     this->dispatcher->SetRoutes(
       std::make_shared<const RouteTable>(std::move(aConfiguration)));
   }
--- a/src/routing/tests/loadsimulation.h
+++ b/src/routing/tests/loadsimulation.h
@@ -261,9 +261,11 @@
         host->upstreams.PutEntry(one.entry, this->now);
       }
       host->dispatcher = std::make_unique<Dispatcher>(
-        DispatcherOptions{ host->id, host->dataCentre, 0.1, 20, 0,
-                           this->options.proxies },
+        DispatcherOptions{ host->id, host->dataCentre, 0.1, 20 },
         host->upstreams, this->HooksOf(*host));
+      if (this->options.proxies) {
+        host->dispatcher->SetSharedServices({ { "s" } });
+      }
       host->choice = std::make_unique<ProxyChoice>(host->id);
       host->proxied =
         std::make_unique<ProxiedRequests>(this->ProxyHooksOf(*host));
@@ -357,7 +359,9 @@
       const auto reply = [this, &aHost, aProxy,
                           aNumber](CallerResponse aResponse) {
         this->Schedule(kLocalTrip, [&aHost, aProxy, aNumber, aResponse] {
-          aHost.proxied->OnReply(aProxy, aNumber, { false, aResponse });
+          ProxyReply message;
+          message.response = aResponse;
+          aHost.proxied->OnReply(aProxy, aNumber, std::move(message));
         });
       };
       this->Schedule(kLocalTrip, [this, &proxy, aRequest, reply] {
