--- a/src/node/internal/gatewayproxies.cpp
+++ b/src/node/internal/gatewayproxies.cpp
@@ -270,6 +270,9 @@
       report(service, 0);
     }
   }
+  if (proxied != this->proxiedServices) {
+    this->dispatcher->SetSharedServices(proxied);
+  }
   this->proxiedServices = std::move(proxied);
 }
 
--- a/src/node/tests/requestproxies_test.cpp
+++ b/src/node/tests/requestproxies_test.cpp
@@ -41,7 +41,7 @@
     };
     hooks.hold = [](std::size_t) { return nullptr; };
     hooks.dispatch = [this](CallerRequest aRequest,
-                            routing::Dispatcher::Respond) {
+                            const routing::Dispatcher::Respond&) {
       this->dispatched.push_back(std::move(aRequest));
     };
     hooks.onEnded = [this](const CallerRequest&, const state::HostId&,
--- a/src/routing/ownerproxies.h
+++ b/src/routing/ownerproxies.h
@@ -76,10 +76,10 @@
 {
   // The proxy has no response and will not have one.
   bool isDeclined = false;
-  // Of a declined request: an upstream may have run it.
-  bool mayHaveRun = false;
   // Set unless it is declined.
   CallerResponse response;
+  // Of a declined request: an upstream may have run it.
+  bool mayHaveRun = false;
 };
 
 // The requests that this host has passed to proxies and that have not ended.
