--- a/src/routing/tests/loadsimulation.h
+++ b/src/routing/tests/loadsimulation.h
@@ -357,7 +357,7 @@
         this->hosts, aProxy,
         [](const auto& aOne) -> const auto& { return aOne->id; });
       const auto reply = [this, &aHost, aProxy,
-                          aNumber](CallerResponse aResponse) {
+                          aNumber](const CallerResponse& aResponse) {
         this->Schedule(kLocalTrip, [&aHost, aProxy, aNumber, aResponse] {
           ProxyReply message;
           message.response = aResponse;
