--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -14,6 +14,7 @@
 #include "protocol/errorkind.h"
 #include "routing/configuration.h"
 #include "routing/crashsuspects.h"
+#include "routing/ownerwindow.h"
 #include "routing/placement.h"
 #include "routing/upstreamratelimiter.h"
 #include "routing/upstreams.h"
@@ -28,7 +29,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kumquat::routing {
@@ -206,6 +209,13 @@
                 const std::vector<state::HostId>& aAll,
                 bool aAreAllKnown = true);
 
+  // Sets the keyed services whose requests pass through proxies. This cell
+  // limits its requests at their owners; see OwnerWindows. None at first.
+  void SetSharedServices(std::set<state::ServiceName> aServices)
+  {
+    this->sharedServices = std::move(aServices);
+  }
+
   // Requests under which upstreams have ended. The owner of the dispatcher
   // passes on what peers say of them, and sets how many peers are heard.
   CrashSuspects& Suspects() { return this->suspects; }
@@ -251,6 +261,8 @@
   std::size_t WaitingCount() const;
   // Number of waiting requests for each upstream that owns their keys.
   std::map<state::UpstreamId, int> WaitingByOwner() const;
+  // Of these, those for one upstream.
+  int WaitingFor(const state::UpstreamId& aOwner) const;
   // Number of attempts that are running.
   std::size_t RunningCount() const { return this->runningCount; }
   // Attempts started plus attempts ended, since the start.
@@ -270,6 +282,8 @@
   bool IsKeyed(const Request& aRequest) const;
   QueueForecast Forecast(const Request& aRequest);
   QueueForecast ForecastForOwner(const Request& aRequest);
+  void TurnAway(const RequestPtr& aRequest, protocol::ErrorKind aError,
+                std::optional<std::chrono::milliseconds> aRetryAfter = {});
   bool TrySend(const RequestPtr& aRequest);
   bool HasLostAccess(Request& aRequest) const;
   const UpstreamState* Choose(const Request& aRequest);
@@ -301,6 +315,8 @@
   const UpstreamRateLimiter& LimiterFor(const Request& aRequest) const;
   void Send(const RequestPtr& aRequest, const UpstreamState& aUpstream);
   void Enqueue(const RequestPtr& aRequest);
+  // Takes the request out of the waiting list, if it is there.
+  void Unqueue(Request& aRequest);
   void SendWaiting(const state::ServiceName& aName);
   void WithdrawAttempt(const RequestPtr& aRequest);
   bool MayRetry(const Request& aRequest, protocol::ErrorKind aWhy);
@@ -335,6 +351,9 @@
   UpstreamRateLimiter cellRateLimiter;
   // A cold owner of keys gets requests from all cells.
   UpstreamRateLimiter ownerRateLimiter;
+  std::set<state::ServiceName> sharedServices;
+  // Of the owners of these services.
+  OwnerWindows ownerWindows;
   CrashSuspects suspects;
   UpstreamSignals signals;
   // Reachable hosts of this host's cell, and of all cells; itself included.
