--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -328,6 +328,23 @@
     this->dispatcher->RecheckWaitingRequests();
     this->ScheduleDispatcher();
   };
+  hooks.reportsOwnerTimes = [this] {
+    return this->topology.Cells().IsDivided();
+  };
+  hooks.countMove = [this](ownership::MoveReason aReason, bool aIsSecond) {
+    this->metrics
+      .GetOrCreateCounter(
+        "kumquat_key_moves_total",
+        "Moves of keys that were planned, by reason.",
+        { { "reason", std::string(ownership::MoveReasonName(aReason)) } })
+      .Add();
+    if (aIsSecond) {
+      this->metrics
+        .GetOrCreateCounter("kumquat_key_second_moves_total",
+                            "Moves of keys that had moved within 10 s.")
+        .Add();
+    }
+  };
   hooks.log = [this](std::string_view aService, std::string_view aWhat,
                      std::string_view aDetail) {
     this->log.Write(
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -267,6 +267,7 @@
                          ReportFromWire);
   this->upstreams.OnPeerReports(id, reports, BootTime());
   this->keyedServices->OnKeyUses(aDigest.keyUses);
+  this->keyedServices->OnOwnerTimes(aDigest.ownerTimes);
   const KnownPeer& peer = this->peers.All().at(id);
   this->keyedServices->OnPeerParts(peer);
   this->replication->OnPeerVersions(peer);
@@ -396,6 +397,8 @@
                                         this->dispatcher->LoadChangeCount());
   this->keyedServices->OnKeyUses(
     this->keyedServices->TakeKeyUses(this->self.host));
+  this->keyedServices->OnOwnerTimes(
+    this->keyedServices->TakeOwnerTimes(this->self.host));
   if (recipients.full.empty() && recipients.brief.empty()) {
     return;
   }
@@ -428,9 +431,9 @@
   return false;
 }
 
-// Key uses go to the assigner of the keys only, and so do the versions of its
-// maps in a partial digest. All other recipients get the same digest, which is
-// encoded once.
+// Key uses and owners' times go to the assigner of the keys only, and so do the
+// versions of its maps in a partial digest. All other recipients get the same
+// digest, which is encoded once.
 void Gateway::Impl::SendDigest(std::vector<std::string> aHosts,
                                protocol::HostDigest aDigest)
 {
@@ -441,11 +444,15 @@
       return false;
     }
     const auto uses = this->keyedServices->TakeKeyUses({ aHost });
-    if (uses.empty() && !aDigest.keyMapsPartial) {
+    const auto times = this->keyedServices->TakeOwnerTimes({ aHost });
+    if (uses.empty() && times.empty() && !aDigest.keyMapsPartial) {
       return false;
     }
     frame.__set_hostDigest(aDigest);
     frame.hostDigest.__set_keyUses(uses);
+    if (!times.empty()) {
+      frame.hostDigest.__set_ownerTimes(times);
+    }
     if (aDigest.keyMapsPartial) {
       frame.hostDigest.__set_keyMaps(
         this->keyedServices->MapVersionsFor({ aHost }));
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -302,6 +302,16 @@
   set("kumquat_assigner", "1 if this host assigns the keys of a service.",
       this->keyedServices->IsAssigner() ? 1 : 0);
   constexpr double kPercent = 100;
+  const auto paces = this->keyedServices->OwnerPaceSpread();
+  set("kumquat_slowest_owner_pace_percent",
+      "Pace of the slowest owner of keys that this host assigns, typical: 100.",
+      static_cast<std::int64_t>(kPercent * paces.slowest));
+  set("kumquat_fastest_owner_pace_percent",
+      "Pace of the fastest owner of keys that this host assigns, typical: 100.",
+      static_cast<std::int64_t>(kPercent * paces.fastest));
+  set("kumquat_owner_times_ignored",
+      "Reports of owners' times that cannot be true, since the start.",
+      this->keyedServices->IgnoredOwnerTimes());
   set("kumquat_quota_lender", "1 if this host lends the tokens of quotas.",
       this->quotas->Lender().IsLending() ? 1 : 0);
   set(
--- a/src/node/internal/keyedservices.cpp
+++ b/src/node/internal/keyedservices.cpp
@@ -247,6 +247,7 @@
     this->ChangeLayout(entry->service, next);
     return true;
   };
+  assignerHooks.countMove = this->hooks.countMove;
   assignerHooks.log = [this, entry](std::string_view aWhat,
                                     std::string_view aDetail) {
     this->hooks.log(entry->name, aWhat, aDetail);
@@ -258,7 +259,7 @@
 }
 
 std::vector<ownership::OwnerCandidate> KeyedServices::CandidatesFor(
-  const PartState& aEntry)
+  PartState& aEntry)
 {
   const KeyPart& part = aEntry.part;
   const TimePoint now = this->hooks.now();
@@ -279,13 +280,10 @@
     candidate.mayOwn = isMember && this->upstreams.IsUsable(*upstream);
     candidate.cold = upstream->coldUntil > now;
     candidate.capacity = upstream->entry.slots;
-    if (upstream->serviceMs > 0) {
-      // Limited, as the service time is estimated from few responses, and only
-      // those that this host received.
-      candidate.capacity *= std::clamp(
-        typicalMs / routing::EstimatedServiceMs(*upstream, typicalMs, now), 0.4,
-        2.0);
-    }
+    candidate.pace = this->PaceOf(aEntry, *upstream);
+    candidate.capacity *= candidate.pace
+                            ? *candidate.pace
+                            : this->PaceFactor(*upstream, typicalMs, now);
     // Its keys go to upstreams that have room for their requests.
     constexpr double kMinCapacity = 0.01;
     if (const auto limit = this->hooks.limitOf(upstream->entry.id)) {
@@ -302,9 +300,24 @@
     }
     candidates.push_back(std::move(candidate));
   }
+  this->UpdatePaceSpread(aEntry, candidates);
   return candidates;
 }
 
+double KeyedServices::PaceFactor(const routing::UpstreamState& aUpstream,
+                                 double aTypicalMs, TimePoint aNow)
+{
+  // Limited, as the service time is estimated from few responses, and only
+  // those that this host and its cell received.
+  constexpr double kSlowest = 0.4;
+  constexpr double kFastest = 2.0;
+  return aUpstream.serviceMs > 0
+           ? std::clamp(aTypicalMs / routing::EstimatedServiceMs(
+                                       aUpstream, aTypicalMs, aNow),
+                        kSlowest, kFastest)
+           : 1;
+}
+
 // The first claim of a part of a later layout takes over the keys of the parts
 // before.
 void KeyedServices::ReadRows(const PartState& aEntry,
@@ -344,6 +357,7 @@
 void KeyedServices::OnTimer()
 {
   const TimePoint now = this->hooks.now();
+  this->UpdateTimedServices();
   for (PartState* entry : this->AllParts()) {
     const bool isDue =
       now >= entry->storedReadDueAt &&
--- a/src/node/internal/keyedservices.h
+++ b/src/node/internal/keyedservices.h
@@ -15,6 +15,7 @@
 #include "node/internal/peers.h"
 #include "ownership/assigner.h"
 #include "ownership/keymap.h"
+#include "ownership/ownerpaces.h"
 #include "routing/upstreams.h"
 #include "state/rowstore.h"
 
@@ -56,6 +57,11 @@
     std::function<void()> publishMaps;
     // Owners have changed, so waiting requests may have one now.
     std::function<void()> ownersChanged;
+    // Whether each host receives only a part of an owner's responses, so that
+    // hosts report them to assigners. May be empty if it does not.
+    std::function<bool()> reportsOwnerTimes;
+    // See Assigner::Hooks. May be empty.
+    std::function<void(ownership::MoveReason, bool)> countMove;
     // The part, what happened, and details; see Assigner::Hooks.
     std::function<void(std::string_view, std::string_view, std::string_view)>
       log;
@@ -100,6 +106,19 @@
   // Removes and returns the recorded keys of the parts whose assigner is aPeer,
   // for the digest to it. Each key is reported once.
   std::vector<protocol::KeyUse> TakeKeyUses(const state::HostId& aPeer);
+  // Removes and returns what the owners took whose keys aPeer assigns.
+  std::vector<protocol::OwnerTime> TakeOwnerTimes(const state::HostId& aPeer);
+  // What owners took for some host, for an assigner on this host.
+  void OnOwnerTimes(const std::vector<protocol::OwnerTime>& aTimes);
+  // Reports of times that cannot be true, since the start.
+  std::int64_t IgnoredOwnerTimes() const { return this->ignoredOwnerTimes; }
+  struct PaceSpread
+  {
+    double slowest = 1;
+    double fastest = 1;
+  };
+  // Of the paces that this host's assigners use.
+  PaceSpread OwnerPaceSpread() const;
   // Changes of this host's own maps since the last call, for all peers.
   std::vector<protocol::KeyMapUpdate> TakeMapUpdates();
   // Full maps that the peer lacks; records that they were sent. They are maps
@@ -120,6 +139,9 @@
     std::string name;
     ownership::KeyMap map;
     std::unique_ptr<ownership::Assigner> assigner;
+    // Used while this host is the assigner.
+    ownership::OwnerPaces paces;
+    PaceSpread paceSpread;
     // Set when the layout was replaced; see RemoveRetiredParts.
     std::optional<TimePoint> retiredAt;
     // Keys of requests that arrived here, not reported to the assigner yet.
@@ -191,7 +213,22 @@
   std::unique_ptr<ownership::Assigner> MakeAssigner(PartState& aEntry);
   // The upstreams that belong to the part, with their capacity, and those that
   // still hold keys of it.
-  std::vector<ownership::OwnerCandidate> CandidatesFor(const PartState& aEntry);
+  std::vector<ownership::OwnerCandidate> CandidatesFor(PartState& aEntry);
+  bool ReportsOwnerTimes() const
+  {
+    return this->hooks.reportsOwnerTimes && this->hooks.reportsOwnerTimes();
+  }
+  // The pace of the upstream if hosts report what owners take.
+  std::optional<double> PaceOf(const PartState& aEntry,
+                               const routing::UpstreamState& aUpstream) const;
+  // The pace as this host's own estimate has it.
+  static double PaceFactor(const routing::UpstreamState& aUpstream,
+                           double aTypicalMs, TimePoint aNow);
+  static void UpdatePaceSpread(
+    PartState& aEntry, const std::vector<ownership::OwnerCandidate>& aOwners);
+  // The part whose keys the upstream may own; null if its service is unknown.
+  PartState* FindPartOf(const routing::UpstreamState& aUpstream) const;
+  void UpdateTimedServices();
   void ReadRows(const PartState& aEntry,
                 const ownership::Assigner::ReadDone& aDone);
   void PublishMap(PartState& aEntry);
@@ -205,6 +242,7 @@
   const Peers& peers;
   const Hooks hooks;
   std::map<state::ServiceName, LayoutState> layouts;
+  std::int64_t ignoredOwnerTimes = 0;
   // By name; see PartName. The parts of the layouts in use, and retired ones.
   std::map<std::string, std::unique_ptr<PartState>> parts;
 };
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -151,8 +151,26 @@
   bool cold = false;
   // Requests that it can run in a given time, relative to other candidates.
   double capacity = 1;
+  // How many times as fast it is as a typical candidate; see ownerpaces.h.
+  // Unset where paces are not collected.
+  std::optional<double> pace = std::nullopt;
 };
 
+// Why keys are moved.
+enum class MoveReason
+{
+  // Some keys have suddenly become hot.
+  kHotKeys,
+  // An upstream receives more than its share of the requests.
+  kOverload,
+  // An upstream has no keys yet.
+  kNewOwner,
+  // The holder may not own keys or does not respond.
+  kReplacement,
+};
+
+std::string_view MoveReasonName(MoveReason aReason);
+
 // What this host knows about a peer from its last digest.
 struct PeerStatus
 {
@@ -207,6 +225,9 @@
     std::function<bool(std::size_t)> needsOtherLayout;
     // Called when the map has changed.
     std::function<void()> publish;
+    // Counts a planned move; aIsSecond is set if some of its keys were moved
+    // shortly before. May be empty.
+    std::function<void(MoveReason, bool aIsSecond)> countMove;
     // Logs event aWhat; aDetail gives the keys, the upstream and figures.
     std::function<void(std::string_view aWhat, std::string_view aDetail)> log;
   };
@@ -391,6 +412,9 @@
                         const std::vector<OwnerCandidate>& aCandidates);
   bool PlanBalance(Assignment& aNext,
                    const std::vector<OwnerCandidate>& aCandidates);
+  // Logs and counts a move of these keys, and remembers it for some seconds.
+  void RecordMove(Key aFirst, Key aLast, MoveReason aReason);
+  void LogPaces(const std::vector<OwnerCandidate>& aCandidates) const;
   bool PlanMerges(Assignment& aNext);
   // Brings the quorum hosts and the earlier assigners up to date. Returns
   // whether that is worth a write of its own.
@@ -458,6 +482,14 @@
   };
   std::map<state::UpstreamId, Backoff> backoffs;
   std::deque<std::pair<TimePoint, Key>> recentRequests;
+  struct RecentMove
+  {
+    TimePoint plannedAt;
+    Key first = 0;
+    Key last = 0;
+  };
+  // The moves of the last seconds, the oldest first.
+  std::deque<RecentMove> recentMoves;
   std::vector<OwnerCandidate> candidates;
 };
 
--- a/src/ownership/balance.h
+++ b/src/ownership/balance.h
@@ -32,6 +32,8 @@
   Key first = 0;
   Key last = 0;
   Holder to;
+  // The receiver had no keys.
+  bool isToNewHolder = false;
 };
 
 // Keys move away from an upstream that receives more than this many times its
@@ -50,6 +52,8 @@
   std::vector<Key> requests;
   // Times its share of requests above which a holder is overloaded.
   double overloadFactor = kDefaultOverloadFactor;
+  // Whether a move must be worth what it costs the callers of the moved keys.
+  bool weighsCosts = false;
 };
 
 // Returns a limited number of moves. Returns none if no move is worthwhile.
--- a/src/ownership/internal/assignerplans.cpp
+++ b/src/ownership/internal/assignerplans.cpp
@@ -5,7 +5,10 @@
 #include "ownership/internal/assignertiming.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <iterator>
+#include <string>
 #include <utility>
 
 namespace kumquat::ownership {
@@ -37,9 +40,26 @@
 // small service was moved back and forth, and the requests that were refused
 // during the moves rose from 0.7 to 2.3 of 100.
 constexpr std::size_t kHotKeyMinRequests = 300;
+// A move of keys that have moved within this time is a second one: the first
+// was of no use to their callers.
+constexpr milliseconds kSecondMoveWithin{ 10'000 };
+
+constexpr std::array<std::pair<MoveReason, std::string_view>, 4> kMoveReasons{ {
+  { MoveReason::kHotKeys, "hot-keys" },
+  { MoveReason::kOverload, "overload" },
+  { MoveReason::kNewOwner, "new-owner" },
+  { MoveReason::kReplacement, "replacement" },
+} };
 
 } // namespace
 
+std::string_view MoveReasonName(MoveReason aReason)
+{
+  return std::ranges::find(kMoveReasons, aReason,
+                           &decltype(kMoveReasons)::value_type::first)
+    ->second;
+}
+
 bool Assigner::IsBackedOff(const state::UpstreamId& aId) const
 {
   const auto found = this->backoffs.find(aId);
@@ -195,6 +215,8 @@
     if (this->FindCandidate(aCandidates, range.assigned.holder) == nullptr &&
         !this->MustWaitToRelease(range)) {
       this->ReassignRange(aNext, range, keys, loads);
+      this->RecordMove(range.assigned.first, range.assigned.last,
+                       MoveReason::kReplacement);
       // If the new holder has to wait until this lease expires, no renewal may
       // extend it. A lease that can be released is renewed until the change is
       // stored.
@@ -236,6 +258,57 @@
   }
 }
 
+void Assigner::RecordMove(Key aFirst, Key aLast, MoveReason aReason)
+{
+  const TimePoint now = this->hooks.now();
+  std::erase_if(this->recentMoves, [now](const RecentMove& aMove) {
+    return now - aMove.plannedAt > kSecondMoveWithin;
+  });
+  // Moves of one plan, and of the plan before that could not be stored, are of
+  // the same time or follow at once.
+  const auto earlier =
+    std::ranges::find_if(this->recentMoves, [&](const RecentMove& aMove) {
+      return aMove.first <= aLast && aFirst <= aMove.last &&
+             aMove.plannedAt < now;
+    });
+  const bool isSecond = earlier != this->recentMoves.end();
+  if (isSecond) {
+    const auto agoMs =
+      std::chrono::duration_cast<milliseconds>(now - earlier->plannedAt);
+    this->hooks.log("keys-move-again",
+                    std::to_string(aFirst) + "-" + std::to_string(aLast) +
+                      " for " + std::string(MoveReasonName(aReason)) + ", " +
+                      std::to_string(agoMs.count()) + " ms after " +
+                      std::to_string(earlier->first) + "-" +
+                      std::to_string(earlier->last));
+  }
+  if (this->hooks.countMove) {
+    this->hooks.countMove(aReason, isSecond);
+  }
+  this->recentMoves.push_back({ now, aFirst, aLast });
+}
+
+void Assigner::LogPaces(const std::vector<OwnerCandidate>& aCandidates) const
+{
+  std::vector<double> paces;
+  for (const OwnerCandidate& candidate : aCandidates) {
+    if (candidate.pace) {
+      paces.push_back(*candidate.pace);
+    }
+  }
+  if (paces.empty()) {
+    return;
+  }
+  constexpr double kPercent = 100;
+  const auto percent = [](double aPace) {
+    return std::to_string(std::lround(kPercent * aPace)) + "%";
+  };
+  const auto [slowest, fastest] = std::ranges::minmax(paces);
+  this->hooks.log("owner-paces", percent(slowest) + " to " + percent(fastest) +
+                                   " of " + std::to_string(paces.size()) +
+                                   " owners");
+}
+
 // A merged range gets a token higher than those of both parts, and its holder
 // serves it without interruption.
 bool Assigner::PlanMerges(Assignment& aNext)
@@ -286,10 +359,12 @@
     if (candidate.mayOwn && !this->IsBackedOff(candidate.holder.upstream)) {
       input.holders.push_back(
         { candidate.holder, candidate.capacity, !candidate.cold });
+      input.weighsCosts = input.weighsCosts || candidate.pace.has_value();
     }
   }
   input.requests = this->SortedRequestKeys(kHotKeyWindow);
   input.overloadFactor = kHotKeyOverloadFactor;
+  MoveReason reason = MoveReason::kHotKeys;
   std::vector<BalanceMove> moves;
   if (input.requests.size() >= kHotKeyMinRequests) {
     moves = PlanMoves(input);
@@ -297,6 +372,7 @@
   if (moves.empty()) {
     input.requests = this->SortedRequestKeys(kRequestWindow);
     input.overloadFactor = kDefaultOverloadFactor;
+    reason = MoveReason::kOverload;
     moves = PlanMoves(input);
   }
   for (const BalanceMove& move : moves) {
@@ -305,8 +381,13 @@
                                    move.to.upstream.value + ", planned from " +
                                    std::to_string(input.requests.size()) +
                                    " requests");
+    this->RecordMove(move.first, move.last,
+                     move.isToNewHolder ? MoveReason::kNewOwner : reason);
     Reassign(aNext, move.first, move.last, move.to);
   }
+  if (!moves.empty()) {
+    this->LogPaces(aCandidates);
+  }
   return !moves.empty();
 }
 
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -265,6 +265,15 @@
   5: i64 heard
 }
 
+// What an owner of keys took for the requests of a host since the host's last
+// report to the assigner.
+struct OwnerTime {
+  1: string upstream
+  2: i32 answers
+  // Mean time of one request, without its wait for a slot as far as known.
+  3: i32 serviceMicros
+}
+
 // The digest that a host sends to others a few times per second. The members of
 // its cell (a group of some ten hosts) get all of it. Without `uses` it is also
 // sent by and to hubs (hosts that all others connect to), and to assigners.
@@ -290,6 +299,9 @@
   12: bool keyMapsPartial
   // The sender has its links to upstreams, and relays connections to them.
   13: bool offersRelays
+  // Only in digests to the assigner of the upstreams' keys, which counts no
+  // response twice, as it takes paces from here and not from `uses`.
+  14: list<OwnerTime> ownerTimes
 }
 
 struct KeyRange {
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -71,6 +71,13 @@
   return aTookMs / rounds;
 }
 
+// Requests of all hosts that were there beside the one that has ended. If hosts
+// are divided into cells, none of them counts those of the others.
+int QueueLength(const std::optional<UpstreamLoad>& aLoad)
+{
+  return aLoad ? aLoad->running + aLoad->waiting - 1 : 0;
+}
+
 // How long a full upstream is left alone.
 //
 // An upstream may be full with requests of hosts whose digests this host does
@@ -218,6 +225,7 @@
   this->expiring.erase(aId);
   this->markedLeaving.erase(aId);
   this->reportable.erase(aId);
+  this->timed.erase(aId);
   this->awaited.erase(aId);
 }
 
@@ -488,6 +496,12 @@
       ++upstream->unreportedAnswers;
       this->reportable.insert(aId);
       upstream->unreportedSumMs += OwnServiceMs(*upstream, tookMs, aAhead);
+      if (this->timedServices.contains(upstream->entry.service)) {
+        ++upstream->untakenAnswers;
+        upstream->untakenSumMs +=
+          OwnServiceMs(*upstream, tookMs, std::max(aAhead, QueueLength(aLoad)));
+        this->timed.insert(aId);
+      }
       UpdateAverage(upstream->failureShare, 0, kFailureWeight);
       upstream->consecutiveFailures = 0;
       upstream->consecutiveFullRefusals = 0;
@@ -594,6 +608,36 @@
   return reports;
 }
 
+void Upstreams::SetTimedServices(std::set<state::ServiceName> aServices)
+{
+  this->timedServices = std::move(aServices);
+  static_cast<void>(this->TakeOwnTimes([this](const UpstreamState& aUpstream) {
+    return !this->timedServices.contains(aUpstream.entry.service);
+  }));
+}
+
+std::vector<OwnTime> Upstreams::TakeOwnTimes(
+  const std::function<bool(const UpstreamState&)>& aIsWanted)
+{
+  std::vector<OwnTime> times;
+  std::erase_if(this->timed, [&](const state::UpstreamId& aId) {
+    UpstreamState& upstream = this->upstreams.at(aId);
+    // A new incarnation has none of the responses of the one before.
+    if (upstream.untakenAnswers == 0) {
+      return true;
+    }
+    if (!aIsWanted(upstream)) {
+      return false;
+    }
+    times.push_back({ aId, upstream.untakenAnswers,
+                      upstream.untakenSumMs / upstream.untakenAnswers });
+    upstream.untakenAnswers = 0;
+    upstream.untakenSumMs = 0;
+    return true;
+  });
+  return times;
+}
+
 void Upstreams::ForgetPeer(const state::HostId& aPeer)
 {
   const auto found = this->peers.find(aPeer);
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -92,6 +93,15 @@
   int waiting = 0;
 };
 
+// What an upstream took for requests of this host.
+struct OwnTime
+{
+  state::UpstreamId id;
+  int answers = 0;
+  // Mean of one request's own time.
+  double serviceMs = 0;
+};
+
 // What this host knows of one upstream.
 struct UpstreamState
 {
@@ -127,6 +137,9 @@
   // of their times.
   int unreportedAnswers = 0;
   double unreportedSumMs = 0;
+  // The same for the assigner of its keys; see TakeOwnTimes.
+  int untakenAnswers = 0;
+  double untakenSumMs = 0;
   // The slowdown that it reported last, and when.
   double slowdown = 1;
   TimePoint slowdownAt;
@@ -267,6 +280,12 @@
   void SetWaiting(const std::map<state::UpstreamId, int>& aWaiting);
   // Returns this host's report and begins a new one.
   std::vector<UpstreamReport> TakeReports();
+  // Sets the services for whose upstreams TakeOwnTimes collects responses.
+  void SetTimedServices(std::set<state::ServiceName> aServices);
+  // Removes and returns what the upstreams that aIsWanted names took for this
+  // host since they were last taken.
+  std::vector<OwnTime> TakeOwnTimes(
+    const std::function<bool(const UpstreamState&)>& aIsWanted);
 
 private:
   struct PeerUse
@@ -318,6 +337,9 @@
   // Upstreams that the next report has something to say of, if anything has
   // happened since the last one.
   std::set<state::UpstreamId> reportable;
+  // See SetTimedServices, and the upstreams with untaken responses.
+  std::set<state::ServiceName> timedServices;
+  std::set<state::UpstreamId> timed;
   // See MarkedLeaving.
   std::map<state::UpstreamId, std::int64_t> markedLeaving;
   // Upstreams that requests of this host wait for.
