--- a/src/node/tests/keypartsimulation.h
+++ b/src/node/tests/keypartsimulation.h
@@ -45,6 +45,8 @@
   std::set<std::string> cutFromPeers;
   // Percentage of writes that get no response; half of them are executed.
   int lostResponsePercent = 0;
+  // See KeyedServices::Hooks.
+  bool reportsOwnerTimes = false;
 
   void AddUpstreams(int aCount)
   {
@@ -149,6 +151,21 @@
     return names;
   }
 
+  KeyedServices& KeyedAt(const std::string& aHost)
+  {
+    return *this->hosts.at(aHost)->keyed;
+  }
+  routing::Upstreams& UpstreamsAt(const std::string& aHost)
+  {
+    return this->hosts.at(aHost)->upstreams;
+  }
+  TimePoint Now() const { return this->now; }
+  // Planned moves at all hosts.
+  const std::map<ownership::MoveReason, int>& Moves() const
+  {
+    return this->moves;
+  }
+
   // Number of parts with an assignment in the store, over all layouts.
   std::size_t StoredParts() const { return this->stored.size(); }
   // Number of maps and changes of maps that hosts have sent to peers.
@@ -297,6 +314,10 @@
       this->Command(weak.lock(), aCommand, std::move(aDone));
     };
     hooks.followsStore = [] { return true; };
+    hooks.reportsOwnerTimes = [this] { return this->reportsOwnerTimes; };
+    hooks.countMove = [this](ownership::MoveReason aReason, bool) {
+      ++this->moves[aReason];
+    };
     hooks.publishMaps = [] {};
     hooks.ownersChanged = [] {};
     hooks.log = [this, weak](std::string_view aPart, std::string_view aWhat,
@@ -415,6 +436,7 @@
   std::size_t largestRow = 0;
   int refusedWrites = 0;
   int sentMaps = 0;
+  std::map<ownership::MoveReason, int> moves;
   state::Incarnation lastIncarnation = 0;
   std::vector<std::string> log;
   std::string violation;
