--- a/src/ownership/internal/assignerplans.cpp
+++ b/src/ownership/internal/assignerplans.cpp
@@ -42,6 +42,9 @@
 constexpr std::size_t kHotKeyMinRequests = 300;
 // A move of keys that have moved within this time is a second one.
 constexpr milliseconds kSecondMoveWithin{ 10'000 };
+// The loss of a data centre moves hundreds of ranges at once, and again with
+// each plan that could not be stored.
+constexpr std::size_t kMaxRecentMoves = 1000;
 
 constexpr std::array<std::pair<MoveReason, std::string_view>, 4> kMoveReasons{ {
   { MoveReason::kHotKeys, "hot-keys" },
@@ -284,6 +287,9 @@
     this->hooks.countMove(aReason, isSecond);
   }
   this->recentMoves.push_back({ now, aFirst, aLast });
+  if (this->recentMoves.size() > kMaxRecentMoves) {
+    this->recentMoves.pop_front();
+  }
 }
 
 void Assigner::LogPaces(const std::vector<OwnerCandidate>& aCandidates) const
