--- a/src/ownership/balance.h
+++ b/src/ownership/balance.h
@@ -32,6 +32,8 @@
   Key first = 0;
   Key last = 0;
   Holder to;
+  // The receiver had no keys.
+  bool isToNewHolder = false;
 };
 
 // Keys move away from an upstream that receives more than this many times its
@@ -50,6 +52,10 @@
   std::vector<Key> requests;
   // Times its share of requests above which a holder is overloaded.
   double overloadFactor = kDefaultOverloadFactor;
+  // Keys move only for a gain that is worth what the move costs their callers,
+  // who find no owner for about a request's time: not for an overload that may
+  // well be random variation.
+  bool weighsCosts = false;
 };
 
 // Returns a limited number of moves. Returns none if no move is worthwhile.
--- a/src/ownership/internal/assignerplans.cpp
+++ b/src/ownership/internal/assignerplans.cpp
@@ -5,7 +5,10 @@
 #include "ownership/internal/assignertiming.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <iterator>
+#include <string>
 #include <utility>
 
 namespace kumquat::ownership {
@@ -37,9 +40,28 @@
 // small service was moved back and forth, and the requests that were refused
 // during the moves rose from 0.7 to 2.3 of 100.
 constexpr std::size_t kHotKeyMinRequests = 300;
+// A move of keys that have moved within this time is a second one.
+constexpr milliseconds kSecondMoveWithin{ 10'000 };
+// The loss of a data centre moves hundreds of ranges at once, and again with
+// each plan that could not be stored.
+constexpr std::size_t kMaxRecentMoves = 1000;
+
+constexpr std::array<std::pair<MoveReason, std::string_view>, 4> kMoveReasons{ {
+  { MoveReason::kHotKeys, "hot-keys" },
+  { MoveReason::kOverload, "overload" },
+  { MoveReason::kNewOwner, "new-owner" },
+  { MoveReason::kReplacement, "replacement" },
+} };
 
 } // namespace
 
+std::string_view MoveReasonName(MoveReason aReason)
+{
+  return std::ranges::find(kMoveReasons, aReason,
+                           &decltype(kMoveReasons)::value_type::first)
+    ->second;
+}
+
 bool Assigner::IsBackedOff(const state::UpstreamId& aId) const
 {
   const auto found = this->backoffs.find(aId);
@@ -195,6 +217,8 @@
     if (this->FindCandidate(aCandidates, range.assigned.holder) == nullptr &&
         !this->MustWaitToRelease(range)) {
       this->ReassignRange(aNext, range, keys, loads);
+      this->RecordMove(range.assigned.first, range.assigned.last,
+                       MoveReason::kReplacement);
       // If the new holder has to wait until this lease expires, no renewal may
       // extend it. A lease that can be released is renewed until the change is
       // stored.
@@ -236,6 +260,59 @@
   }
 }
 
+void Assigner::RecordMove(Key aFirst, Key aLast, MoveReason aReason)
+{
+  const TimePoint now = this->hooks.now();
+  std::erase_if(this->recentMoves, [now](const RecentMove& aMove) {
+    return now - aMove.plannedAt > kSecondMoveWithin;
+  });
+  // What follows sooner is the same move, planned again as it was not stored.
+  const auto earlier =
+    std::ranges::find_if(this->recentMoves, [&](const RecentMove& aMove) {
+      return aMove.first <= aLast && aFirst <= aMove.last &&
+             now - aMove.plannedAt >= kPauseAfterMove;
+    });
+  const bool isSecond = earlier != this->recentMoves.end();
+  if (isSecond) {
+    const auto agoMs =
+      std::chrono::duration_cast<milliseconds>(now - earlier->plannedAt);
+    this->hooks.log("keys-move-again",
+                    std::to_string(aFirst) + "-" + std::to_string(aLast) +
+                      " for " + std::string(MoveReasonName(aReason)) + ", " +
+                      std::to_string(agoMs.count()) + " ms after " +
+                      std::to_string(earlier->first) + "-" +
+                      std::to_string(earlier->last));
+  }
+  if (this->hooks.countMove) {
+    this->hooks.countMove(aReason, isSecond);
+  }
+  this->recentMoves.push_back({ now, aFirst, aLast });
+  if (this->recentMoves.size() > kMaxRecentMoves) {
+    this->recentMoves.pop_front();
+  }
+}
+
+void Assigner::LogPaces(const std::vector<OwnerCandidate>& aCandidates) const
+{
+  std::vector<double> paces;
+  for (const OwnerCandidate& candidate : aCandidates) {
+    if (candidate.pace) {
+      paces.push_back(*candidate.pace);
+    }
+  }
+  if (paces.empty()) {
+    return;
+  }
+  constexpr double kPercent = 100;
+  const auto percent = [](double aPace) {
+    return std::to_string(std::lround(kPercent * aPace)) + "%";
+  };
+  const auto [slowest, fastest] = std::ranges::minmax(paces);
+  this->hooks.log("owner-paces", percent(slowest) + " to " + percent(fastest) +
+                                   " of " + std::to_string(paces.size()) +
+                                   " owners");
+}
+
 // A merged range gets a token higher than those of both parts, and its holder
 // serves it without interruption.
 bool Assigner::PlanMerges(Assignment& aNext)
@@ -290,6 +367,7 @@
   }
   input.requests = this->SortedRequestKeys(kHotKeyWindow);
   input.overloadFactor = kHotKeyOverloadFactor;
+  MoveReason reason = MoveReason::kHotKeys;
   std::vector<BalanceMove> moves;
   if (input.requests.size() >= kHotKeyMinRequests) {
     moves = PlanMoves(input);
@@ -297,6 +375,11 @@
   if (moves.empty()) {
     input.requests = this->SortedRequestKeys(kRequestWindow);
     input.overloadFactor = kDefaultOverloadFactor;
+    input.weighsCosts =
+      std::ranges::any_of(aCandidates, [](const OwnerCandidate& aCandidate) {
+        return aCandidate.pace.has_value();
+      });
+    reason = MoveReason::kOverload;
     moves = PlanMoves(input);
   }
   for (const BalanceMove& move : moves) {
@@ -305,8 +388,13 @@
                                    move.to.upstream.value + ", planned from " +
                                    std::to_string(input.requests.size()) +
                                    " requests");
+    this->RecordMove(move.first, move.last,
+                     move.isToNewHolder ? MoveReason::kNewOwner : reason);
     Reassign(aNext, move.first, move.last, move.to);
   }
+  if (!moves.empty()) {
+    this->LogPaces(aCandidates);
+  }
   return !moves.empty();
 }
 
--- a/src/ownership/internal/balance.cpp
+++ b/src/ownership/internal/balance.cpp
@@ -18,6 +18,9 @@
 // BalanceInput::overloadFactor by another standard deviation of random
 // variation.
 constexpr double kChanceDeviations = 1.0;
+// The same if a move for a small gain is not worth what it costs the callers of
+// the moved keys.
+constexpr double kCostlyMoveDeviations = 2.0;
 // A plan has up to kBaseMaxMoves moves, or one for every kHoldersPerMove
 // holders if that is more. Each move costs a hand-over, which takes about as
 // long as a request. If a third of the requests of 137 upstreams is for 200
@@ -153,8 +156,10 @@
   bool IsOverloaded(const HolderLoad& aLoad) const
   {
     const double share = this->ShareOf(aLoad);
+    const double deviations =
+      this->input.weighsCosts ? kCostlyMoveDeviations : kChanceDeviations;
     return aLoad.requests > this->input.overloadFactor * share +
-                              kChanceDeviations * std::sqrt(share + 1);
+                              deviations * std::sqrt(share + 1);
   }
 
   // Adds one move to the plan. Returns false if there is no worthwhile one.
@@ -302,8 +307,9 @@
 
   void ApplyMove(const KeyRun& aRun, HolderLoad& aTo)
   {
+    this->moves.push_back(
+      { aRun.first, aRun.last, aTo.holder->holder, aTo.keys == 0 });
     ++aTo.keys;
-    this->moves.push_back({ aRun.first, aRun.last, aTo.holder->holder });
     Assignment planned{ 1, this->ranges };
     Reassign(planned, aRun.first, aRun.last, aTo.holder->holder);
     this->ranges = std::move(planned.ranges);
