The work of routes is estimated apart from the pace of upstreams

Cause: one mean per service stood for all its routes. Where one service runs requests of unlike work, each short request counted as late from its arrival, went behind all others and was refused whenever it could not be sent at once, while long ones were started that could not be in time.

Change: WorkTimes learns the work of each route relative to a typical request; UpstreamState::serviceMs is the time of a typical request, each time divided by the route's work. Order, refusal, forecast (the queue by its work), Retry-After, retries, choice of an upstream and the judgement of requests that run for too long use the request's own work. Digests carry times of typical requests, and in a new field the works of the routes. It takes effect for services that get the requests of two or more routes with unlike target latencies.

--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -52,6 +52,29 @@
   return use;
 }
 
+constexpr double kMillion = 1e6;
+
+routing::WorkReport WorkFromWire(const protocol::RouteWork& aWork)
+{
+  return { { aWork.serviceName },
+           aWork.route,
+           aWork.workMillionths / kMillion,
+           aWork.answers };
+}
+
+protocol::RouteWork WorkToWire(const routing::WorkReport& aReport)
+{
+  // More is no mean of responses that reached anyone.
+  constexpr double kMost = 1000;
+  protocol::RouteWork work;
+  work.__set_serviceName(aReport.service.value);
+  work.__set_route(aReport.route);
+  work.__set_workMillionths(
+    static_cast<std::int32_t>(std::min(kMost, aReport.work) * kMillion));
+  work.__set_answers(aReport.answers);
+  return work;
+}
+
 } // namespace
 
 // --- the hosts' table
@@ -266,6 +289,10 @@
   std::ranges::transform(aDigest.uses, std::back_inserter(reports),
                          ReportFromWire);
   this->upstreams.OnPeerReports(id, reports, BootTime());
+  std::vector<routing::WorkReport> works;
+  std::ranges::transform(aDigest.routeWorks, std::back_inserter(works),
+                         WorkFromWire);
+  this->dispatcher->Works().OnPeerReports(works);
   this->keyedServices->OnKeyUses(aDigest.keyUses);
   const KnownPeer& peer = this->peers.All().at(id);
   this->keyedServices->OnPeerParts(peer);
@@ -411,6 +438,9 @@
     const auto reports = this->upstreams.TakeReports();
     std::ranges::transform(reports, std::back_inserter(digest.uses),
                            ReportToWire);
+    const auto works = this->dispatcher->Works().TakeReports();
+    std::ranges::transform(works, std::back_inserter(digest.routeWorks),
+                           WorkToWire);
     this->SendDigest(recipients.full, digest);
   }
 }
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -238,7 +238,8 @@
   1: string upstream
   2: i32 running
   3: i32 answers
-  // Mean time of one request, without its wait for a slot.
+  // Mean time of one request, without its wait for a slot; that of a typical one
+  // if the service's routes have unlike targets.
   4: i32 serviceMicros
   // Number of requests that wait at the host for this upstream, because it
   // alone owns their keys.
@@ -265,6 +266,17 @@
   5: i64 heard
 }
 
+// What requests of a route take relative to a typical one of the service, by
+// the responses that a host got since its last digest: see WorkTimes in
+// src/routing.
+struct RouteWork {
+  1: string serviceName
+  2: string route
+  // In millionths of a typical request.
+  3: i32 workMillionths
+  4: i32 answers
+}
+
 // The digest that a host sends to others a few times per second. The members of
 // its cell (a group of some ten hosts) get all of it. Without `uses` it is also
 // sent by and to hubs (hosts that all others connect to), and to assigners.
@@ -290,6 +302,8 @@
   12: bool keyMapsPartial
   // The sender has its links to upstreams, and relays connections to them.
   13: bool offersRelays
+  // Only with `uses`, and only of services whose routes have unlike targets.
+  14: list<RouteWork> routeWorks
 }
 
 struct KeyRange {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -19,6 +19,7 @@
 #include "routing/upstreams.h"
 #include "routing/upstreamsignals.h"
 #include "routing/waiting.h"
+#include "routing/worktimes.h"
 #include "transport/http.h"
 
 #include <chrono>
@@ -220,6 +221,10 @@
   // shares.
   void OnSharedRest(const UpstreamRest& aRest);
 
+  // The work of the routes. The owner of the dispatcher passes on what peers
+  // have measured.
+  WorkTimes& Works() { return this->works; }
+
   // Refuses requests that arrive from now on. The host is about to stop, and
   // such a request could be cut off halfway; refused now, it has certainly not
   // run.
@@ -265,6 +270,12 @@
   double MaxExtraRetries() const;
   const state::ServiceName& ChooseService(const Route& aRoute);
   double TypicalMs(const state::ServiceName& aName);
+  double WorkOf(const Request& aRequest) const;
+  // Learns the work of the request's route from an attempt that ends.
+  void LearnWork(const Request& aRequest, AttemptResult aResult,
+                 const std::optional<UpstreamLoad>& aLoad);
+  // The requests that wait here for the owner of a key, by their work.
+  double WorkWaitingFor(const state::UpstreamId& aOwner) const;
   bool IsOwnerOverloaded(const Request& aRequest) const;
   void UpdateRouteBytes(const Request& aRequest, std::size_t aResponseBytes);
   bool IsKeyed(const Request& aRequest) const;
@@ -337,6 +348,7 @@
   UpstreamRateLimiter ownerRateLimiter;
   CrashSuspects suspects;
   UpstreamSignals signals;
+  WorkTimes works;
   // Reachable hosts of this host's cell, and of all cells; itself included.
   std::size_t cellHostCount = 1;
   std::size_t hostCount = 1;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -92,6 +92,7 @@
 void Dispatcher::SetRoutes(std::shared_ptr<const RouteTable> aRoutes)
 {
   this->routes = std::move(aRoutes);
+  this->works.SetConfiguration(this->routes->CurrentConfiguration());
   std::erase_if(this->currentWeights, [this](const auto& aItem) {
     return std::ranges::none_of(
       this->routes->CurrentConfiguration().routes,
@@ -202,7 +203,7 @@
   request->service = this->ChooseService(route);
   request->waiting = { request->caller.teamPriority.value_or(route.priority),
                        arrived, arrived + route.targetLatency,
-                       arrived + timeout };
+                       arrived + timeout, this->WorkOf(*request) };
   this->requests.emplace(request->number, request);
   request->deadline =
     this->deadlines.emplace(request->waiting.deadline, request->number);
@@ -298,7 +299,8 @@
   upstreamRequest.callerTimeout =
     std::max(milliseconds(1),
              ToMs(aRequest->waiting.arrived + aRequest->caller.timeout - now));
-  this->upstreams.OnSent(aUpstream.entry.id, now);
+  aRequest->waiting.work = this->WorkOf(*aRequest);
+  this->upstreams.OnSent(aUpstream.entry.id, now, aRequest->waiting.work);
   aRequest->isSuspectOnTrial =
     !this->suspects.IsEmpty() && this->suspects.OnSent(ContentOf(*aRequest));
   this->hooks.send(upstreamRequest);
@@ -321,6 +323,9 @@
   const TimePoint now = this->hooks.now();
   const double typicalMs = this->TypicalMs(aName);
   std::vector<RequestPtr> order(service.waiting.begin(), service.waiting.end());
+  for (const RequestPtr& request : order) {
+    request->waiting.work = this->WorkOf(*request);
+  }
   std::ranges::stable_sort(
     order, [&](const RequestPtr& aOne, const RequestPtr& aOther) {
       return IsServedBefore(aOne->waiting, aOther->waiting, now, typicalMs);
@@ -389,8 +394,13 @@
                             std::string_view aResultName)
 {
   const TimePoint now = this->hooks.now();
+  this->LearnWork(aRequest, aResult, aLoad);
   this->upstreams.OnAttemptEnded(aRequest.upstream, aRequest.sentAt,
-                                 aRequest.requestsAhead, aResult, aLoad, now);
+                                 aRequest.requestsAhead, aResult, aLoad, now,
+                                 this->WorkOf(aRequest));
+  this->upstreams.ScaleServiceMs(aRequest.service,
+                                 this->works.TakeFactor(aRequest.service));
+  aRequest.waiting.work = this->WorkOf(aRequest);
   aRequest.isRunning = false;
   if (aRequest.isInOtherCell) {
     const bool busy =
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -3,6 +3,7 @@
 #include "routing/internal/dispatcherparts.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace kumquat::routing {
@@ -46,6 +47,61 @@
   return known > 0 ? known : kUnknownServiceMs;
 }
 
+double Dispatcher::WorkOf(const Request& aRequest) const
+{
+  return this->works.WorkOf(aRequest.service, aRequest.route->name);
+}
+
+// Only from responses: an error or a refusal may come at once. The times of a
+// cold upstream are no measure, and those of one that is unknown only while
+// nothing is known of the route either.
+//
+// Requests that other hosts have just sent are not known here when an upstream
+// is chosen. As each route would wait for them alike, they would make the works
+// look alike; the queue that the response reports is taken to be the one that
+// the request met.
+void Dispatcher::LearnWork(const Request& aRequest, AttemptResult aResult,
+                           const std::optional<UpstreamLoad>& aLoad)
+{
+  if (!this->works.Covers(aRequest.service)) {
+    return;
+  }
+  const TimePoint now = this->hooks.now();
+  const UpstreamState* one = this->upstreams.Find(aRequest.upstream);
+  const double typicalMs =
+    this->upstreams.TypicalServiceMs(aRequest.service, now);
+  if (one == nullptr || one->entry.startedMs != aRequest.upstreamStartedMs ||
+      one->coldUntil > now || typicalMs <= 0) {
+    return;
+  }
+  const double tookMs =
+    std::chrono::duration<double, std::milli>(now - aRequest.sentAt).count();
+  const int reported = aLoad ? aLoad->running + aLoad->waiting : 0;
+  const int ahead = std::max(aRequest.requestsAhead, reported);
+  const double work = tookMs / EstimatedServiceMs(*one, typicalMs, now) -
+                      (RoundsBehind(*one, ahead) - 1.0);
+  if (aResult == AttemptResult::kServed) {
+    this->works.OnServed(aRequest.service, aRequest.route->name, work);
+  } else if (aResult == AttemptResult::kAbandoned) {
+    this->works.OnAbandoned(aRequest.service, aRequest.route->name, work);
+  }
+}
+
+double Dispatcher::WorkWaitingFor(const state::UpstreamId& aOwner) const
+{
+  double sum = 0;
+  for (const auto& [name, service] : this->services) {
+    for (const RequestPtr& request : service->waiting) {
+      if (this->IsKeyed(*request) &&
+          this->hooks.findOwner(name, *request->caller.key).upstream ==
+            aOwner) {
+        sum += request->waiting.work;
+      }
+    }
+  }
+  return sum;
+}
+
 bool Dispatcher::IsKeyed(const Request& aRequest) const
 {
   const Service* service = aRequest.routes->FindService(aRequest.service);
@@ -60,7 +116,11 @@
   QueueForecast forecast;
   forecast.typicalMs = this->TypicalMs(aRequest.service);
   ServiceState& service = this->StateOf(aRequest.service);
-  forecast.queued = service.waiting.size();
+  forecast.queued =
+    std::accumulate(service.waiting.begin(), service.waiting.end(), 0.0,
+                    [](double aSum, const RequestPtr& aOne) {
+                      return aSum + aOne->waiting.work;
+                    });
   const TimePoint now = this->hooks.now();
   const ServiceUpstreams& upstreamsOf =
     this->upstreams.ForService(aRequest.service);
@@ -120,9 +180,7 @@
   // much per host as in this cell.
   const double knownShare = static_cast<double>(this->cellHostCount) /
                             static_cast<double>(this->hostCount);
-  const int here = this->WaitingByOwner()[owner.upstream];
-  forecast.queued = static_cast<std::size_t>(here) +
-                    static_cast<std::size_t>(one->waitingAtPeers);
+  forecast.queued = this->WorkWaitingFor(owner.upstream) + one->waitingAtPeers;
   const double totalPerSecond = 1000.0 * one->entry.slots / forecast.typicalMs;
   forecast.perSecond = totalPerSecond * knownShare;
   forecast.nextMs = 1000.0 / totalPerSecond;
@@ -152,7 +210,7 @@
   }
   if (share <= 0) {
     // The request cannot be sent from this host.
-    aForecast.queued = std::max<std::size_t>(1, aForecast.queued);
+    aForecast.queued = std::max(1.0, aForecast.queued);
     return;
   }
   aForecast.pause =
@@ -369,6 +427,7 @@
                   : IsLarge(aRequest.route->kind) ? kUnknownLargeBytes
                                                   : 0;
   context.typicalMs = this->TypicalMs(aRequest.service);
+  context.work = aRequest.waiting.work;
   return context;
 }
 
--- a/src/routing/internal/placement.cpp
+++ b/src/routing/internal/placement.cpp
@@ -35,15 +35,16 @@
 // A failure costs the request about another whole attempt.
 constexpr double kFailureCost = 2.0;
 
+// What a typical request takes at least where one has run for too long.
 double OverdueMs(const UpstreamState& aUpstream, TimePoint aNow, double aOwnMs)
 {
-  if (aUpstream.running.empty()) {
-    return 0;
+  double longest = 0;
+  for (const auto& [sent, work] : aUpstream.running) {
+    const double ms =
+      std::chrono::duration<double, std::milli>(aNow - sent).count();
+    longest = std::max(longest, ms / work);
   }
-  const double oldest =
-    std::chrono::duration<double, std::milli>(aNow - *aUpstream.running.begin())
-      .count();
-  return oldest > kOverdueFactor * aOwnMs ? oldest : 0;
+  return longest > kOverdueFactor * aOwnMs ? longest : 0;
 }
 
 bool IsProbing(const UpstreamState& aUpstream)
@@ -63,10 +64,9 @@
       aContext.now - aUpstream.slowdownAt < kMaxSlowdownAge) {
     own *= aUpstream.slowdown;
   }
-  const double rounds =
-    std::max(1.0, static_cast<double>(aUpstream.Outstanding() + 1) /
-                    aUpstream.entry.slots);
-  return own * rounds * (1.0 + kFailureCost * aUpstream.failureShare);
+  const double rounds = RoundsBehind(aUpstream, aUpstream.Outstanding());
+  return own * (rounds + (aContext.work - 1.0)) *
+         (1.0 + kFailureCost * aUpstream.failureShare);
 }
 
 bool HasCapacity(const UpstreamState& aUpstream, TimePoint aNow)
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -62,13 +62,12 @@
   aUpstream.ejectedUntil = aNow + aUpstream.ejectionTime;
 }
 
-// A request's own time. Waiting requests take the slots in turn, so a wait of n
-// rounds took n times that time.
-double OwnServiceMs(const UpstreamState& aUpstream, double aTookMs, int aAhead)
+// A typical request's own time, where one with the given work took so long. The
+// requests ahead of it are taken to be typical.
+double OwnServiceMs(const UpstreamState& aUpstream, double aTookMs, int aAhead,
+                    double aWork)
 {
-  const double rounds =
-    std::max(1.0, static_cast<double>(aAhead + 1) / aUpstream.entry.slots);
-  return aTookMs / rounds;
+  return aTookMs / (RoundsBehind(aUpstream, aAhead) + (aWork - 1.0));
 }
 
 // How long a full upstream is left alone.
@@ -157,6 +156,11 @@
 
 } // namespace
 
+double RoundsBehind(const UpstreamState& aUpstream, int aAhead)
+{
+  return std::max(1.0, static_cast<double>(aAhead + 1) / aUpstream.entry.slots);
+}
+
 double EstimatedServiceMs(const UpstreamState& aUpstream, double aTypicalMs,
                           TimePoint aNow)
 {
@@ -455,10 +459,25 @@
   return index.typicalMs;
 }
 
-void Upstreams::OnSent(const state::UpstreamId& aId, TimePoint aNow)
+void Upstreams::ScaleServiceMs(const state::ServiceName& aService,
+                               double aFactor)
+{
+  const auto index = this->byService.find(aService);
+  if (aFactor == 1.0 || index == this->byService.end()) {
+    return;
+  }
+  for (UpstreamState* one : index->second.lists.all) {
+    one->serviceMs *= aFactor;
+    one->unreportedSumMs *= aFactor;
+  }
+  index->second.typicalMs *= aFactor;
+}
+
+void Upstreams::OnSent(const state::UpstreamId& aId, TimePoint aNow,
+                       double aWork)
 {
   if (UpstreamState* upstream = this->Find(aId)) {
-    upstream->running.insert(aNow);
+    upstream->running.emplace(aNow, aWork);
     this->reportable.insert(aId);
   }
 }
@@ -466,7 +485,7 @@
 void Upstreams::OnAttemptEnded(const state::UpstreamId& aId, TimePoint aSent,
                                int aAhead, AttemptResult aResult,
                                const std::optional<UpstreamLoad>& aLoad,
-                               TimePoint aNow)
+                               TimePoint aNow, double aWork)
 {
   UpstreamState* upstream = this->Find(aId);
   if (upstream == nullptr) {
@@ -480,14 +499,14 @@
     upstream->slowdown = *aLoad->slowdown;
     upstream->slowdownAt = aNow;
   }
-  const double tookMs = ToMs(aNow - aSent);
+  const double ownMs =
+    OwnServiceMs(*upstream, ToMs(aNow - aSent), aAhead, aWork);
   switch (aResult) {
     case AttemptResult::kServed:
-      UpdateServiceTime(*upstream, OwnServiceMs(*upstream, tookMs, aAhead), 1,
-                        aNow);
+      UpdateServiceTime(*upstream, ownMs, 1, aNow);
       ++upstream->unreportedAnswers;
       this->reportable.insert(aId);
-      upstream->unreportedSumMs += OwnServiceMs(*upstream, tookMs, aAhead);
+      upstream->unreportedSumMs += ownMs;
       UpdateAverage(upstream->failureShare, 0, kFailureWeight);
       upstream->consecutiveFailures = 0;
       upstream->consecutiveFullRefusals = 0;
@@ -495,9 +514,8 @@
       return;
     case AttemptResult::kAbandoned:
       // It took at least this long; a shorter time says nothing.
-      if (OwnServiceMs(*upstream, tookMs, aAhead) > upstream->serviceMs) {
-        UpdateServiceTime(*upstream, OwnServiceMs(*upstream, tookMs, aAhead), 1,
-                          aNow);
+      if (ownMs > upstream->serviceMs) {
+        UpdateServiceTime(*upstream, ownMs, 1, aNow);
       }
       return;
     case AttemptResult::kNotSent:
--- a/src/routing/internal/waiting.cpp
+++ b/src/routing/internal/waiting.cpp
@@ -48,14 +48,15 @@
 bool CanMeetTarget(const WaitingRequest& aRequest, TimePoint aNow,
                    double aTypicalMs)
 {
-  return MsDouble(aRequest.target - aNow).count() >= kTargetFactor * aTypicalMs;
+  return MsDouble(aRequest.target - aNow).count() >=
+         kTargetFactor * aRequest.work * aTypicalMs;
 }
 
 bool CanMeetDeadline(const WaitingRequest& aRequest, TimePoint aNow,
                      double aTypicalMs)
 {
   return MsDouble(aRequest.deadline - aNow).count() >=
-         kMinShareOfTypical * aTypicalMs;
+         kMinShareOfTypical * aRequest.work * aTypicalMs;
 }
 
 bool IsWorthWaiting(const WaitingRequest& aRequest, TimePoint aNow,
@@ -83,14 +84,13 @@
   if (!CanMeetTarget(aRequest, aNow + aForecast.pause, aForecast.typicalMs)) {
     return false;
   }
-  if (aForecast.queued == 0) {
+  if (aForecast.queued <= 0) {
     return true;
   }
   if (aForecast.perSecond <= 0) {
     return false;
   }
-  const double waitMs =
-    1000.0 * static_cast<double>(aForecast.queued) / aForecast.perSecond;
+  const double waitMs = 1000.0 * aForecast.queued / aForecast.perSecond;
   const auto start =
     aNow + std::chrono::duration_cast<Duration>(MsDouble(waitMs));
   return CanMeetTarget(aRequest, start, aForecast.typicalMs);
@@ -101,7 +101,7 @@
   const double eachMs = aForecast.perSecond > 0
                           ? 1000.0 / aForecast.perSecond
                           : static_cast<double>(kMaxRetryAfter.count());
-  const double drainMs = static_cast<double>(aForecast.queued) * eachMs +
+  const double drainMs = aForecast.queued * eachMs +
                          (aForecast.nextMs > 0 ? aForecast.nextMs : eachMs);
   const milliseconds wait(
     static_cast<milliseconds::rep>(drainMs * (0.5 + aSpread)));
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -29,6 +29,8 @@
   // What a request of this service is assumed to take where nothing is known,
   // in milliseconds.
   double typicalMs = 100;
+  // The request's work relative to that; see WorkTimes.
+  double work = 1;
 };
 
 // How long a request sent now would take at the upstream, in milliseconds: the
--- a/src/routing/tests/load_test.cpp
+++ b/src/routing/tests/load_test.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(testHotKeyOfManyHostsLeavesOtherKeysServed);
   CPPUNIT_TEST(testCallersRefusedByAFaultyOwnerAreServedInTime);
   CPPUNIT_TEST(testCallersThatMoveToAnotherDataCentreAreServed);
+  CPPUNIT_TEST(testShortRequestsAreServedBesideLongOnes);
+  CPPUNIT_TEST(testRoutesWithLikeTargetsAreDecidedAlike);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,7 +120,67 @@
     }
   }
 
+  // One service runs searches of 690 ms with a target of 2 s and look-ups of
+  // 220 ms with a target of 800 ms, at a little more than it can run, and
+  // upstreams own their keys. By their common mean a look-up could never be in
+  // time unless it was sent at once: 197 of 1000 were, 685 of the searches, and
+  // 539 of both. With the work of each route 456, 656 and 594 are.
+  void testShortRequestsAreServedBesideLongOnes()
+  {
+    LoadSimulation::Options options = UnlikeRoutes();
+    options.keyed = true;
+    options.load = 1.2;
+    const LoadResult load =
+      LoadSimulation(options).Simulate(std::chrono::seconds(30));
+    CPPUNIT_ASSERT(load.byRoute.at("short").InTimeShare() > 0.38);
+    CPPUNIT_ASSERT(load.byRoute.at("long").InTimeShare() > 0.6);
+    CPPUNIT_ASSERT(load.InTimeShare() > 0.57);
+  }
+
+  // With like targets, each request goes to the same upstream at the same time
+  // as if one route had all of them. With unlike ones that is not so.
+  void testRoutesWithLikeTargetsAreDecidedAlike()
+  {
+    LoadSimulation::Options options = UnlikeRoutes();
+    options.load = 1.2;
+    for (LoadSimulation::RouteLoad& route : options.routes) {
+      route.target = options.target;
+      route.deadline = options.deadline;
+    }
+    for (const bool keyed : { false, true }) {
+      options.keyed = keyed;
+      CPPUNIT_ASSERT(DecisionsOf(options, false) == DecisionsOf(options, true));
+    }
+    options.routes[0].target += std::chrono::milliseconds(1);
+    CPPUNIT_ASSERT(DecisionsOf(options, false) != DecisionsOf(options, true));
+  }
+
 private:
+  static std::vector<Decision> DecisionsOf(LoadSimulation::Options aOptions,
+                                           bool aAsOne)
+  {
+    aOptions.areRoutesConfiguredAsOne = aAsOne;
+    return LoadSimulation(aOptions).Simulate(std::chrono::seconds(5)).decisions;
+  }
+
+  static LoadSimulation::Options UnlikeRoutes()
+  {
+    using std::chrono::milliseconds;
+    LoadSimulation::Options options;
+    options.routes = {
+      { "long", 0.7, 690, milliseconds(2000), milliseconds(4000) },
+      { "short", 0.3, 220, milliseconds(800), milliseconds(1600) }
+    };
+    options.meanMs = 0.7 * 690 + 0.3 * 220;
+    options.sigma = 0.3;
+    options.slots = 4;
+    options.upstreamQueue = 12;
+    options.timeFactors = { 0.5, 1.0, 1.5 };
+    options.slowedShare = 0.2;
+    options.callersReturn = true;
+    return options;
+  }
+
   // 120 hosts, as many cells as data centres, upstreams with three slots.
   static LoadSimulation::Options ManyHosts(int aCentres = 20)
   {
--- a/src/routing/tests/loadsimulation.h
+++ b/src/routing/tests/loadsimulation.h
@@ -24,6 +24,34 @@
 
 namespace kumquat::routing {
 
+// What the callers of one route got.
+struct RouteResult
+{
+  int requests = 0;
+  int inTime = 0;
+  int late = 0;
+  int refused = 0;
+  int lost = 0;
+
+  double InTimeShare() const
+  {
+    return static_cast<double>(this->inTime) / std::max(1, this->requests);
+  }
+};
+
+// A request that a host sent to an upstream, or answered.
+struct Decision
+{
+  TimePoint at;
+  std::string host;
+  RequestNumber number = 0;
+  // Empty for an answer.
+  std::string upstream;
+  protocol::ErrorKind error = protocol::ErrorKind::kNone;
+
+  bool operator==(const Decision&) const = default;
+};
+
 // What callers got, and what it cost.
 struct LoadResult
 {
@@ -47,6 +75,9 @@
   // The most requests at a faulty upstream in half a second, from the end of
   // its first rest until it needs none.
   std::ptrdiff_t mostInHalfSecond = 0;
+  // If the load has routes.
+  std::map<std::string, RouteResult> byRoute;
+  std::vector<Decision> decisions;
 
   double InTimeShare() const { return ShareOfRequests(this->inTime); }
   double RefusedShare() const { return ShareOfRequests(this->refused); }
@@ -75,8 +106,27 @@
 class LoadSimulation
 {
 public:
+  // A part of the requests with a route of its own.
+  struct RouteLoad
+  {
+    std::string name;
+    double share = 1;
+    double meanMs = 200;
+    std::chrono::milliseconds target{ 600 };
+    std::chrono::milliseconds deadline{ 1500 };
+  };
+
   struct Options
   {
+    // If set, these replace `target` and `deadline`, and each has its own mean
+    // work time; `meanMs` is their mean.
+    std::vector<RouteLoad> routes;
+    // Whether the configuration has one route for all of them, with `target`
+    // and `deadline`.
+    bool areRoutesConfiguredAsOne = false;
+    // Share of the upstreams that take three times as long for 400 ms every two
+    // seconds.
+    double slowedShare = 0;
     int dataCentres = 4;
     int hostsPerCentre = 2;
     int upstreamsPerCentre = 3;
@@ -165,6 +215,7 @@
   {
     Host* host = nullptr;
     RequestNumber number = 0;
+    double meanMs = 0;
   };
 
   struct Upstream
@@ -172,6 +223,7 @@
     UpstreamEntry entry;
     double timeFactor = 1;
     bool isFaulty = false;
+    bool isSlowed = false;
     // Requests by host, and the rests that the hosts were asked for.
     std::map<Host*, std::vector<TimePoint>> arrivals;
     std::vector<std::pair<Host*, TimePoint>> rests;
@@ -200,6 +252,7 @@
         this->options.timeFactors[static_cast<std::size_t>(i) %
                                   this->options.timeFactors.size()];
       one.isFaulty = i < this->options.faultyShare * count;
+      one.isSlowed = i >= (1 - this->options.slowedShare) * count;
       this->upstreams.emplace(one.entry.id, std::move(one));
     }
   }
@@ -216,6 +269,17 @@
     route.timeout = this->options.deadline;
     route.targetLatency = this->options.target;
     configuration.routes = { route };
+    if (!this->options.routes.empty() &&
+        !this->options.areRoutesConfiguredAsOne) {
+      configuration.routes.clear();
+      for (const RouteLoad& one : this->options.routes) {
+        route.name = one.name;
+        route.prefix = "/" + one.name + "/";
+        route.timeout = one.deadline;
+        route.targetLatency = one.target;
+        configuration.routes.push_back(route);
+      }
+    }
     configuration.services = {
       { { "s" }, "/health", 130, 5.0, this->options.keyed }
     };
@@ -277,10 +341,13 @@
     };
     hooks.send = [this, &aHost](const UpstreamRequest& aRequest) {
       Upstream& upstream = this->upstreams.at(aRequest.upstream);
-      this->Schedule(TripTo(aHost, upstream),
-                     [this, &aHost, &upstream, number = aRequest.number] {
-                       this->OnArrival(upstream, { &aHost, number });
-                     });
+      this->Record({ this->now, aHost.id.value, aRequest.number,
+                     upstream.entry.id.value });
+      const Job job{ &aHost, aRequest.number,
+                     this->MeanMsOf(aRequest.message->target) };
+      this->Schedule(TripTo(aHost, upstream), [this, &upstream, job] {
+        this->OnArrival(upstream, job);
+      });
     };
     hooks.cancel = [](RequestNumber) {};
     hooks.findOwner = [this](const state::ServiceName&, Key aKey) {
@@ -290,11 +357,44 @@
     };
     hooks.reportNotOwner = [](const state::ServiceName&, Key,
                               const state::UpstreamId&) {};
-    hooks.onRequestEnded = [](const RequestTrace&) {};
+    hooks.onRequestEnded = [this, &aHost](const RequestTrace& aTrace) {
+      this->Record(
+        { this->now, aHost.id.value, aTrace.number, {}, aTrace.error });
+    };
     hooks.onRetry = [](protocol::ErrorKind) {};
     return hooks;
   }
 
+  // Recorded only where routes are compared.
+  void Record(const Decision& aDecision)
+  {
+    if (!this->options.routes.empty()) {
+      this->result.decisions.push_back(aDecision);
+    }
+  }
+
+  const RouteLoad* RouteOf(const std::string& aTarget) const
+  {
+    const auto found = std::ranges::find_if(
+      this->options.routes, [&aTarget](const RouteLoad& aOne) {
+        return aTarget.starts_with("/" + aOne.name + "/");
+      });
+    return found == this->options.routes.end() ? nullptr : &*found;
+  }
+
+  double MeanMsOf(const std::string& aTarget) const
+  {
+    const RouteLoad* route = this->RouteOf(aTarget);
+    return route == nullptr ? this->options.meanMs : route->meanMs;
+  }
+
+  bool IsSlowNow(const Upstream& aUpstream) const
+  {
+    return aUpstream.isSlowed &&
+           (this->now - this->startedAt) % milliseconds(2000) <
+             milliseconds(400);
+  }
+
   static Duration TripTo(const Host& aHost, const Upstream& aUpstream)
   {
     return aHost.dataCentre == aUpstream.entry.dataCentre ? kLocalTrip
@@ -360,11 +460,13 @@
   {
     ++aUpstream.running;
     // The mean of a log-normal is above its median by this.
-    const double mu = std::log(this->options.meanMs) -
-                      this->options.sigma * this->options.sigma / 2;
+    const double mu =
+      std::log(aJob.meanMs) - this->options.sigma * this->options.sigma / 2;
     std::lognormal_distribution<double> work(mu, this->options.sigma);
-    const std::chrono::duration<double, std::milli> takes(work(this->random) *
-                                                          aUpstream.timeFactor);
+    constexpr double kSlowFactor = 3;
+    const std::chrono::duration<double, std::milli> takes(
+      work(this->random) * aUpstream.timeFactor *
+      (this->IsSlowNow(aUpstream) ? kSlowFactor : 1.0));
     this->Schedule(std::chrono::duration_cast<Duration>(takes),
                    [this, &aUpstream, aJob] {
                      --aUpstream.running;
@@ -426,6 +528,9 @@
     bool isHot = false;
     bool hasReturned = false;
     std::string dataCentre;
+    std::string target = "/x";
+    milliseconds targetLatency{ 0 };
+    milliseconds deadline{ 0 };
   };
 
   void StartCaller()
@@ -434,6 +539,7 @@
     std::uniform_int_distribution<int> key(0, 65535);
     Caller caller;
     caller.first = this->now;
+    this->ChooseRoute(caller);
     caller.isHot =
       std::bernoulli_distribution(this->options.hotShare)(this->random);
     if (this->options.keyed) {
@@ -452,6 +558,25 @@
     this->Send(caller);
   }
 
+  void ChooseRoute(Caller& aCaller)
+  {
+    aCaller.targetLatency = this->options.target;
+    aCaller.deadline = this->options.deadline;
+    if (this->options.routes.empty()) {
+      return;
+    }
+    std::vector<double> shares;
+    std::ranges::transform(this->options.routes, std::back_inserter(shares),
+                           &RouteLoad::share);
+    const RouteLoad& route =
+      this->options.routes[std::discrete_distribution<std::size_t>(
+        shares.begin(), shares.end())(this->random)];
+    aCaller.target = "/" + route.name + "/x";
+    aCaller.targetLatency = route.target;
+    aCaller.deadline = route.deadline;
+    ++this->result.byRoute[route.name].requests;
+  }
+
   void Send(const Caller& aCaller)
   {
     std::vector<Host*> localHosts;
@@ -462,12 +587,12 @@
     }
     std::uniform_int_distribution<std::size_t> host(0, localHosts.size() - 1);
     CallerRequest request;
-    request.message.target = "/x";
+    request.message.target = aCaller.target;
     request.hostName = "h";
     request.id = "r";
     request.arrived = this->now;
     request.timeout = std::chrono::duration_cast<milliseconds>(
-      aCaller.first + this->options.deadline - this->now);
+      aCaller.first + aCaller.deadline - this->now);
     request.key = aCaller.key;
     localHosts[host(this->random)]->dispatcher->OnRequest(
       std::move(request), [this, aCaller](const CallerResponse& aResponse) {
@@ -477,7 +602,7 @@
 
   void OnCallerResponse(Caller aCaller, const CallerResponse& aResponse)
   {
-    const Duration left = aCaller.first + this->options.deadline - this->now;
+    const Duration left = aCaller.first + aCaller.deadline - this->now;
     const bool mayReturn = this->options.callersReturn &&
                            !aCaller.hasReturned && aResponse.retryAfter &&
                            Duration(*aResponse.retryAfter) <= left / 3;
@@ -492,8 +617,13 @@
 
   void Count(const Caller& aCaller, const CallerResponse& aResponse)
   {
+    const RouteLoad* route = this->RouteOf(aCaller.target);
+    RouteResult ignored;
+    RouteResult& ofRoute =
+      route == nullptr ? ignored : this->result.byRoute[route->name];
     if (aResponse.message) {
-      const bool inTime = this->now - aCaller.first <= this->options.target;
+      const bool inTime = this->now - aCaller.first <= aCaller.targetLatency;
+      ++(inTime ? ofRoute.inTime : ofRoute.late);
       ++(inTime ? this->result.inTime : this->result.late);
       this->result.inTimeForOtherKeys += inTime && !aCaller.isHot ? 1 : 0;
       this->result.remote += this->isResponseRemote ? 1 : 0;
@@ -502,6 +632,7 @@
     const bool notRun = protocol::ErrorInfoFor(aResponse.error).outcome ==
                         protocol::Outcome::kNotRun;
     ++(notRun ? this->result.refused : this->result.lost);
+    ++(notRun ? ofRoute.refused : ofRoute.lost);
   }
 
   void Tick(Host& aHost)
@@ -514,9 +645,11 @@
   {
     aHost.upstreams.SetWaiting(aHost.dispatcher->WaitingByOwner());
     const auto reports = aHost.upstreams.TakeReports();
+    const auto works = aHost.dispatcher->Works().TakeReports();
     for (const auto& other : this->hosts) {
       if (other->id != aHost.id && this->AreInOneCell(aHost, *other)) {
         other->upstreams.OnPeerReports(aHost.id, reports, this->now);
+        other->dispatcher->Works().OnPeerReports(works);
       }
     }
     this->Schedule(kDigestInterval,
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -109,15 +109,16 @@
   double cellPart = 1;
   // A hash of the id that orders the upstreams of a data centre.
   std::uint64_t order = 0;
-  // When each request of this host that still runs there was sent.
-  std::multiset<TimePoint> running;
+  // When each request of this host that still runs there was sent, with its
+  // work; see WorkTimes.
+  std::multimap<TimePoint, double> running;
   // Requests of all reachable peers that run there.
   int runningFromPeers = 0;
   // As in UpstreamReport, of this host and of its peers.
   int waiting = 0;
   int waitingAtPeers = 0;
-  // What a request takes there if it need not wait, in milliseconds; a moving
-  // average, 0 while nothing is known.
+  // What a typical request takes there if it need not wait, in milliseconds; a
+  // moving average, 0 while nothing is known.
   double serviceMs = 0;
   // When serviceMs was updated, and whether it comes only from responses of the
   // time when the upstream was cold.
@@ -151,7 +152,12 @@
   }
 };
 
-// Estimates what a request takes there now, in milliseconds. A time above
+// In how many rounds the slots of an upstream run that many requests and one
+// more. Waiting requests take the slots in turn.
+double RoundsBehind(const UpstreamState& aUpstream, int aAhead);
+
+// Estimates what a typical request takes there now, in milliseconds. A time
+// above
 // aTypicalMs approaches it the longer nothing was measured: an upstream that
 // gets no requests could not show that its slow period is over.
 double EstimatedServiceMs(const UpstreamState& aUpstream, double aTypicalMs,
@@ -245,13 +251,18 @@
            !this->IsOutOfService(aUpstream.entry.dataCentre);
   }
 
-  // Records the start of an attempt.
-  void OnSent(const state::UpstreamId& aId, TimePoint aNow);
+  // Multiplies the times of the service's upstreams; see WorkTimes::TakeFactor.
+  void ScaleServiceMs(const state::ServiceName& aService, double aFactor);
+
+  // Records the start of an attempt. aWork is the request's work relative to a
+  // typical one; see WorkTimes.
+  void OnSent(const state::UpstreamId& aId, TimePoint aNow, double aWork = 1);
   // Records the end of an attempt. aSent is the time that was given to OnSent,
   // aAhead the number of requests ahead of it, running ones included.
   void OnAttemptEnded(const state::UpstreamId& aId, TimePoint aSent, int aAhead,
                       AttemptResult aResult,
-                      const std::optional<UpstreamLoad>& aLoad, TimePoint aNow);
+                      const std::optional<UpstreamLoad>& aLoad, TimePoint aNow,
+                      double aWork = 1);
   // Removes the upstream, as another one responds at its address.
   void OnReplaced(const state::UpstreamId& aId, const std::string& aAddress,
                   TimePoint aNow);
--- a/src/routing/waiting.h
+++ b/src/routing/waiting.h
@@ -27,19 +27,21 @@
   TimePoint target;
   // A response after that is not read.
   TimePoint deadline;
+  // Its work relative to a typical request of its service; see WorkTimes.
+  double work = 1;
 };
 
 // What a host expects of the upstreams that a request may use: of all of its
 // service, or of its key's owner.
 struct QueueForecast
 {
-  // What one request takes, in milliseconds.
+  // What a typical request takes, in milliseconds.
   double typicalMs = 100;
   // Requests per second, of those that wait, that are expected to be run.
   double perSecond = 0;
   // Requests that wait already: those of this host for the service, or all
-  // known ones for the key's owner.
-  std::size_t queued = 0;
+  // known ones for the key's owner. Each counts by its work.
+  double queued = 0;
   // Time for one more request after those that wait, in milliseconds; 0 if it
   // follows from perSecond.
   double nextMs = 0;
@@ -47,6 +49,9 @@
   std::chrono::milliseconds pause{ 0 };
 };
 
+// In all of these, aTypicalMs is what a typical request of the service takes;
+// what the request itself takes follows from its work.
+
 // Whether a response can still meet the target if the request starts now.
 bool CanMeetTarget(const WaitingRequest& aRequest, TimePoint aNow,
                    double aTypicalMs);
