A request that only waited for a connection is refused as not run

Cause: at the end of its time, or of the host, a request whose attempt still waited for a connection was answered "outcome unknown", although no byte of it had been sent and its caller could send it again.

Change: HttpClient::Cancel returns whether anything may have been sent. It says no only while the call has no connection yet, and such a call sends nothing any more; of a call that is over it says yes. The dispatcher's cancel hook passes that on, and the request is refused as upstream-unreachable with Retry-After unless an earlier attempt may have run. The wait still counts against the upstream as before.

Tests: testRequestThatWaitedForAConnectionHasNotRun, testWaitForAConnectionDoesNotHideAnEarlierRun (dispatcher), testCancelTellsWhetherAnythingMayHaveBeenSent (http client).

--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -56,9 +56,8 @@
   };
   hooks.cancel = [this](routing::RequestNumber aNumber) {
     const auto call = this->upstreamCalls.find(aNumber);
-    if (call != this->upstreamCalls.end()) {
-      this->upstreamClient->Cancel(call->second);
-    }
+    return call == this->upstreamCalls.end() ||
+           this->upstreamClient->Cancel(call->second);
   };
   hooks.findOwner = [this](const state::ServiceName& aService,
                            routing::Key aKey) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -160,7 +160,8 @@
     // OnSendFailed, unless it is cancelled.
     std::function<void(const UpstreamRequest&)> send;
     // Closes the connection of a running attempt; no response comes after it.
-    std::function<void(RequestNumber)> cancel;
+    // Returns whether any byte of the request may have been sent.
+    std::function<bool(RequestNumber)> cancel;
     // Returns the owner of a key.
     std::function<KeyOwner(const state::ServiceName&, Key)> findOwner;
     // Called when an upstream states that it does not own the key.
@@ -271,7 +272,8 @@
   const state::ServiceName& ChooseService(const Route& aRoute);
   double TypicalMs(const state::ServiceName& aName);
   double WorkOf(const Request& aRequest) const;
-  // Learns the work of the request's route from an attempt that ends.
+  // Learns the work of the request's route from an attempt that ends. Of one
+  // that is abandoned it must be known that it may have run.
   void LearnWork(const Request& aRequest, AttemptResult aResult,
                  const std::optional<UpstreamLoad>& aLoad);
   // The requests that wait here for the owner of a key, by their work.
@@ -338,6 +340,8 @@
   // to it.
   void Finish(const RequestPtr& aRequest, CallerResponse aResponse);
   void OnDeadline(const RequestPtr& aRequest);
+  // Cancels the running attempt. Returns whether it may have run.
+  bool CancelAttempt(Request& aRequest, std::string_view aResultName);
 
   const DispatcherOptions options;
   Upstreams& upstreams;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -379,9 +379,7 @@
     if (!IsIdempotent(request->route->kind)) {
       return;
     }
-    ++request->mayHaveRunAt;
-    this->hooks.cancel(aNumber);
-    this->EndAttempt(*request, AttemptResult::kAbandoned, {}, "caller-gone");
+    static_cast<void>(this->CancelAttempt(*request, "caller-gone"));
   } else {
     this->StateOf(request->service).waiting.remove(request);
   }
@@ -394,7 +392,9 @@
                             std::string_view aResultName)
 {
   const TimePoint now = this->hooks.now();
-  this->LearnWork(aRequest, aResult, aLoad);
+  if (aResult == AttemptResult::kServed) {
+    this->LearnWork(aRequest, aResult, aLoad);
+  }
   this->upstreams.OnAttemptEnded(aRequest.upstream, aRequest.sentAt,
                                  aRequest.requestsAhead, aResult, aLoad, now,
                                  this->WorkOf(aRequest));
@@ -722,13 +722,28 @@
     return;
   }
   const state::ServiceName service = aRequest->service;
-  this->hooks.cancel(aRequest->number);
-  ++aRequest->mayHaveRunAt;
-  this->EndAttempt(*aRequest, AttemptResult::kAbandoned, {}, "deadline");
-  this->Finish(aRequest, { {}, ErrorKind::kUpstreamTimeout, {} });
+  if (this->CancelAttempt(*aRequest, "deadline") ||
+      aRequest->mayHaveRunAt > 0) {
+    this->Finish(aRequest, { {}, ErrorKind::kUpstreamTimeout, {} });
+  } else {
+    this->Refuse(aRequest, ErrorKind::kUpstreamUnreachable);
+  }
   this->SendWaiting(service);
 }
 
+// An attempt that still waits for a connection has certainly not run. That it
+// waited so long counts against the upstream, but is no measure of its route.
+bool Dispatcher::CancelAttempt(Request& aRequest, std::string_view aResultName)
+{
+  const bool mayHaveRun = this->hooks.cancel(aRequest.number);
+  if (mayHaveRun) {
+    ++aRequest.mayHaveRunAt;
+    this->LearnWork(aRequest, AttemptResult::kAbandoned, {});
+  }
+  this->EndAttempt(aRequest, AttemptResult::kAbandoned, {}, aResultName);
+  return mayHaveRun;
+}
+
 void Dispatcher::EndAllRequests()
 {
   this->isAccepting = false;
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -91,6 +91,8 @@
   CPPUNIT_TEST(testReplacedUpstreamIsRemoved);
   CPPUNIT_TEST(testStoppingHostRefusesNewRequests);
   CPPUNIT_TEST(testEndAllRequestsGivesEachAFinalResponse);
+  CPPUNIT_TEST(testRequestThatWaitedForAConnectionHasNotRun);
+  CPPUNIT_TEST(testWaitForAConnectionDoesNotHideAnEarlierRun);
   CPPUNIT_TEST(testDownloadStaysLocal);
   CPPUNIT_TEST(testDownloadWaitsForLocalSlot);
   CPPUNIT_TEST(testLocalUpstreamIsAlwaysConsidered);
@@ -116,6 +118,7 @@
     this->attempts.clear();
     this->retryCount = 0;
     this->cancelled.clear();
+    this->isSentOnCancel = true;
     this->crashReports.clear();
     this->responses.clear();
     this->owner = KeyOwner{ { "s0" }, milliseconds(0) };
@@ -616,6 +619,39 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->cancelled.size());
   }
 
+  // Guards against telling a caller that its request may have run, and so must
+  // not be sent again, while it has waited for a connection all the time.
+  void testRequestThatWaitedForAConnectionHasNotRun()
+  {
+    this->isSentOnCancel = false;
+    const auto book = this->StartRequest("/book/1");
+    this->now += milliseconds(1195);
+    this->dispatcher->OnTimer();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->cancelled.size());
+    CPPUNIT_ASSERT(this->responses.at(book).error ==
+                   ErrorKind::kUpstreamUnreachable);
+    CPPUNIT_ASSERT(this->OutcomeOf(book) == Outcome::kNotRun);
+    CPPUNIT_ASSERT(this->responses.at(book).retryAfter.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, this->dispatcher->RunningCount());
+    const auto stopped = this->StartRequest("/book/2");
+    this->dispatcher->EndAllRequests();
+    CPPUNIT_ASSERT(this->OutcomeOf(stopped) == Outcome::kNotRun);
+  }
+
+  // Guards against "not run" where an earlier attempt may have run.
+  void testWaitForAConnectionDoesNotHideAnEarlierRun()
+  {
+    this->isSentOnCancel = false;
+    const auto look = this->StartRequest("/look/1");
+    this->dispatcher->OnSendFailed(look, TransportError::kBroken);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->attempts.size());
+    this->now += milliseconds(1195);
+    this->dispatcher->OnTimer();
+    CPPUNIT_ASSERT(this->responses.at(look).error ==
+                   ErrorKind::kUpstreamTimeout);
+    CPPUNIT_ASSERT(this->OutcomeOf(look) == Outcome::kUnknown);
+  }
+
   // Traffic between data centres is charged: a large response comes from a
   // local upstream while one has capacity, a small one from wherever it is
   // fastest.
@@ -1059,6 +1095,7 @@
     };
     hooks.cancel = [this](RequestNumber aNumber) {
       this->cancelled.push_back(aNumber);
+      return this->isSentOnCancel;
     };
     hooks.findOwner = [this](const state::ServiceName&, Key) {
       return this->owner;
@@ -1187,6 +1224,8 @@
   KeyOwner owner;
   std::vector<UpstreamRequest> attempts;
   std::vector<RequestNumber> cancelled;
+  // Whether a cancelled attempt may have been sent.
+  bool isSentOnCancel = true;
   std::vector<CrashReport> crashReports;
   std::map<RequestNumber, CallerResponse> responses;
 };
--- a/src/routing/tests/dispatcheraccess_test.cpp
+++ b/src/routing/tests/dispatcheraccess_test.cpp
@@ -152,7 +152,7 @@
     hooks.send = [this](const UpstreamRequest& aRequest) {
       this->attempts.push_back(aRequest);
     };
-    hooks.cancel = [](RequestNumber) {};
+    hooks.cancel = [](RequestNumber) { return true; };
     hooks.onRequestEnded = [this](const RequestTrace& aTrace) {
       this->traces.push_back(aTrace);
     };
--- a/src/routing/tests/loadsimulation.h
+++ b/src/routing/tests/loadsimulation.h
@@ -349,7 +349,7 @@
         this->OnArrival(upstream, job);
       });
     };
-    hooks.cancel = [](RequestNumber) {};
+    hooks.cancel = [](RequestNumber) { return true; };
     hooks.findOwner = [this](const state::ServiceName&, Key aKey) {
       auto owner = this->upstreams.begin();
       std::advance(owner, aKey % this->upstreams.size());
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -80,8 +80,9 @@
               std::chrono::milliseconds aTimeout, Done aDone);
 
   // Closes the call's connection; its aDone gets kCancelled. Nothing happens
-  // where the call is over.
-  void Cancel(CallId aCall);
+  // where the call is over. Returns whether any byte of the request may have
+  // been sent; false only where it is certain that none was or will be.
+  bool Cancel(CallId aCall);
 
 private:
   class State;
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -173,17 +173,20 @@
     return call;
   }
 
-  void Cancel(CallId aCall)
+  // A call has its connection here from before its first byte is sent, and one
+  // that is not here any more sends none.
+  bool Cancel(CallId aCall)
   {
     const auto found = this->running.find(aCall);
     if (found == this->running.end()) {
-      return;
+      return true;
     }
     const ConnectionPtr connection = found->second;
     this->running.erase(found);
     if (connection) {
       connection->stream.cancel();
     }
+    return connection != nullptr;
   }
 
 private:
@@ -548,9 +551,9 @@
                             std::move(aDone));
 }
 
-void HttpClient::Cancel(CallId aCall)
+bool HttpClient::Cancel(CallId aCall)
 {
-  this->state->Cancel(aCall);
+  return this->state->Cancel(aCall);
 }
 
 } // namespace kumquat::transport
--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -149,6 +149,7 @@
   CPPUNIT_TEST(testAnswerOfAnotherIsNotTaken);
   CPPUNIT_TEST(testConnectionThatWentSilentAtRestIsNotUsedAgain);
   CPPUNIT_TEST(testRequestThatIsNoLongerValidIsNotSent);
+  CPPUNIT_TEST(testCancelTellsWhetherAnythingMayHaveBeenSent);
   CPPUNIT_TEST(testExtraAnswerIsNotTakenForThatOfALaterRequest);
   CPPUNIT_TEST_SUITE_END();
 
@@ -466,6 +467,50 @@
     CPPUNIT_ASSERT(Call(*this->thread, *this->client, {}).has_value());
   }
 
+  // Guards against "not run" for a request that an upstream has got.
+  void testCancelTellsWhetherAnythingMayHaveBeenSent()
+  {
+    std::atomic<int> ran{ 0 };
+    this->answer = [&ran](const HttpRequest&) {
+      ++ran;
+      return HttpResponse{};
+    };
+    HttpClient::CallId call = 0;
+    std::promise<bool> waiting;
+    std::promise<Result<HttpResponse>> ended;
+    this->thread->Post([&] {
+      call = this->client->Send(kAddress, {}, std::chrono::milliseconds(1000),
+                                [&ended](Result<HttpResponse> aResult) {
+                                  ended.set_value(std::move(aResult));
+                                });
+      waiting.set_value(this->client->Cancel(call));
+    });
+    CPPUNIT_ASSERT(!waiting.get_future().get());
+    CPPUNIT_ASSERT(ended.get_future().get().error() ==
+                   TransportError::kCancelled);
+    CPPUNIT_ASSERT(Call(*this->thread, *this->client, {}).has_value());
+    CPPUNIT_ASSERT_EQUAL(1, ran.load());
+    // The server has the next one, and answers it all the same.
+    std::promise<bool> held;
+    this->respond = [&](const HttpRequest&,
+                        const HttpServer::Respond& aRespond) {
+      held.set_value(this->client->Cancel(call));
+      aRespond(HttpResponse{});
+    };
+    std::promise<void> over;
+    this->thread->Post([&] {
+      call = this->client->Send(
+        kAddress, {}, std::chrono::milliseconds(1000),
+        [&over](const Result<HttpResponse>&) { over.set_value(); });
+    });
+    CPPUNIT_ASSERT(held.get_future().get());
+    over.get_future().wait();
+    // Nothing is known any more of a call that is over.
+    std::promise<bool> again;
+    this->thread->Post([&] { again.set_value(this->client->Cancel(call)); });
+    CPPUNIT_ASSERT(again.get_future().get());
+  }
+
   void testAnswerOfAnotherIsNotTaken()
   {
     this->answer = [](const HttpRequest&) {
