--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -20,6 +20,7 @@
 #include "routing/upstreams.h"
 #include "routing/upstreamsignals.h"
 #include "routing/waiting.h"
+#include "routing/worktimes.h"
 #include "transport/http.h"
 
 #include <chrono>
@@ -162,7 +163,8 @@
     // OnSendFailed, unless it is cancelled.
     std::function<void(const UpstreamRequest&)> send;
     // Closes the connection of a running attempt; no response comes after it.
-    std::function<void(RequestNumber)> cancel;
+    // Returns whether any byte of the request may have been sent.
+    std::function<bool(RequestNumber)> cancel;
     // Returns the owner of a key.
     std::function<KeyOwner(const state::ServiceName&, Key)> findOwner;
     // Called when an upstream states that it does not own the key.
@@ -230,6 +232,10 @@
   // shares.
   void OnSharedRest(const UpstreamRest& aRest);
 
+  // The work of the routes. The owner of the dispatcher passes on what peers
+  // have measured.
+  WorkTimes& Works() { return this->works; }
+
   // Refuses requests that arrive from now on. The host is about to stop, and
   // such a request could be cut off halfway; refused now, it has certainly not
   // run.
@@ -261,8 +267,6 @@
   std::size_t WaitingCount() const;
   // Number of waiting requests for each upstream that owns their keys.
   std::map<state::UpstreamId, int> WaitingByOwner() const;
-  // Of these, those for one upstream.
-  int WaitingFor(const state::UpstreamId& aOwner) const;
   // Number of attempts that are running.
   std::size_t RunningCount() const { return this->runningCount; }
   // Attempts started plus attempts ended, since the start.
@@ -277,6 +281,13 @@
   double MaxExtraRetries() const;
   const state::ServiceName& ChooseService(const Route& aRoute);
   double TypicalMs(const state::ServiceName& aName);
+  double WorkOf(const Request& aRequest) const;
+  // Learns the work of the request's route from an attempt that ends. Of one
+  // that is abandoned it must be known that it may have run.
+  void LearnWork(const Request& aRequest, AttemptResult aResult,
+                 const std::optional<UpstreamLoad>& aLoad);
+  // The requests that wait here for the owner of a key, by their work.
+  double WorkWaitingFor(const state::UpstreamId& aOwner) const;
   bool IsOwnerOverloaded(const Request& aRequest) const;
   void UpdateRouteBytes(const Request& aRequest, std::size_t aResponseBytes);
   bool IsKeyed(const Request& aRequest) const;
@@ -343,6 +354,8 @@
   // to it.
   void Finish(const RequestPtr& aRequest, CallerResponse aResponse);
   void OnDeadline(const RequestPtr& aRequest);
+  // Cancels the running attempt. Returns whether it may have run.
+  bool CancelAttempt(Request& aRequest, std::string_view aResultName);
 
   const DispatcherOptions options;
   Upstreams& upstreams;
@@ -356,6 +369,7 @@
   OwnerWindows ownerWindows;
   CrashSuspects suspects;
   UpstreamSignals signals;
+  WorkTimes works;
   // Reachable hosts of this host's cell, and of all cells; itself included.
   std::size_t cellHostCount = 1;
   std::size_t hostCount = 1;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -92,6 +92,7 @@
 void Dispatcher::SetRoutes(std::shared_ptr<const RouteTable> aRoutes)
 {
   this->routes = std::move(aRoutes);
+  this->works.SetConfiguration(this->routes->CurrentConfiguration());
   std::erase_if(this->currentWeights, [this](const auto& aItem) {
     return std::ranges::none_of(
       this->routes->CurrentConfiguration().routes,
@@ -201,7 +202,7 @@
   request->service = this->ChooseService(route);
   request->waiting = { request->caller.teamPriority.value_or(route.priority),
                        arrived, arrived + route.targetLatency,
-                       arrived + timeout };
+                       arrived + timeout, this->WorkOf(*request) };
   this->requests.emplace(request->number, request);
   request->deadline =
     this->deadlines.emplace(request->waiting.deadline, request->number);
@@ -313,7 +314,8 @@
   upstreamRequest.callerTimeout =
     std::max(milliseconds(1),
              ToMs(aRequest->waiting.arrived + aRequest->caller.timeout - now));
-  this->upstreams.OnSent(aUpstream.entry.id, now);
+  aRequest->waiting.work = this->WorkOf(*aRequest);
+  this->upstreams.OnSent(aUpstream.entry.id, now, aRequest->waiting.work);
   aRequest->isSuspectOnTrial =
     !this->suspects.IsEmpty() && this->suspects.OnSent(ContentOf(*aRequest));
   this->hooks.send(upstreamRequest);
@@ -359,6 +361,7 @@
   order.reserve(service.waiting.size());
   std::ranges::transform(
     service.waiting, std::back_inserter(order), [&](const RequestPtr& aOne) {
+      aOne->waiting.work = this->WorkOf(*aOne);
       return std::pair(RankOf(aOne->waiting, now, typicalMs), aOne);
     });
   std::ranges::stable_sort(
@@ -412,9 +415,7 @@
     if (!IsIdempotent(request->route->kind)) {
       return;
     }
-    ++request->mayHaveRunAt;
-    this->hooks.cancel(aNumber);
-    this->EndAttempt(*request, AttemptResult::kAbandoned, {}, "caller-gone");
+    static_cast<void>(this->CancelAttempt(*request, "caller-gone"));
   } else {
     this->Unqueue(*request);
   }
@@ -427,8 +428,15 @@
                             std::string_view aResultName)
 {
   const TimePoint now = this->hooks.now();
+  if (aResult == AttemptResult::kServed) {
+    this->LearnWork(aRequest, aResult, aLoad);
+  }
   this->upstreams.OnAttemptEnded(aRequest.upstream, aRequest.sentAt,
-                                 aRequest.requestsAhead, aResult, aLoad, now);
+                                 aRequest.requestsAhead, aResult, aLoad, now,
+                                 this->WorkOf(aRequest));
+  this->upstreams.ScaleServiceMs(aRequest.service,
+                                 this->works.TakeFactor(aRequest.service));
+  aRequest.waiting.work = this->WorkOf(aRequest);
   aRequest.isRunning = false;
   if (this->sharedServices.contains(aRequest.service) &&
       this->IsKeyed(aRequest)) {
@@ -758,13 +766,28 @@
     return;
   }
   const state::ServiceName service = aRequest->service;
-  this->hooks.cancel(aRequest->number);
-  ++aRequest->mayHaveRunAt;
-  this->EndAttempt(*aRequest, AttemptResult::kAbandoned, {}, "deadline");
-  this->Finish(aRequest, { {}, ErrorKind::kUpstreamTimeout, {} });
+  if (this->CancelAttempt(*aRequest, "deadline") ||
+      aRequest->mayHaveRunAt > 0) {
+    this->Finish(aRequest, { {}, ErrorKind::kUpstreamTimeout, {} });
+  } else {
+    this->Refuse(aRequest, ErrorKind::kUpstreamUnreachable);
+  }
   this->SendWaiting(service);
 }
 
+// An attempt that still waits for a connection has certainly not run. That it
+// waited so long counts against the upstream, but is no measure of its route.
+bool Dispatcher::CancelAttempt(Request& aRequest, std::string_view aResultName)
+{
+  const bool mayHaveRun = this->hooks.cancel(aRequest.number);
+  if (mayHaveRun) {
+    ++aRequest.mayHaveRunAt;
+    this->LearnWork(aRequest, AttemptResult::kAbandoned, {});
+  }
+  this->EndAttempt(aRequest, AttemptResult::kAbandoned, {}, aResultName);
+  return mayHaveRun;
+}
+
 void Dispatcher::EndAllRequests()
 {
   this->isAccepting = false;
