Pace of upstreams that start or recover

A cold upstream got a fixed rate and then all its slots in one step, and one that was ejected one request at a time and then all of them. Hosts that restarted while it was cold took the whole of its rate.

UpstreamPace raises the requests in flight by answers in the warm time, holds them for slow ones and halves them for refusals; hosts share the rate among all hosts of the table. Switched on by pace_starting_upstreams.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -58,6 +58,9 @@
   kUpstreamResting = 3017,
   kUpstreamSignalMalformed = 3018,
   kUpstreamSaysLeaving = 3019,
+  kUpstreamPaced = 3020,
+  kUpstreamPaceCut = 3021,
+  kUpstreamPaceEnded = 3022,
 
   kSliceMoved = 4001,
   kGrantLapsed = 4002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -94,6 +94,14 @@
               "an upstream says something that cannot be read; it is ignored" },
   EventEntry{ Event::kUpstreamSaysLeaving, "upstream-says-leaving", kInfo,
               "an upstream says that it leaves, and its entry did not" },
+  EventEntry{
+    Event::kUpstreamPaced, "upstream-paced", kInfo,
+    "an upstream starts or recovers and gets its requests at a pace" },
+  EventEntry{ Event::kUpstreamPaceCut, "upstream-pace-cut", kWarn,
+              "an upstream has refused or failed at its pace, which was "
+              "halved" },
+  EventEntry{ Event::kUpstreamPaceEnded, "upstream-pace-ended", kInfo,
+              "all slots of an upstream that was paced may be used" },
 
   EventEntry{ Event::kSliceMoved, "slice-moved", kInfo,
               "the owner of a slice has changed" },
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -130,9 +130,12 @@
     this->self, this->settings.maxLease, this->upstreams, this->peers,
     this->KeyedServicesHooks());
   this->dispatcher = std::make_unique<routing::Dispatcher>(
-    routing::DispatcherOptions{ this->settings.host, this->settings.dataCentre,
-                                this->settings.resendShare,
-                                this->settings.resendExtra, RandomSeed() },
+    routing::DispatcherOptions{
+      this->settings.host, this->settings.dataCentre,
+      this->settings.resendShare, this->settings.resendExtra, RandomSeed(),
+      this->settings.pacesStartingUpstreams,
+      this->settings.isFirstStart ? std::chrono::milliseconds(0)
+                                  : routing::kPaceHold },
     this->upstreams, this->DispatcherHooks());
   this->replication = std::make_unique<TableReplication>(
     this->topology, this->peers, this->connectedPeers,
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -123,6 +123,7 @@
   // Upstreams may be used no more, or again.
   void OnUsableUpstreamsChanged();
   void OnRest(const routing::UpstreamRest& aRest);
+  void OnPaceChanged(const routing::PaceNotice& aNotice);
   // A rest that the upstream has asked a peer for.
   void OnPeerRest(const routing::UpstreamRest& aRest);
   // Whether this host reaches the upstream through peers, or peers reach it
--- a/src/node/internal/gatewaynotices.cpp
+++ b/src/node/internal/gatewaynotices.cpp
@@ -254,6 +254,22 @@
   this->SendNotices(std::move(notices));
 }
 
+void Gateway::Impl::OnPaceChanged(const routing::PaceNotice& aNotice)
+{
+  const routing::PaceChange change = aNotice.change.change;
+  const Event event =
+    change == routing::PaceChange::kSet   ? Event::kUpstreamPaced
+    : change == routing::PaceChange::kCut ? Event::kUpstreamPaceCut
+                                          : Event::kUpstreamPaceEnded;
+  this->log.Write(
+    event, { { "upstream", aNotice.upstream.value },
+             { "start", routing::PaceStartName(aNotice.start) },
+             { "why", routing::PaceReasonName(aNotice.change.reason) },
+             { "per_1000_s", static_cast<std::int64_t>(
+                               std::llround(aNotice.perSecond * kKilo)) },
+             { "slots", std::int64_t{ aNotice.slots } } });
+}
+
 // All hosts are told, as the keys of the upstream may be assigned by any, and
 // the store may be silent.
 void Gateway::Impl::OnSaidLeaving(const state::UpstreamId& aId,
--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -326,6 +326,7 @@
     this->peerTraffic.OnTimer();
     this->dispatcher->Suspects().RemoveOld();
     this->dispatcher->Signals().RemoveOld();
+    this->dispatcher->Paces().RemoveOld();
   }
   this->dispatcher->OnTimer();
   this->ScheduleDispatcher();
@@ -348,6 +349,9 @@
     return;
   }
   this->dispatcherHosts = std::move(hosts);
+  const std::set<state::HostId>& members = this->topology.Cells().Members();
+  this->dispatcher->SetKnownHosts({ members.begin(), members.end() },
+                                  this->topology.AllHosts());
   this->dispatcher->SetHosts(aLiveMembers,
                              this->topology.Cells().IsDivided()
                                ? this->topology.AllHosts()
--- a/src/node/internal/gatewayrequests.cpp
+++ b/src/node/internal/gatewayrequests.cpp
@@ -83,6 +83,9 @@
   hooks.onLimitChanged = [this](const routing::UpstreamLimit& aLimit) {
     this->OnLimitChanged(aLimit);
   };
+  hooks.onPaceChanged = [this](const routing::PaceNotice& aNotice) {
+    this->OnPaceChanged(aNotice);
+  };
   hooks.onRest = [this](const routing::UpstreamRest& aRest) {
     this->OnRest(aRest);
   };
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -111,7 +111,7 @@
       outOfService.insert(*dataCentre);
     }
   }
-  this->upstreams.SetOutOfService(std::move(outOfService));
+  this->upstreams.SetOutOfService(std::move(outOfService), BootTime());
   const auto row = replica.rows.find(std::string(platform::kConfigurationKey));
   if (row != replica.rows.end()) {
     this->ApplyConfiguration(row->second);
@@ -288,6 +288,9 @@
   set("kumquat_resting_upstreams",
       "Upstreams that have asked this host for a rest that has not ended.",
       static_cast<std::int64_t>(this->dispatcher->Signals().Rests().Count()));
+  set("kumquat_paced_upstreams",
+      "Upstreams that start or recover and get their requests at a pace.",
+      static_cast<std::int64_t>(this->dispatcher->Paces().Count()));
   set("kumquat_peers",
       "Members of this host's cell heard within the last second.",
       static_cast<std::int64_t>(this->peers.LiveCellMembers().size()));
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -15,6 +15,7 @@
 #include "routing/configuration.h"
 #include "routing/crashsuspects.h"
 #include "routing/placement.h"
+#include "routing/upstreampace.h"
 #include "routing/upstreamratelimiter.h"
 #include "routing/upstreams.h"
 #include "routing/upstreamsignals.h"
@@ -136,6 +137,9 @@
   Duration unchangedFor{ 0 };
 };
 
+// The cold rate holds for each second.
+inline constexpr std::chrono::milliseconds kPaceHold{ 1000 };
+
 struct DispatcherOptions
 {
   state::HostId host;
@@ -146,6 +150,12 @@
   double resendExtra = 20;
   // Random; see RequestFingerprint.
   std::uint64_t fingerprintKey = 0;
+  // Whether upstreams that start or recover are paced; see UpstreamPaces. Holds
+  // for services that name a cold rate.
+  bool pacesStartingUpstreams = false;
+  // For so long after its start a host sends nothing to upstreams that are
+  // paced: what its previous process sent there is not known.
+  std::chrono::milliseconds paceHold = kPaceHold;
 };
 
 class Dispatcher
@@ -189,6 +199,8 @@
     // Called when an upstream says something that cannot be read, which is
     // ignored. May be empty.
     std::function<void(const state::UpstreamId&, SignalKind)> onMalformedSignal;
+    // Called when a pace is set, cut or ended. May be empty.
+    std::function<void(const PaceNotice&)> onPaceChanged;
   };
 
   using Respond = std::function<void(CallerResponse)>;
@@ -206,6 +218,13 @@
                 const std::vector<state::HostId>& aAll,
                 bool aAreAllKnown = true);
 
+  // Sets the hosts of this host's cell, and those of all cells, whether they
+  // can be reached or not. They share the rate of upstreams that are paced: one
+  // that cannot be reached may go on sending. Without it, the hosts that are
+  // reachable are taken.
+  void SetKnownHosts(const std::vector<state::HostId>& aCell,
+                     const std::vector<state::HostId>& aAll);
+
   // Requests under which upstreams have ended. The owner of the dispatcher
   // passes on what peers say of them, and sets how many peers are heard.
   CrashSuspects& Suspects() { return this->suspects; }
@@ -213,6 +232,7 @@
   // What the upstreams say of themselves. The owner of the dispatcher passes on
   // what peers have heard.
   UpstreamSignals& Signals() { return this->signals; }
+  UpstreamPaces& Paces() { return this->paces; }
   // The incarnation of an upstream that started then has said to this host that
   // it leaves.
   void OnSaidLeaving(const state::UpstreamId& aId, std::int64_t aStartedMs);
@@ -279,7 +299,8 @@
   const UpstreamState* ChooseInOtherCells(const Request& aRequest,
                                           const PlacementContext& aContext);
   const UpstreamState* ChooseAmongDrawn(
-    const std::vector<UpstreamState*>& aFrom, const PlacementContext& aContext);
+    const Request& aRequest, const std::vector<UpstreamState*>& aFrom,
+    const PlacementContext& aContext);
   PlacementContext MakeContext(const Request& aRequest);
   // Whether what the upstream has said, and its being cold, leave it open to
   // the request.
@@ -293,6 +314,11 @@
   Duration ReturnDelay(const UpstreamState& aOne, Duration aRest);
   bool IsWithinColdRate(const Request& aRequest,
                         const UpstreamState& aOne) const;
+  // As IsWithinColdRate, where upstreams that start are paced.
+  bool IsWithinPace(const Request& aRequest, const Service& aService,
+                    const UpstreamState& aOne) const;
+  void UpdatePace(const Request& aRequest, UpstreamState& aOne,
+                  bool aIsNewOwner = false);
   bool IsWithinLimit(const Request& aRequest, const UpstreamState& aOne) const;
   // The rate that the upstream names, if any.
   std::optional<SharedRate> LimitOf(const UpstreamState& aOne) const;
@@ -335,8 +361,14 @@
   UpstreamRateLimiter cellRateLimiter;
   // A cold owner of keys gets requests from all cells.
   UpstreamRateLimiter ownerRateLimiter;
+  // Of the hosts that are known, for upstreams that are paced.
+  UpstreamRateLimiter cellPaceLimiter;
+  UpstreamRateLimiter ownerPaceLimiter;
+  bool areKnownHostsSet = false;
+  const TimePoint startedAt;
   CrashSuspects suspects;
   UpstreamSignals signals;
+  UpstreamPaces paces;
   // Reachable hosts of this host's cell, and of all cells; itself included.
   std::size_t cellHostCount = 1;
   std::size_t hostCount = 1;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -82,8 +82,12 @@
   , routes(std::make_shared<RouteTable>())
   , cellRateLimiter(this->options.host)
   , ownerRateLimiter(this->options.host)
+  , cellPaceLimiter(this->options.host)
+  , ownerPaceLimiter(this->options.host)
+  , startedAt(this->hooks.now())
   , suspects(this->options.host, this->hooks.now, this->options.fingerprintKey)
   , signals(this->hooks.now)
+  , paces(this->upstreams, this->hooks.now)
 {
 }
 
@@ -109,12 +113,24 @@
   this->upstreams.SetHostCount(this->hostCount);
   this->cellRateLimiter.SetHosts(aCell);
   this->ownerRateLimiter.SetHosts(aAll);
+  if (!this->areKnownHostsSet) {
+    this->cellPaceLimiter.SetHosts(aCell);
+    this->ownerPaceLimiter.SetHosts(aAll);
+  }
   this->suspects.SetHosts(aAll);
   for (const auto& [name, service] : this->services) {
     service->budget.SetMostTokens(this->MaxExtraRetries());
   }
 }
 
+void Dispatcher::SetKnownHosts(const std::vector<state::HostId>& aCell,
+                               const std::vector<state::HostId>& aAll)
+{
+  this->areKnownHostsSet = true;
+  this->cellPaceLimiter.SetHosts(aCell);
+  this->ownerPaceLimiter.SetHosts(aAll);
+}
+
 // This host's part of the retries that all hosts may make beside the share. A
 // host that has just started has received no digests yet, and must not take the
 // whole.
@@ -285,6 +301,11 @@
       this->IsKeyed(*aRequest) ? this->ownerRateLimiter : this->cellRateLimiter;
     limiter.OnSent(aUpstream.entry.id, now);
   }
+  // Also where it is not paced: it may be found to be cold a moment later.
+  if (this->options.pacesStartingUpstreams) {
+    (this->IsKeyed(*aRequest) ? this->ownerPaceLimiter : this->cellPaceLimiter)
+      .OnSent(aUpstream.entry.id, now);
+  }
   UpstreamRequest upstreamRequest;
   upstreamRequest.number = aRequest->number;
   upstreamRequest.upstream = aUpstream.entry.id;
--- a/src/routing/internal/dispatcherchoice.cpp
+++ b/src/routing/internal/dispatcherchoice.cpp
@@ -177,19 +177,62 @@
 bool Dispatcher::IsWithinColdRate(const Request& aRequest,
                                   const UpstreamState& aOne) const
 {
-  const TimePoint now = this->hooks.now();
-  if (aOne.coldUntil <= now) {
-    return true;
-  }
   const Service* service = aRequest.routes->FindService(aRequest.service);
   if (service == nullptr) {
     return true;
   }
+  if (this->options.pacesStartingUpstreams && service->coldPerSecond > 0) {
+    return this->IsWithinPace(aRequest, *service, aOne);
+  }
+  const TimePoint now = this->hooks.now();
+  if (aOne.coldUntil <= now) {
+    return true;
+  }
   const double part = this->IsKeyed(aRequest) ? 1 : aOne.cellPart;
   return this->LimiterFor(aRequest).MaySend(
     aOne.entry.id, ColdRate(service->coldPerSecond * part), now);
 }
 
+bool Dispatcher::IsWithinPace(const Request& aRequest, const Service& aService,
+                              const UpstreamState& aOne) const
+{
+  const std::optional<double> factor = this->paces.RateFactorOf(aOne.entry.id);
+  if (!factor) {
+    return true;
+  }
+  const TimePoint now = this->hooks.now();
+  if (!this->areAllHostsKnown ||
+      now - this->startedAt < this->options.paceHold) {
+    return false;
+  }
+  const bool isKeyed = this->IsKeyed(aRequest);
+  const double part = isKeyed ? 1 : aOne.cellPart;
+  const UpstreamRateLimiter& limiter =
+    isKeyed ? this->ownerPaceLimiter : this->cellPaceLimiter;
+  return limiter.MaySend(
+    aOne.entry.id, PaceRate(*factor * aService.coldPerSecond * part), now);
+}
+
+void Dispatcher::UpdatePace(const Request& aRequest, UpstreamState& aOne,
+                            bool aIsNewOwner)
+{
+  const Service* service = aRequest.routes->FindService(aRequest.service);
+  if (!this->options.pacesStartingUpstreams || service == nullptr ||
+      service->coldPerSecond <= 0) {
+    return;
+  }
+  const double knownPart = this->IsKeyed(aRequest)
+                             ? static_cast<double>(this->cellHostCount) /
+                                 static_cast<double>(this->hostCount)
+                             : aOne.cellPart;
+  const auto notice =
+    this->paces.Update(aOne, { this->hooks.now(), service->coldPerSecond,
+                               knownPart, aIsNewOwner });
+  if (notice && this->hooks.onPaceChanged) {
+    this->hooks.onPaceChanged(*notice);
+  }
+}
+
 std::optional<SharedRate> Dispatcher::LimitOf(const UpstreamState& aOne) const
 {
   const std::optional<double> perSecond =
@@ -280,6 +323,9 @@
   }
   std::vector<UpstreamState*> candidates =
     this->upstreams.ForService(aRequest.service).inCell;
+  for (UpstreamState* one : candidates) {
+    this->UpdatePace(aRequest, *one);
+  }
   std::erase_if(candidates, [&](const UpstreamState* aOne) {
     return !this->IsOpen(aRequest, *aOne);
   });
@@ -295,8 +341,13 @@
 
 const UpstreamState* Dispatcher::ChooseOwner(const Request& aRequest)
 {
-  const UpstreamState* one = this->upstreams.Find(
-    this->hooks.findOwner(aRequest.service, *aRequest.caller.key).upstream);
+  constexpr std::chrono::seconds kNewOwnerFor{ 1 };
+  const KeyOwner owner =
+    this->hooks.findOwner(aRequest.service, *aRequest.caller.key);
+  UpstreamState* one = this->upstreams.Find(owner.upstream);
+  if (one != nullptr && this->upstreams.IsUsable(*one)) {
+    this->UpdatePace(aRequest, *one, owner.unchangedFor < kNewOwnerFor);
+  }
   return one != nullptr && this->upstreams.IsUsable(*one) &&
              HasCapacity(*one, this->hooks.now()) &&
              this->IsOpen(aRequest, *one)
@@ -335,21 +386,25 @@
     others, this->options.dataCentre, {},
     [](const UpstreamState* aOne) { return aOne->entry.dataCentre; });
   const UpstreamState* found = this->ChooseAmongDrawn(
-    std::vector<UpstreamState*>(local.begin(), local.end()), aContext);
+    aRequest, std::vector<UpstreamState*>(local.begin(), local.end()),
+    aContext);
   if (found != nullptr || this->ShouldStayLocal(aRequest, aContext)) {
     return found;
   }
-  return this->ChooseAmongDrawn(others, aContext);
+  return this->ChooseAmongDrawn(aRequest, others, aContext);
 }
 
 const UpstreamState* Dispatcher::ChooseAmongDrawn(
-  const std::vector<UpstreamState*>& aFrom, const PlacementContext& aContext)
+  const Request& aRequest, const std::vector<UpstreamState*>& aFrom,
+  const PlacementContext& aContext)
 {
   constexpr std::size_t kDrawn = 6;
   std::vector<UpstreamState*> candidates;
   for (std::size_t i = 0; i < std::min(kDrawn, aFrom.size()); ++i) {
     UpstreamState* one = aFrom[this->hooks.random(aFrom.size())];
-    if (one->coldUntil <= aContext.now && !this->LimitOf(*one) &&
+    this->UpdatePace(aRequest, *one);
+    if (one->coldUntil <= aContext.now && !this->paces.IsPaced(one->entry.id) &&
+        !this->LimitOf(*one) &&
         this->signals.Rests().Allows(one->entry.id, one->running.size())) {
       candidates.push_back(one);
     }
--- a/src/routing/internal/placement.cpp
+++ b/src/routing/internal/placement.cpp
@@ -77,7 +77,10 @@
   if (IsProbing(aUpstream)) {
     return aUpstream.running.empty();
   }
-  return aUpstream.Outstanding() < aUpstream.entry.slots + kRequestsAhead;
+  const int slots =
+    std::min(aUpstream.entry.slots,
+             aUpstream.pacedSlots.value_or(aUpstream.entry.slots));
+  return aUpstream.Outstanding() < slots + kRequestsAhead;
 }
 
 const UpstreamState* ChooseUpstream(
--- a/src/routing/internal/upstreamratelimiter.cpp
+++ b/src/routing/internal/upstreamratelimiter.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace kumquat::routing {
@@ -27,6 +28,12 @@
   return { aPerSecond, static_cast<std::size_t>(std::max(1.0, aPerSecond)) };
 }
 
+SharedRate PaceRate(double aPerSecond)
+{
+  return { aPerSecond,
+           static_cast<std::size_t>(std::max(1.0, std::ceil(aPerSecond))) };
+}
+
 SharedRate LimitRate(double aPerSecond)
 {
   constexpr std::size_t kExtraSenders = 3;
--- a/src/routing/internal/upstreams.cpp
+++ b/src/routing/internal/upstreams.cpp
@@ -251,6 +251,7 @@
     found == this->upstreams.end() ? "" : found->second.entry.address;
   if (newLife) {
     UpstreamState fresh;
+    fresh.knownSince = aNow;
     if (found != this->upstreams.end()) {
       fresh.runningFromPeers = found->second.runningFromPeers;
       fresh.waitingAtPeers = found->second.waitingAtPeers;
@@ -343,9 +344,23 @@
   return !this->expiring.empty();
 }
 
-void Upstreams::SetOutOfService(std::set<state::DataCentre> aOut)
+std::optional<TimePoint> Upstreams::ReturnedAt(
+  const state::DataCentre& aCentre) const
+{
+  const auto found = this->returnedAt.find(aCentre);
+  return found == this->returnedAt.end() ? std::nullopt
+                                         : std::optional(found->second);
+}
+
+void Upstreams::SetOutOfService(std::set<state::DataCentre> aOut,
+                                TimePoint aNow)
 {
   if (aOut != this->outOfService) {
+    for (const state::DataCentre& centre : this->outOfService) {
+      if (!aOut.contains(centre)) {
+        this->returnedAt[centre] = aNow;
+      }
+    }
     this->outOfService = std::move(aOut);
     this->DivideAllAgain();
   }
@@ -485,6 +500,8 @@
     case AttemptResult::kServed:
       UpdateServiceTime(*upstream, OwnServiceMs(*upstream, tookMs, aAhead), 1,
                         aNow);
+      ++upstream->tally.answers;
+      upstream->tally.sumMs += OwnServiceMs(*upstream, tookMs, aAhead);
       ++upstream->unreportedAnswers;
       this->reportable.insert(aId);
       upstream->unreportedSumMs += OwnServiceMs(*upstream, tookMs, aAhead);
@@ -503,6 +520,7 @@
     case AttemptResult::kNotSent:
       return;
     case AttemptResult::kRefused:
+      ++upstream->tally.refusals;
       UpdateAverage(upstream->failureShare, 1, kFailureWeight);
       if (IsFull(aLoad)) {
         ++upstream->consecutiveFullRefusals;
@@ -513,6 +531,7 @@
     case AttemptResult::kUnreachable:
       break;
   }
+  ++upstream->tally.failures;
   UpdateAverage(upstream->failureShare, 1, kFailureWeight);
   ++upstream->consecutiveFailures;
   const int failuresToEject = aResult == AttemptResult::kUnreachable
@@ -549,6 +568,8 @@
     upstream->runningFromPeers += report.running;
     upstream->waitingAtPeers += report.waiting;
     if (report.answers > 0) {
+      upstream->tally.answers += report.answers;
+      upstream->tally.sumMs += report.answers * report.serviceMs;
       UpdateServiceTime(*upstream, report.serviceMs, report.answers, aNow);
     }
   }
--- a/src/routing/tests/cells_test.cpp
+++ b/src/routing/tests/cells_test.cpp
@@ -148,7 +148,7 @@
     for (const CellHost& host : hosts) {
       Upstreams upstreams = UpstreamsOf(90);
       upstreams.SetCellRange(CellsOf(host, hosts).OwnRange());
-      upstreams.SetOutOfService({ { "b" } });
+      upstreams.SetOutOfService({ { "b" } }, TimePoint());
       const std::size_t count = upstreams.ForService({ "pecyn" }).inCell.size();
       least = std::min(least, count);
       most = std::max(most, count);
--- a/src/routing/upstreamratelimiter.h
+++ b/src/routing/upstreamratelimiter.h
@@ -35,6 +35,10 @@
 // within a second without exceeding the rate, at least one.
 SharedRate ColdRate(double aPerSecond);
 
+// As ColdRate, with so many senders that each has one request within any
+// second, where there are as many hosts.
+SharedRate PaceRate(double aPerSecond);
+
 class UpstreamRateLimiter
 {
 public:
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -92,6 +92,17 @@
   int waiting = 0;
 };
 
+// What was seen of an upstream since its entry was first known: answers of this
+// host and its peers with the sum of their own times, and what else this host
+// got. Only grows.
+struct UpstreamTally
+{
+  int answers = 0;
+  double sumMs = 0;
+  int refusals = 0;
+  int failures = 0;
+};
+
 // What this host knows of one upstream.
 struct UpstreamState
 {
@@ -141,6 +152,11 @@
   // one at a time until it serves one.
   TimePoint ejectedUntil;
   std::chrono::milliseconds ejectionTime{ 0 };
+  // When its incarnation was first known here.
+  TimePoint knownSince;
+  UpstreamTally tally;
+  // Of its slots, so many are used while it is paced; see UpstreamPaces.
+  std::optional<int> pacedSlots;
   // When the upstream is removed, as its entry was removed while the store was
   // unavailable; see RemoveEntry.
   std::optional<TimePoint> removeAt;
@@ -205,7 +221,9 @@
   bool HasExpiring() const;
 
   // Sets the data centres that operators took out of service.
-  void SetOutOfService(std::set<state::DataCentre> aOut);
+  void SetOutOfService(std::set<state::DataCentre> aOut, TimePoint aNow);
+  // When the data centre was taken back into service, if that was seen.
+  std::optional<TimePoint> ReturnedAt(const state::DataCentre& aCentre) const;
   // Sets the part of each service's upstreams that this host's cell uses first.
   void SetCellRange(const FractionRange& aRange);
   // Sets the number of hosts that may use one upstream.
@@ -325,6 +343,7 @@
   FractionRange cellRange;
   std::size_t hostCount = 1;
   std::set<state::DataCentre> outOfService;
+  std::map<state::DataCentre, TimePoint> returnedAt;
   std::map<state::HostId, std::unordered_map<std::string, PeerUse>> peers;
 };
 
--- a/src/state/internal/settings.cpp
+++ b/src/state/internal/settings.cpp
@@ -194,6 +194,9 @@
       .value_or(settings.processors);
   settings.isFirstStart =
     fields.Boolean("first_start").value_or(settings.isFirstStart);
+  settings.pacesStartingUpstreams =
+    fields.Boolean("pace_starting_upstreams")
+      .value_or(settings.pacesStartingUpstreams);
   settings.logLevel = ReadLogLevel(fields, settings.logLevel);
   fields.Finish();
   if (reader.HasFaults()) {
@@ -222,6 +225,7 @@
     { "memory_mb", aSettings.memoryBytes >> kMegabyteShift },
     { "processors", aSettings.processors },
     { "first_start", aSettings.isFirstStart },
+    { "pace_starting_upstreams", aSettings.pacesStartingUpstreams },
     { "log_level", aSettings.logLevel },
   };
   return text.dump(2);
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -70,6 +70,9 @@
   double processors = 1;
   // All hosts of the deployment start for the first time, within moments.
   bool isFirstStart = false;
+  // Upstreams that start or recover get their requests at a pace that their
+  // answers decide.
+  bool pacesStartingUpstreams = false;
   std::string logLevel = "info";
 };
 
