Upstreams that come back with their data centre may be cold

While the store is silent no entry says that an upstream is cold. With its data centre taken back into service, an upstream keeps to its cold rate for the longest time that one was cold, and then until an answer comes in time. Paces are changed on the timer too, as a host of hundreds hears of most answers from peers. The warm time is that of the faster answers.

--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -767,6 +767,11 @@
 void Dispatcher::OnTimer()
 {
   const TimePoint now = this->hooks.now();
+  for (const PaceNotice& notice : this->paces.OnTimer()) {
+    if (this->hooks.onPaceChanged) {
+      this->hooks.onPaceChanged(notice);
+    }
+  }
   while (!this->deadlines.empty() &&
          this->deadlines.begin()->first <= now + kResponseMargin) {
     const auto found = this->requests.find(this->deadlines.begin()->second);
--- a/src/routing/internal/upstreampace.cpp
+++ b/src/routing/internal/upstreampace.cpp
@@ -17,7 +17,7 @@
 
 // An answer is in the warm time up to this many times it. A cold upstream takes
 // twice as long, and times vary.
-constexpr double kWarmFactor = 1.5;
+constexpr double kWarmFactor = 1.7;
 // To show that an upstream is not cold takes more: so many answers, none of
 // them slow.
 constexpr double kProofFactor = 1.35;
@@ -28,8 +28,13 @@
 // So long without any answer, or twice the warm time if that is longer, and the
 // pace is raised with time.
 constexpr milliseconds kSilence{ 200 };
-// An upstream of which nothing is heard is not taken for cold any longer.
+// An upstream that answers in time after so long, or of which nothing is heard,
+// is not taken for cold any longer, if none has said that it is cold for
+// longer.
 constexpr seconds kMayBeCold{ 5 };
+// Requests that were sent before an upstream became cold are answered, and
+// reported by peers, within this time.
+constexpr seconds kLateAnswers{ 1 };
 // An upstream that has answered for so long as slowly is as fast as it gets.
 constexpr seconds kPatience{ 10 };
 // The rate is kept to until it is so many times what the slots come to: what
@@ -38,8 +43,12 @@
 // A refusal or failure alone changes nothing; so many within this time do.
 constexpr int kBadToCut = 2;
 constexpr seconds kBadSpan{ 1 };
-// Weight of a new answer in the moving averages.
+// Weight of a new answer in the moving average of slow ones.
 constexpr double kWeight = 0.1;
+// Weights of an answer that is faster, or slower, than the warm time: answers
+// of a busy upstream waited there, which shall not count.
+constexpr double kFasterWeight = 0.2;
+constexpr double kSlowerWeight = 0.01;
 // A host that has just started takes the upstreams that it reads of for known,
 // not for new.
 constexpr seconds kReading{ 5 };
@@ -76,13 +85,19 @@
   return std::ranges::find(aTable, aKey, &Table::value_type::first)->second;
 }
 
-double AverageOf(double aAverage, double aValue, int aCount)
+double AverageOf(double aAverage, double aValue, int aCount, double aWeight)
 {
   return aAverage <= 0 ? aValue
-                       : aAverage + (1 - std::pow(1 - kWeight, aCount)) *
+                       : aAverage + (1 - std::pow(1 - aWeight, aCount)) *
                                       (aValue - aAverage);
 }
 
+double WarmTime(double aKnown, double aValue, int aCount)
+{
+  return AverageOf(aKnown, aValue, aCount,
+                   aValue < aKnown ? kFasterWeight : kSlowerWeight);
+}
+
 bool SaysNothingOfColdness(PaceStart aStart)
 {
   return aStart == PaceStart::kEjected || aStart == PaceStart::kReturned;
@@ -124,6 +139,11 @@
            : 1;
 }
 
+bool UpstreamPace::IsColdTimeOver(TimePoint aNow) const
+{
+  return aNow - this->terms.since >= this->terms.coldTime;
+}
+
 double UpstreamPace::PerSecond() const
 {
   return this->terms.coldPerSecond * this->inFlight / this->LeastInFlight();
@@ -186,7 +206,7 @@
   const bool isKnown = this->terms.warmMs > 0;
   if (isKnown && aMeanMs > kWarmFactor * this->terms.warmMs) {
     this->goodInRow = 0;
-    this->slowMs = AverageOf(this->slowMs, aMeanMs, aCount);
+    this->slowMs = AverageOf(this->slowMs, aMeanMs, aCount, kWeight);
     if (aView.now - this->pacedSince >= kPatience) {
       this->terms.warmMs = this->slowMs;
       this->mayBeCold = false;
@@ -200,7 +220,11 @@
       return;
     }
     this->goodInRow += aCount;
-    this->mayBeCold = this->goodInRow < kProofAnswers;
+    // Those of a whole data centre come back cold, as a rule, and a few answers
+    // are not enough to risk them all.
+    this->mayBeCold = !this->IsColdTimeOver(aView.now) &&
+                      (this->terms.start == PaceStart::kReturned ||
+                       this->goodInRow < kProofAnswers);
     if (this->mayBeCold) {
       return;
     }
@@ -213,12 +237,6 @@
 
 void UpstreamPace::OnSilence(const PaceView& aView)
 {
-  if (this->mayBeCold) {
-    if (aView.now - this->heardAt < kMayBeCold) {
-      return;
-    }
-    this->mayBeCold = false;
-  }
   const auto silence =
     std::max(kSilence, milliseconds(static_cast<int>(2 * this->terms.warmMs)));
   while (aView.now - this->heardAt >= silence &&
@@ -242,15 +260,22 @@
     this->BeginRound(aView.coldUntil);
     return std::nullopt;
   }
-  if (aView.hasNewEntry) {
+  // One that was written before the return may be read after it.
+  if (aView.hasNewEntry && this->terms.start != PaceStart::kReturned) {
     this->mayBeCold = false;
   }
+  if (this->mayBeCold && aView.now - this->terms.since < kLateAnswers) {
+    return std::nullopt;
+  }
   const auto change =
     this->OnBad(aView.tally.refusals - before.refusals,
                 aView.tally.failures - before.failures, aView);
   if (answers > 0) {
     this->OnAnswers(answers, (aView.tally.sumMs - before.sumMs) / answers,
                     aView);
+  } else if (this->mayBeCold) {
+    this->mayBeCold = !this->IsColdTimeOver(aView.now) ||
+                      aView.now - this->heardAt < kLateAnswers;
   } else {
     this->OnSilence(aView);
   }
@@ -261,9 +286,10 @@
   return change;
 }
 
-UpstreamPaces::UpstreamPaces(const Upstreams& aUpstreams, const Clock& aClock)
+UpstreamPaces::UpstreamPaces(Upstreams& aUpstreams, Clock aClock)
   : upstreams(aUpstreams)
-  , startedAt(aClock())
+  , clock(std::move(aClock))
+  , startedAt(this->clock())
 {
 }
 
@@ -307,9 +333,9 @@
   }
   const double meanMs = (aUpstream.tally.sumMs - before.sumMs) / answers;
   aRecord.isMeasured = true;
-  aRecord.warmMs = AverageOf(aRecord.warmMs, meanMs, answers);
-  double& ofService = this->serviceWarmMs[aUpstream.entry.service];
-  ofService = AverageOf(ofService, meanMs, answers);
+  aRecord.warmMs = WarmTime(aRecord.warmMs, meanMs, answers);
+  double& ofService = this->services[aUpstream.entry.service].warmMs;
+  ofService = WarmTime(ofService, meanMs, answers);
 }
 
 std::optional<PaceNotice> UpstreamPaces::Update(UpstreamState& aUpstream,
@@ -327,7 +353,7 @@
     record.pace.reset();
     record.isMeasured = false;
   }
-  record.coldPerSecond = aContext.coldPerSecond;
+  record.context = aContext;
   record.ejectedUntil = std::max(record.ejectedUntil, aUpstream.ejectedUntil);
   record.returnedAt = this->upstreams.ReturnedAt(aUpstream.entry.dataCentre);
   const PaceView view{
@@ -339,14 +365,17 @@
     return PaceNotice{ aUpstream.entry.id, record.pace->Start(), aChange,
                        record.pace->PerSecond(), record.pace->Slots() };
   };
+  ServiceTimes& ofService = this->services[aUpstream.entry.service];
+  ofService.cold = std::max<Duration>(
+    { ofService.cold, aUpstream.entry.coldRemaining, kMayBeCold });
   if (start) {
-    const double warmMs = record.warmMs > 0
-                            ? record.warmMs
-                            : this->serviceWarmMs[aUpstream.entry.service];
     record.pace.emplace(
-      PaceTerms{ start->start, aContext.coldPerSecond, warmMs, start->since },
+      PaceTerms{ start->start, aContext.coldPerSecond,
+                 record.warmMs > 0 ? record.warmMs : ofService.warmMs,
+                 start->since, ofService.cold },
       view);
     record.sequence = aUpstream.entry.sequence;
+    this->paced.insert(aUpstream.entry.id.value);
     aUpstream.pacedSlots = record.pace->Slots();
     return notice({ PaceChange::kSet, PaceReason::kStarted });
   }
@@ -372,6 +401,31 @@
   return changed;
 }
 
+std::vector<PaceNotice> UpstreamPaces::OnTimer()
+{
+  std::vector<PaceNotice> notices;
+  for (auto next = this->paced.begin(); next != this->paced.end();) {
+    const auto id = next++;
+    const auto record = this->records.find(*id);
+    UpstreamState* upstream = this->upstreams.Find({ *id });
+    if (upstream == nullptr || record == this->records.end() ||
+        !record->second.pace) {
+      this->paced.erase(id);
+      continue;
+    }
+    if (!this->upstreams.IsUsable(*upstream)) {
+      continue;
+    }
+    Context context = record->second.context;
+    context.now = this->clock();
+    context.isNewOwner = false;
+    if (const auto notice = this->Update(*upstream, context)) {
+      notices.push_back(*notice);
+    }
+  }
+  return notices;
+}
+
 std::optional<double> UpstreamPaces::RateFactorOf(
   const state::UpstreamId& aId) const
 {
@@ -379,7 +433,7 @@
   return found == this->records.end() || !found->second.pace
            ? std::nullopt
            : std::optional(found->second.pace->PerSecond() /
-                           found->second.coldPerSecond);
+                           found->second.context.coldPerSecond);
 }
 
 std::size_t UpstreamPaces::Count() const
--- a/src/routing/upstreampace.h
+++ b/src/routing/upstreampace.h
@@ -4,7 +4,9 @@
 //   cold       by its entry, at the cold rate   nothing until its cold time
 //   ends new        as one that was cold             answers in its warm time
 //   ejected    may be cold                      six such answers, or its entry
-//   returned   may be cold                      six such answers, or its entry
+//   returned   may be cold                      one such answer after the
+//   longest
+//                                               time that upstreams are cold
 //   new owner  as one that was cold             answers in its warm time
 //
 // A pace is a number of requests in flight, of all hosts together. It is kept
@@ -28,9 +30,11 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace kumquat::routing {
 
@@ -79,6 +83,8 @@
   double warmMs = 0;
   // When it started or recovered, which this host may find out later.
   TimePoint since;
+  // How long it may be cold where nothing says so.
+  Duration coldTime{ 0 };
 };
 
 // What a host sees of an upstream at one time.
@@ -116,6 +122,7 @@
 
 private:
   double LeastInFlight() const;
+  bool IsColdTimeOver(TimePoint aNow) const;
   void BeginRound(TimePoint aNow);
   void Raise(double aBy, const PaceView& aView);
   std::optional<Change> OnBad(int aRefusals, int aFailures,
@@ -170,12 +177,15 @@
     bool isNewOwner = false;
   };
 
-  UpstreamPaces(const Upstreams& aUpstreams, const Clock& aClock);
+  UpstreamPaces(Upstreams& aUpstreams, Clock aClock);
 
   // Begins, changes or ends the pace of an upstream that a request may go to,
   // and sets the slots that may be used there.
   std::optional<PaceNotice> Update(UpstreamState& aUpstream,
                                    const Context& aContext);
+  // Changes the paces by what was heard since; hosts with few requests hear of
+  // answers from peers.
+  std::vector<PaceNotice> OnTimer();
   // From all hosts together, as a multiple of the cold rate; empty if the
   // upstream is not paced.
   std::optional<double> RateFactorOf(const state::UpstreamId& aId) const;
@@ -196,15 +206,22 @@
     TimePoint ejectedUntil;
     std::optional<TimePoint> returnedAt;
     UpstreamTally seen;
-    // Moving average of answers while it was not paced.
+    // What its faster answers took while it was not paced.
     double warmMs = 0;
     // Whether its incarnation has answered while it was not paced, or its pace
     // has ended.
     bool isMeasured = false;
-    double coldPerSecond = 0;
+    Context context;
     std::optional<UpstreamPace> pace;
   };
 
+  struct ServiceTimes
+  {
+    double warmMs = 0;
+    // The longest that an entry has named.
+    Duration cold{ 0 };
+  };
+
   struct Found
   {
     PaceStart start = PaceStart::kCold;
@@ -216,10 +233,13 @@
                                  const Context& aContext) const;
   void Learn(const UpstreamState& aUpstream, Record& aRecord);
 
-  const Upstreams& upstreams;
+  Upstreams& upstreams;
+  const Clock clock;
   const TimePoint startedAt;
   std::unordered_map<std::string, Record> records;
-  std::map<state::ServiceName, double> serviceWarmMs;
+  // The upstreams whose records have a pace, or had one.
+  std::set<std::string> paced;
+  std::map<state::ServiceName, ServiceTimes> services;
 };
 
 } // namespace kumquat::routing
