--- a/src/routing/internal/upstreampace.cpp
+++ b/src/routing/internal/upstreampace.cpp
@@ -363,7 +363,8 @@
   };
   const auto notice = [&](UpstreamPace::Change aChange) {
     return PaceNotice{ aUpstream.entry.id, record.pace->Start(), aChange,
-                       record.pace->PerSecond(), record.pace->Slots() };
+                       record.pace->PerSecond(),
+                       std::min(aUpstream.entry.slots, record.pace->Slots()) };
   };
   ServiceTimes& ofService = this->services[aUpstream.entry.service];
   ofService.cold = std::max<Duration>(
