--- a/src/state/internal/settings.cpp
+++ b/src/state/internal/settings.cpp
@@ -197,6 +197,9 @@
   if (fields.Boolean("proxy_owner_requests").value_or(false)) {
     settings.proxyUse = ProxyUse::kWhereSeldomMet;
   }
+  settings.pacesStartingUpstreams =
+    fields.Boolean("pace_starting_upstreams")
+      .value_or(settings.pacesStartingUpstreams);
   settings.logLevel = ReadLogLevel(fields, settings.logLevel);
   fields.Finish();
   if (reader.HasFaults()) {
@@ -226,6 +229,7 @@
     { "processors", aSettings.processors },
     { "first_start", aSettings.isFirstStart },
     { "proxy_owner_requests", aSettings.proxyUse != ProxyUse::kNever },
+    { "pace_starting_upstreams", aSettings.pacesStartingUpstreams },
     { "log_level", aSettings.logLevel },
   };
   return text.dump(2);
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -81,6 +81,9 @@
   // All hosts of the deployment start for the first time, within moments.
   bool isFirstStart = false;
   ProxyUse proxyUse = ProxyUse::kNever;
+  // Upstreams that start or recover get their requests at a pace that their
+  // answers decide.
+  bool pacesStartingUpstreams = false;
   std::string logLevel = "info";
 };
 
