A stopping host ends what waits before what runs, and sends nothing more

What callers saw: as a host ended all its requests at the end of a planned stop, the end of a running one sent one that waited, which was cancelled at once; its caller heard that it may have run, at-most-once requests too.

Also from the reviews, each small: one response moves a route's work by a bounded part (testWildResponseIsBounded); requests of routes with one attempt are not passed to proxies, as a lost proxy, or a response too large for it, ends them without an answer; a caller that has left is noticed before its request is passed on.

--- a/src/node/internal/gatewayproxies.cpp
+++ b/src/node/internal/gatewayproxies.cpp
@@ -89,7 +89,9 @@
   return this->settings.proxyUse != state::ProxyUse::kNever && !this->isLeaving;
 }
 
-// Requests of other kinds must not run twice, or are large.
+// Requests of other kinds, and of routes with one attempt, must not run twice,
+// and the proxy may be lost with a request that it has sent. Downloads are
+// large.
 const routing::Route* Gateway::Impl::FindProxiedRoute(
   const CallerRequest& aRequest) const
 {
@@ -97,7 +99,7 @@
     this->routes->FindRoute(aRequest.hostName, aRequest.message.target);
   if (route == nullptr || !aRequest.key ||
       route->kind != routing::RouteKind::kIdempotent ||
-      route->destinations.size() != 1) {
+      route->maxAttempts < 2 || route->destinations.size() != 1) {
     return nullptr;
   }
   const routing::Service* service =
@@ -120,7 +122,10 @@
 std::optional<state::HostId> Gateway::Impl::FindProxy(
   const CallerRequest& aRequest)
 {
-  if (!this->TakesProxied() || this->proxiedServices.empty() ||
+  const auto& link = aRequest.message.link;
+  // The client sends nothing for a caller that has left.
+  const bool hasLeft = link && link->isThere && !link->isThere();
+  if (!this->TakesProxied() || this->proxiedServices.empty() || hasLeft ||
       !aRequest.team.value.empty() || aRequest.credentials.count > 0 ||
       !aRequest.message.Body().empty()) {
     return std::nullopt;
--- a/src/node/internal/requestproxies.cpp
+++ b/src/node/internal/requestproxies.cpp
@@ -185,7 +185,7 @@
   };
   made.dispatch = [this](CallerRequest aRequest,
                          routing::Dispatcher::Respond aRespond) {
-    if (this->isTooLarge) {
+    if (std::exchange(this->isTooLarge, false)) {
       this->hooks.onTooLarge(aRequest);
     }
     this->hooks.dispatch(std::move(aRequest), std::move(aRespond));
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -815,6 +815,9 @@
   std::vector<RequestPtr> left;
   std::ranges::transform(this->requests, std::back_inserter(left),
                          [](const auto& aItem) { return aItem.second; });
+  // The end of a running request would send one that waits.
+  std::ranges::stable_partition(
+    left, [](const RequestPtr& aOne) { return !aOne->isRunning; });
   for (const RequestPtr& request : left) {
     // The end of one request may have ended another.
     if (this->requests.contains(request->number)) {
--- a/src/routing/internal/worktimes.cpp
+++ b/src/routing/internal/worktimes.cpp
@@ -24,6 +24,14 @@
 // A response after a wait for a slot may have taken less than the wait was
 // expected to be.
 constexpr double kLeastWork = 0.05;
+// One response counts as at most so many times what is known of its route: the
+// upstream's own time may come from a single quick response.
+constexpr double kMostGrowth = 4;
+
+double Bounded(double aWork, double aKnownWork)
+{
+  return std::clamp(aWork, kLeastWork, kMostGrowth * std::max(1.0, aKnownWork));
+}
 
 } // namespace
 
@@ -116,7 +124,7 @@
   if (route == nullptr) {
     return;
   }
-  const double work = std::max(kLeastWork, aWork);
+  const double work = Bounded(aWork, route->work);
   this->Learn(aService, *route, work, 1);
   ++route->unreportedAnswers;
   route->unreportedSum += work;
@@ -127,7 +135,7 @@
 {
   RouteWork* route = this->Find(aService, aRoute);
   if (route != nullptr && aWork > route->work) {
-    this->Learn(aService, *route, aWork, 1);
+    this->Learn(aService, *route, Bounded(aWork, route->work), 1);
   }
 }
 
@@ -136,7 +144,7 @@
   for (const WorkReport& report : aReports) {
     RouteWork* route = this->Find(report.service, report.route);
     if (route != nullptr && report.answers > 0) {
-      this->Learn(report.service, *route, std::max(kLeastWork, report.work),
+      this->Learn(report.service, *route, Bounded(report.work, route->work),
                   std::min(kManyAnswers, report.answers));
     }
   }
--- a/src/routing/tests/dispatcher_test.cpp
+++ b/src/routing/tests/dispatcher_test.cpp
@@ -95,6 +95,7 @@
   CPPUNIT_TEST(testReplacedUpstreamIsRemoved);
   CPPUNIT_TEST(testStoppingHostRefusesNewRequests);
   CPPUNIT_TEST(testEndAllRequestsGivesEachAFinalResponse);
+  CPPUNIT_TEST(testEndAllRequestsSendsNothingMore);
   CPPUNIT_TEST(testRequestThatWaitedForAConnectionHasNotRun);
   CPPUNIT_TEST(testWaitForAConnectionDoesNotHideAnEarlierRun);
   CPPUNIT_TEST(testDownloadStaysLocal);
@@ -715,6 +716,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, this->cancelled.size());
   }
 
+  // Guards against sending a request that has waited, only to end it, as the
+  // host stops: its caller would hear that it may have run.
+  void testEndAllRequestsSendsNothingMore()
+  {
+    constexpr int kMoreThanFit = 10;
+    RequestNumber last = 0;
+    for (int i = 0; i < kMoreThanFit && this->dispatcher->WaitingCount() == 0;
+         ++i) {
+      last = this->StartRequest("/stock/1", milliseconds(1200), Key{ 7 });
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->dispatcher->WaitingCount());
+    const std::size_t sent = this->attempts.size();
+    this->dispatcher->EndAllRequests();
+    CPPUNIT_ASSERT_EQUAL(sent, this->attempts.size());
+    CPPUNIT_ASSERT(this->OutcomeOf(last) == Outcome::kNotRun);
+  }
+
   // Guards against telling a caller that its request may have run, and so must
   // not be sent again, while it has waited for a connection all the time.
   void testRequestThatWaitedForAConnectionHasNotRun()
--- a/src/routing/tests/worktimes_test.cpp
+++ b/src/routing/tests/worktimes_test.cpp
@@ -239,6 +239,7 @@
   CPPUNIT_TEST(testPredictsBetterThanOneMeanByUpstream);
   CPPUNIT_TEST(testPredictsBetterThanMeansByRouteWithFewResponses);
   CPPUNIT_TEST(testLoneResponseMovesAnEstimateByItsWeight);
+  CPPUNIT_TEST(testWildResponseIsBounded);
   CPPUNIT_TEST(testAbandonedAttemptCountsOnlyIfItTookLonger);
   CPPUNIT_TEST(testErrorsAreNoMeasure);
   CPPUNIT_TEST(testRouteThatChangesItsWorkIsLearnedAgain);
@@ -302,6 +303,21 @@
     CPPUNIT_ASSERT_EQUAL(1.0, works.WorkOf(kService, "long"));
   }
 
+  // Guards against a route that is refused everywhere after one usual response
+  // of an upstream whose only other one was a quick error.
+  void testWildResponseIsBounded()
+  {
+    WorkTimes works = CoveredWorks();
+    for (int i = 0; i < 200; ++i) {
+      works.OnServed(kService, "short", 0.5);
+    }
+    works.OnServed(kService, "short", 88);
+    CPPUNIT_ASSERT(works.WorkOf(kService, "short") < 0.61);
+    WorkTimes unknown = CoveredWorks();
+    unknown.OnPeerReports({ { kService, "short", 500, 1 } });
+    CPPUNIT_ASSERT(unknown.WorkOf(kService, "short") <= 4);
+  }
+
   void testAbandonedAttemptCountsOnlyIfItTookLonger()
   {
     WorkTimes works = CoveredWorks();
