A proxy declines requests that were held up on their way

What callers saw: none waited any more.

Cause: the link between two hosts stood still for 3.3 s with a request and the cancellation behind it; when it went on the proxy took the request first, and sent it with the time that it had when it was passed on.

Change: frames and digests carry the sender's clock. A proxy compares only how the difference to its own changes, and declines what was over 200 ms longer on its way than the shortest of that peer: its receiver dispatches it if anybody still waits. testRequestThatWasHeldUpOnItsWayIsDeclined.

--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -293,6 +293,8 @@
 void Gateway::Impl::OnDigest(const protocol::HostDigest& aDigest)
 {
   this->peers.OnDigest(aDigest);
+  this->requestProxies->OnDigestSent(
+    { aDigest.sender.host }, aDigest.sender.incarnation, aDigest.sentMicros);
   const state::HostId id{ aDigest.sender.host };
   std::vector<routing::UpstreamReport> reports;
   std::ranges::transform(aDigest.uses, std::back_inserter(reports),
@@ -431,6 +433,9 @@
   digest.__set_lendsQuotas(this->quotas->Lender().IsLending());
   digest.__set_offersRelays(this->OffersRelays());
   digest.__set_takesProxied(this->TakesProxied());
+  digest.__set_sentMicros(std::chrono::duration_cast<std::chrono::microseconds>(
+                            BootTime().time_since_epoch())
+                            .count());
   return digest;
 }
 
--- a/src/node/internal/requestproxies.cpp
+++ b/src/node/internal/requestproxies.cpp
@@ -21,12 +21,16 @@
 // Leaves room for the headers in the frame.
 constexpr std::size_t kMaxReplyBytes = protocol::kMaxFrameBytes / 2;
 constexpr std::chrono::minutes kPauseOfRoute{ 1 };
+// A request that was longer on its way is not taken: this host or the link has
+// stood still, and a cancellation may lie behind the request.
+constexpr std::chrono::milliseconds kMaxDelay{ 200 };
 
 constexpr std::array kDeclineNames = {
   std::pair{ ProxyDecline::kConfiguration, std::string_view("configuration") },
   std::pair{ ProxyDecline::kLeaving, std::string_view("leaving") },
   std::pair{ ProxyDecline::kRoute, std::string_view("route") },
   std::pair{ ProxyDecline::kOwner, std::string_view("owner") },
+  std::pair{ ProxyDecline::kLate, std::string_view("late") },
 };
 
 std::vector<protocol::Header> ToWire(
@@ -54,6 +58,13 @@
   return headers;
 }
 
+std::int64_t MicrosOf(TimePoint aTime)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+           aTime.time_since_epoch())
+    .count();
+}
+
 protocol::ProxyReply GivenBack(ProxyNumber aNumber)
 {
   protocol::ProxyReply reply;
@@ -86,6 +97,7 @@
   request.__set_timeoutMs(static_cast<std::int32_t>(aRequest.timeout.count()));
   request.__set_configuration(aConfiguration);
   request.__set_earlierRuns(aRequest.earlierRuns);
+  request.__set_sentMicros(MicrosOf(aNow));
   return request;
 }
 
@@ -159,6 +171,7 @@
   : self(std::move(aSelf))
   , hooks(std::move(aHooks))
   , choice(this->self.host)
+  , delays(this->hooks.now)
   , passed(this->PassedHooks())
 {
 }
@@ -258,8 +271,13 @@
   const TakenId id{ aFrom, aIncarnation,
                     static_cast<ProxyNumber>(aRequest.number) };
   CallerRequest request = FromWire(aRequest, this->hooks.now());
+  const Duration delay =
+    this->DelayOf(aFrom, aIncarnation, aRequest.sentMicros);
+  request.arrived -= delay;
   if (const auto decline =
-        this->hooks.findDecline(request, aRequest.configuration)) {
+        delay > kMaxDelay
+          ? std::optional(ProxyDecline::kLate)
+          : this->hooks.findDecline(request, aRequest.configuration)) {
     this->hooks.onDeclined(*decline);
     protocol::ProxyReply reply = GivenBack(std::get<ProxyNumber>(id));
     reply.__set_declined(true);
@@ -301,6 +319,24 @@
   static_cast<void>(this->hooks.send(std::get<state::HostId>(aId), frame));
 }
 
+void RequestProxies::OnDigestSent(const state::HostId& aFrom,
+                                  std::int64_t aIncarnation,
+                                  std::int64_t aSentMicros)
+{
+  static_cast<void>(this->DelayOf(aFrom, aIncarnation, aSentMicros));
+}
+
+// Hosts of earlier versions do not say when they have sent a message.
+Duration RequestProxies::DelayOf(const state::HostId& aFrom,
+                                 std::int64_t aIncarnation,
+                                 std::int64_t aSentMicros)
+{
+  return aSentMicros > 0
+           ? this->delays.OnMessage(aFrom, aIncarnation,
+                                    std::chrono::microseconds(aSentMicros))
+           : Duration(0);
+}
+
 void RequestProxies::OnCancel(const state::HostId& aFrom,
                               std::int64_t aIncarnation,
                               const protocol::ProxyCancel& aCancel)
--- a/src/node/internal/requestproxies.h
+++ b/src/node/internal/requestproxies.h
@@ -15,6 +15,7 @@
 
 #pragma once
 
+#include "node/internal/peerdelays.h"
 #include "protocol/gen/peer_types.h"
 #include "routing/ownerproxies.h"
 #include "state/types.h"
@@ -42,6 +43,8 @@
   kRoute,
   // This host knows no owner of the key that it may send to.
   kOwner,
+  // It was too long on its way: its caller may have left.
+  kLate,
 };
 
 // The name of the reason in metrics.
@@ -112,6 +115,9 @@
 
   void OnRequest(const state::HostId& aFrom, std::int64_t aIncarnation,
                  const protocol::ProxyRequest& aRequest);
+  // A peer's digest was sent at that time of the peer's clock.
+  void OnDigestSent(const state::HostId& aFrom, std::int64_t aIncarnation,
+                    std::int64_t aSentMicros);
   void OnCancel(const state::HostId& aFrom, std::int64_t aIncarnation,
                 const protocol::ProxyCancel& aCancel);
   // Requests that run here for peers; from any thread.
@@ -129,6 +135,9 @@
   using TakenId = std::tuple<state::HostId, std::int64_t, routing::ProxyNumber>;
 
   routing::ProxiedRequests::Hooks PassedHooks();
+  // See PeerDelays; 0 if the time of sending is unknown.
+  Duration DelayOf(const state::HostId& aFrom, std::int64_t aIncarnation,
+                   std::int64_t aSentMicros);
   void Respond(const TakenId& aId, routing::CallerResponse aResponse);
   void SendReply(const TakenId& aId, const protocol::ProxyReply& aReply);
   // Removes the request and ends its run.
@@ -137,6 +146,7 @@
   const state::HostRef self;
   const Hooks hooks;
   routing::ProxyChoice choice;
+  PeerDelays delays;
   routing::ProxiedRequests passed;
   // Version of the configuration by which the request that is being passed on
   // was checked.
--- a/src/node/tests/requestproxies_test.cpp
+++ b/src/node/tests/requestproxies_test.cpp
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(testResponseArrivesAsItWas);
   CPPUNIT_TEST(testErrorArrivesWithItsTime);
   CPPUNIT_TEST(testEachReasonToDeclineIsCounted);
+  CPPUNIT_TEST(testRequestThatWasHeldUpOnItsWayIsDeclined);
   CPPUNIT_TEST(testTooLargeResponseIsRunHereAndItsRouteIsLeftOut);
   CPPUNIT_TEST(testLostProxyGivesItsRequestsBack);
   CPPUNIT_TEST(testAllAreTakenBackWhereTheHostStops);
@@ -216,6 +217,26 @@
     CPPUNIT_ASSERT(this->responses.empty());
   }
 
+  // Guards against sending an upstream a request whose caller has left while
+  // the link to the proxy stood still.
+  void testRequestThatWasHeldUpOnItsWayIsDeclined()
+  {
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
+      this->now.time_since_epoch());
+    this->proxy->proxies->OnDigestSent(this->receiver->ref.host, 7,
+                                       micros.count());
+    this->now += std::chrono::seconds(10);
+    this->Pass();
+    this->now += milliseconds(150);
+    this->receiver->DeliverTo(*this->proxy);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->proxy->running.size());
+    this->Pass();
+    this->now += milliseconds(250);
+    this->receiver->DeliverTo(*this->proxy);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->proxy->running.size());
+    CPPUNIT_ASSERT(this->proxy->declines == std::vector<std::string>{ "late" });
+  }
+
   void testTooLargeResponseIsRunHereAndItsRouteIsLeftOut()
   {
     this->PassAndTake();
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -319,6 +319,8 @@
   15: list<OwnerTime> ownerTimes
   // Only with `uses`, and only of services whose routes have unlike targets.
   16: list<RouteWork> routeWorks
+  // The sender's clock; see PeerDelays in src/node.
+  17: i64 sentMicros
 }
 
 struct KeyRange {
@@ -472,6 +474,8 @@
   // Version of the configuration that the sender uses.
   10: i64 configuration
   11: i32 earlierRuns
+  // The sender's clock; see PeerDelays in src/node.
+  12: i64 sentMicros
 }
 
 struct ProxyReply {
