--- a/src/node/tests/requestproxies_test.cpp
+++ b/src/node/tests/requestproxies_test.cpp
@@ -155,7 +155,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("/keyed/a?b"), got.message.target);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, got.message.headers.size());
     CPPUNIT_ASSERT_EQUAL(std::string("r-1"),
-                         std::string(got.message.Header("Request-Id")));
+                         std::string(got.message.Header("Id")));
     CPPUNIT_ASSERT(got.key == routing::Key{ 65535 });
     CPPUNIT_ASSERT(got.timeout == milliseconds(800));
     CPPUNIT_ASSERT_EQUAL(1, got.earlierRuns);
@@ -198,11 +198,11 @@
   void testEachReasonToDeclineIsCounted()
   {
     const std::vector<std::string> names = { "configuration", "leaving",
-                                             "route", "owner" };
+                                             "route", "owner", "late" };
     int number = 0;
     for (const ProxyDecline reason :
          { ProxyDecline::kConfiguration, ProxyDecline::kLeaving,
-           ProxyDecline::kRoute, ProxyDecline::kOwner }) {
+           ProxyDecline::kRoute, ProxyDecline::kOwner, ProxyDecline::kLate }) {
       this->proxy->decline = reason;
       this->Pass();
       this->receiver->DeliverTo(*this->proxy);
@@ -364,7 +364,7 @@
     request.hostName = "example";
     request.key = routing::Key{ 65535 };
     request.message.target = "/keyed/a?b";
-    request.message.headers = { { "Request-Id", "r-1" }, { "X", "y" } };
+    request.message.headers = { { "Id", "r-1" }, { "X", "y" } };
     request.arrived = aNow - milliseconds(20);
     request.timeout = milliseconds(800);
     request.earlierRuns = 1;
