--- a/src/node/internal/gatewayproxies.cpp
+++ b/src/node/internal/gatewayproxies.cpp
@@ -16,6 +16,32 @@
 using routing::CallerResponse;
 using std::chrono::milliseconds;
 
+namespace {
+
+// Requests of other kinds, and of routes with one attempt, must not run twice,
+// and the proxy may be lost with a request that it has sent. Downloads are
+// large.
+bool MayPassOn(const routing::Route& aRoute)
+{
+  return aRoute.kind == routing::RouteKind::kIdempotent &&
+         aRoute.maxAttempts >= 2 && aRoute.destinations.size() == 1;
+}
+
+// Whether the service gets requests that may be passed on; those of teams may
+// not.
+bool GetsRequestsToPassOn(const routing::Configuration& aConfiguration,
+                          const state::ServiceName& aService)
+{
+  return std::ranges::any_of(
+    aConfiguration.routes, [&](const routing::Route& aRoute) {
+      return MayPassOn(aRoute) &&
+             aRoute.destinations.front().service == aService &&
+             (aRoute.isPublic || aConfiguration.teams.empty());
+    });
+}
+
+} // namespace
+
 RequestProxies::Hooks Gateway::Impl::RequestProxiesHooks()
 {
   RequestProxies::Hooks hooks;
@@ -89,17 +115,12 @@
   return this->settings.proxyUse != state::ProxyUse::kNever && !this->isLeaving;
 }
 
-// Requests of other kinds, and of routes with one attempt, must not run twice,
-// and the proxy may be lost with a request that it has sent. Downloads are
-// large.
 const routing::Route* Gateway::Impl::FindProxiedRoute(
   const CallerRequest& aRequest) const
 {
   const routing::Route* route =
     this->routes->FindRoute(aRequest.hostName, aRequest.message.target);
-  if (route == nullptr || !aRequest.key ||
-      route->kind != routing::RouteKind::kIdempotent ||
-      route->maxAttempts < 2 || route->destinations.size() != 1) {
+  if (route == nullptr || !aRequest.key || !MayPassOn(*route)) {
     return nullptr;
   }
   const routing::Service* service =
@@ -252,9 +273,11 @@
 {
   const std::size_t members = this->requestProxies->Choice().MemberCount();
   std::set<state::ServiceName> proxied;
-  for (const routing::Service& service :
-       this->routes->CurrentConfiguration().services) {
-    if (service.keyed && this->CallsForProxies(service.name, members)) {
+  const routing::Configuration& configuration =
+    this->routes->CurrentConfiguration();
+  for (const routing::Service& service : configuration.services) {
+    if (service.keyed && GetsRequestsToPassOn(configuration, service.name) &&
+        this->CallsForProxies(service.name, members)) {
       proxied.insert(service.name);
     }
   }
