--- a/src/node/internal/peerdelays.h
+++ b/src/node/internal/peerdelays.h
@@ -41,8 +41,6 @@
     return difference - peer.shortest;
   }
 
-  void Forget(const state::HostId& aPeer) { this->peers.erase(aPeer); }
-
 private:
   struct Peer
   {
@@ -55,6 +53,8 @@
   static constexpr int kDriftPart = 1000;
 
   const Clock clock;
+  // Kept when a peer is lost: the first message after a link that stood still
+  // must not pass for the shortest.
   std::map<state::HostId, Peer> peers;
 };
 
