Review, case 2: four times of trouble in place of one

The one time of 5 s had no refusal there that the same request followed over the same connection. Done: four such times, each with its own share of 3 in 100.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -14,12 +14,13 @@
 
 constexpr int kGateways = 12;
 constexpr int kInstances = 2;
-// Instances that send some answers a second time, and in which part of the
-// time; see claim.txt for the limits.
+// Instances that send some answers a second time, which part of them, and when;
+// see claim.txt for the limits.
 constexpr int kFaultyInstances = 1;
 constexpr double kExtraShare = 0.03;
-constexpr milliseconds kFaultFrom{ 10'000 };
+constexpr milliseconds kFaultFrom{ 8'000 };
 constexpr milliseconds kFaultLength{ 5000 };
+constexpr milliseconds kFaultEvery{ 8000 };
 constexpr int kSlots = 3;
 // Requests that an instance queues beside those that it runs.
 constexpr int kQueue = 2;
@@ -29,7 +30,7 @@
 constexpr int kClients = 60;
 // A client's longest pause between two requests.
 constexpr milliseconds kLongestPause{ 900 };
-constexpr milliseconds kLength{ 15'000 };
+constexpr milliseconds kLength{ 40'000 };
 
 // What all clients and instances have seen.
 class Ledger
@@ -142,9 +143,7 @@
   // Whether one more answer may be spoiled now.
   bool TakeFault()
   {
-    const Duration at = Now() - this->start;
-    if (!this->isFaulty || !IsTroubled() || at < kFaultFrom ||
-        at >= kFaultFrom + kFaultLength ||
+    if (!this->isFaulty || !IsTroubled() || !this->faultTime ||
         this->spoiled + 1 > kExtraShare * this->answersInFault) {
       return false;
     }
@@ -152,6 +151,21 @@
     return true;
   }
 
+  // Counts an answer. Each time of the fault has its own share.
+  void CountAnswer()
+  {
+    const Duration at = Now() - this->start - kFaultFrom;
+    const bool isWithin =
+      at >= Duration(0) && at % kFaultEvery < Duration(kFaultLength);
+    const auto time = isWithin ? std::optional(at / kFaultEvery) : std::nullopt;
+    if (time != this->faultTime) {
+      this->faultTime = time;
+      this->answersInFault = 0;
+      this->spoiled = 0;
+    }
+    ++this->answersInFault;
+  }
+
   std::string Load() const
   {
     return "Instance-Load: " + std::to_string(this->running) + "," +
@@ -172,9 +186,7 @@
              this->id + "\r\n" + echo + "Content-Length: 0\r\n\r\n";
     }
     std::unique_lock lock(this->mutex);
-    if (Now() - this->start >= kFaultFrom) {
-      ++this->answersInFault;
-    }
+    this->CountAnswer();
     if (this->running >= kSlots) {
       if (this->waiting >= kQueue) {
         this->record.Write("refuse " + request + " at " + this->id);
@@ -212,6 +224,7 @@
   std::condition_variable freed;
   int running = 0;
   int waiting = 0;
+  std::optional<std::int64_t> faultTime;
   int answersInFault = 0;
   int spoiled = 0;
   std::mt19937 random{ std::random_device{}() };
