--- a/src/transport/tests/endlessserver.h
+++ b/src/transport/tests/endlessserver.h
@@ -3,17 +3,13 @@
 
 #pragma once
 
-#include "transport/address.h"
+#include "transport/tests/threadedserver.h"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
-#include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <list>
-#include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
@@ -37,67 +33,23 @@
 
   EndlessServer(const std::string& aAddress, Response aResponse)
     : response(std::move(aResponse))
-    , acceptor(this->context, *ParseAddress(aAddress))
-    , thread([this] { this->Accept(); })
+    , server(aAddress, [this](Socket& aSocket, int) { this->Serve(aSocket); })
   {
   }
 
-  ~EndlessServer()
-  {
-    this->isStopping = true;
-    ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
-    this->thread.join();
-    {
-      const std::lock_guard lock(this->mutex);
-      for (Peer& peer : this->peers) {
-        ::shutdown(peer.socket.native_handle(), SHUT_RDWR);
-      }
-    }
-    for (Peer& peer : this->peers) {
-      peer.thread.join();
-    }
-  }
-
-  EndlessServer(const EndlessServer&) = delete;
-  EndlessServer& operator=(const EndlessServer&) = delete;
-
   // Bytes sent in all.
   std::size_t Sent() const { return this->sent; }
   // Connections that are still open.
   int Open() const { return this->open; }
 
 private:
-  struct Peer
-  {
-    explicit Peer(boost::asio::ip::tcp::socket aSocket)
-      : socket(std::move(aSocket))
-    {
-    }
-
-    boost::asio::ip::tcp::socket socket;
-    std::thread thread;
-  };
+  using Socket = ThreadedServer::Socket;
 
   static constexpr std::size_t kBlockBytes = 64U << 10U;
 
-  void Accept()
-  {
-    while (!this->isStopping) {
-      boost::system::error_code error;
-      boost::asio::ip::tcp::socket socket(this->context);
-      this->acceptor.accept(socket, error);
-      if (error) {
-        return;
-      }
-      const std::lock_guard lock(this->mutex);
-      ++this->open;
-      Peer& peer = this->peers.emplace_back(std::move(socket));
-      peer.thread = std::thread([this, &peer] { this->Serve(peer.socket); });
-    }
-  }
-
-  void Serve(boost::asio::ip::tcp::socket& aSocket)
+  void Serve(Socket& aSocket)
   {
+    ++this->open;
     boost::system::error_code error;
     if (!this->response.isEarly) {
       std::string head;
@@ -116,7 +68,7 @@
     --this->open;
   }
 
-  void Send(boost::asio::ip::tcp::socket& aSocket, const std::string& aBytes,
+  void Send(Socket& aSocket, const std::string& aBytes,
             boost::system::error_code& aError)
   {
     if (!aError) {
@@ -126,14 +78,9 @@
   }
 
   const Response response;
-  std::atomic<bool> isStopping{ false };
   std::atomic<std::size_t> sent{ 0 };
   std::atomic<int> open{ 0 };
-  std::mutex mutex;
-  std::list<Peer> peers;
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor;
-  std::thread thread;
+  ThreadedServer server;
 };
 
 } // namespace kumquat::transport::tests
