Attempts name their connection; answers in doubt are counted

The log of a refused request named the upstream and the time of each attempt, which does not show whether two attempts went over one connection, and nothing showed answers without an id. `sends` now ends with the connection that the response came over ("i-1 refused 3ms behind 4 on 17"), and kumquat_upstream_answer_doubts_total counts answers of other requests, errors without an id, and requests that are sent again over a connection that has carried them. No decision depends on any of these.

--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -129,6 +129,12 @@
     std::make_unique<transport::HttpClient>(this->serving.Context(), options);
   options.echoHeader = platform::RequestIdHeader();
   options.errorsNeedEcho = false;
+  options.onDoubt = [this](transport::AnswerDoubt aDoubt) {
+    this->CountByReason("kumquat_upstream_answer_doubts_total",
+                        "What may let an answer be taken for that to another "
+                        "sending.",
+                        transport::AnswerDoubtName(aDoubt));
+  };
   options.wholeBodyBytes = kMaxBufferedResponse;
   options.bytes = this->heldBytes;
   this->upstreamClient =
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -118,8 +118,9 @@
   std::string apiKey;
   // Whether an upstream has run it or may have done so.
   bool mayHaveRun = false;
-  // All attempts with upstream, result, duration and requests ahead, as "i-1
-  // refused 3ms behind 4; i-2 served 120ms behind 0".
+  // All attempts with upstream, result, duration, requests ahead and the
+  // connection of the response, as "i-1 refused 3ms behind 4 on 17; i-2 served
+  // 120ms behind 0 on 8".
   std::string attempts;
   protocol::ErrorKind error = protocol::ErrorKind::kNone;
   int status = 0;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -200,6 +200,8 @@
   request->route = this->routes->FindRoute(request->caller.hostName,
                                            request->caller.message.target);
   request->mayHaveRunAt = request->caller.earlierRuns;
+  request->caller.message.carriers =
+    std::make_shared<std::vector<std::uint64_t>>();
   const TimePoint arrived = request->caller.arrived;
   if (request->route == nullptr) {
     request->deadline = this->deadlines.end();
@@ -304,6 +306,7 @@
     this->StateOf(aRequest->service).spillover.OnSent();
   }
   aRequest->sentAt = now;
+  aRequest->connection = 0;
   aRequest->requestsAhead = aUpstream.Outstanding();
   aRequest->tried.push_back(aUpstream.entry.id);
   ++aRequest->attemptCount;
@@ -484,6 +487,10 @@
   aRequest.attemptLog += std::to_string(ToMs(now - aRequest.sentAt).count());
   aRequest.attemptLog += "ms behind ";
   aRequest.attemptLog += std::to_string(aRequest.requestsAhead);
+  if (aRequest.connection > 0) {
+    aRequest.attemptLog += " on ";
+    aRequest.attemptLog += std::to_string(aRequest.connection);
+  }
 }
 
 void Dispatcher::OnUpstreamResponse(RequestNumber aNumber,
@@ -496,6 +503,7 @@
   const RequestPtr request = found->second;
   const state::ServiceName service = request->service;
   const int status = aResponse.message.status;
+  request->connection = aResponse.message.connection;
   if (!aResponse.wrongUpstream || aResponse.respondedBy == request->upstream) {
     this->ApplySignals(*request, aResponse.signals);
   }
--- a/src/routing/internal/dispatcherparts.h
+++ b/src/routing/internal/dispatcherparts.h
@@ -47,6 +47,8 @@
   std::int64_t upstreamStartedMs = 0;
   TimePoint sentAt;
   int requestsAhead = 0;
+  // That the response came over; 0 if none came.
+  std::uint64_t connection = 0;
 
   Duration waited{ 0 };
   std::string attemptLog;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -65,6 +65,9 @@
   // From its sending on, how long a client reads a response that comes through
   // HttpResponse::rest; 0: the client's own limit.
   std::chrono::milliseconds bodyTimeout{ 0 };
+  // The client's connections that have carried the request, for all of its
+  // sends together. Null: it is sent once.
+  std::shared_ptr<std::vector<std::uint64_t>> carriers;
 
   // Empty where there is none; names are compared without case.
   std::string_view Header(std::string_view aName) const;
@@ -88,6 +91,8 @@
   std::optional<std::uint64_t> length;
   // Bytes that the body holds of the host's account; may be null.
   ByteAccount::ReservationPtr held;
+  // The client's connection that it came over; 0 elsewhere.
+  std::uint64_t connection = 0;
 
   std::string_view Header(std::string_view aName) const;
 };
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -16,9 +16,25 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace kumquat::transport {
 
+// What may let a client take an answer for that to another sending.
+enum class AnswerDoubt
+{
+  // It belongs to another request, and was read over.
+  kForeign,
+  // An error without the header that must come back is taken as the request's
+  // own.
+  kUnidentified,
+  // An idle connection has carried the request before.
+  kSameConnection,
+};
+
+// The name of a doubt in metrics.
+std::string_view AnswerDoubtName(AnswerDoubt aDoubt);
+
 class HttpClient
 {
 public:
@@ -65,6 +81,8 @@
     std::string echoHeader;
     // Whether an error without that header is taken as the request's own.
     bool errorsNeedEcho = true;
+    // Runs with each doubt about an answer; may be empty.
+    std::function<void(AnswerDoubt)> onDoubt;
     // How connections are made; null: directly.
     std::shared_ptr<const DialHooks> dial;
   };
--- a/src/transport/internal/connection.h
+++ b/src/transport/internal/connection.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,8 @@
   }
 
   boost::beast::tcp_stream stream;
+  // Counted from 1 by the client, once a request is sent over it.
+  std::uint64_t number = 0;
   // What was read and not parsed yet. It holds a head, a chunk's header or the
   // trailers as a whole.
   boost::beast::flat_buffer buffer{ kMaxBufferBytes };
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <limits>
 #include <unordered_map>
@@ -132,8 +133,32 @@
   bool isAnsweredEarly = false;
 };
 
+struct DoubtEntry
+{
+  AnswerDoubt doubt;
+  std::string_view name;
+};
+
+constexpr std::array<DoubtEntry, 3> kDoubts{ {
+  { AnswerDoubt::kForeign, "foreign" },
+  { AnswerDoubt::kUnidentified, "unidentified" },
+  { AnswerDoubt::kSameConnection, "same-connection" },
+} };
+
+bool HasCarried(const Connection& aConnection, const HttpRequest& aRequest)
+{
+  return aRequest.carriers &&
+         std::ranges::find(*aRequest.carriers, aConnection.number) !=
+           aRequest.carriers->end();
+}
+
 } // namespace
 
+std::string_view AnswerDoubtName(AnswerDoubt aDoubt)
+{
+  return std::ranges::find(kDoubts, aDoubt, &DoubtEntry::doubt)->name;
+}
+
 class HttpClient::State : public std::enable_shared_from_this<State>
 {
 public:
@@ -295,6 +320,7 @@
       co_return make_error_code(TransportError::kWithdrawn);
     }
     found->second = connection;
+    this->NoteCarrier(*connection, aRequest);
     connection->stream.expires_at(aDeadline);
     connection->sentAt = std::chrono::steady_clock::now();
     const ReadLimits limits{ .whole = aDeadline,
@@ -318,6 +344,26 @@
     co_return response;
   }
 
+  void NoteCarrier(Connection& aConnection, const HttpRequest& aRequest)
+  {
+    if (HasCarried(aConnection, aRequest)) {
+      this->TellDoubt(AnswerDoubt::kSameConnection);
+    }
+    if (aConnection.number == 0) {
+      aConnection.number = ++this->lastConnection;
+    }
+    if (aRequest.carriers) {
+      aRequest.carriers->push_back(aConnection.number);
+    }
+  }
+
+  void TellDoubt(AnswerDoubt aDoubt) const
+  {
+    if (this->options.onDoubt) {
+      this->options.onDoubt(aDoubt);
+    }
+  }
+
   void ReportSilence(const std::string& aAddress,
                      const Connection& aConnection) const
   {
@@ -384,6 +430,7 @@
                                           std::move(*head),
                                           aReusable && foreign == 0, aLimits);
       }
+      this->TellDoubt(AnswerDoubt::kForeign);
       if (!co_await DiscardBody(*aConnection, *parser, foreignBytes,
                                 aLimits.whole)) {
         break;
@@ -402,8 +449,15 @@
   bool IsOwn(const HttpResponse& aResponse, const std::string& aEcho) const
   {
     const std::string_view echo = aResponse.Header(this->options.echoHeader);
-    return echo == aEcho || (!this->options.errorsNeedEcho && echo.empty() &&
-                             aResponse.status >= status::kFirstError);
+    if (echo == aEcho) {
+      return true;
+    }
+    const bool isUnidentified = !this->options.errorsNeedEcho && echo.empty() &&
+                                aResponse.status >= status::kFirstError;
+    if (isUnidentified) {
+      this->TellDoubt(AnswerDoubt::kUnidentified);
+    }
+    return isUnidentified;
   }
 
   asio::awaitable<Result<HttpResponse>> ReadHead(ConnectionPtr aConnection,
@@ -422,6 +476,7 @@
     aConnection->heardAt = std::chrono::steady_clock::now();
     this->TellProgress();
     HttpResponse response;
+    response.connection = aConnection->number;
     response.status = static_cast<int>(aParser.get().result_int());
     for (const auto& field : aParser.get()) {
       response.headers.push_back(
@@ -532,6 +587,7 @@
   // Calls whose aDone has not run; null until there is a connection.
   std::unordered_map<CallId, ConnectionPtr> running;
   CallId lastCall = 0;
+  std::uint64_t lastConnection = 0;
 };
 
 HttpClient::HttpClient(asio::io_context& aContext, Options aOptions)
