--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -641,7 +641,9 @@
       if (freopen(log.c_str(), "w", stdout) != nullptr) {
         dup2(fileno(stdout), STDERR_FILENO);
       }
-      execl("target/app/kumquatd/kumquatd", "kumquatd", nullptr);
+      const char* program = std::getenv("KUMQUATD");
+      execl(program == nullptr ? "target/app/kumquatd/kumquatd" : program,
+            "kumquatd", nullptr);
       _exit(127);
     }
   }
