A request is never sent twice over one connection

Cause: a request keeps its id through all of its sends, and the id is all that ties an answer to a send. A request that an upstream had refused went back to it over the connection that was used last, which is the one that the refusal came over. A second copy of that refusal, sent where the next answer is expected, then ended the new send as refused while the upstream ran it. Without time left the caller was told 503; with time left the request was sent a third time.

Why this works: a copy can only come over the connection of the send that it answers. Each request carries the numbers of the connections that have carried it, and the client passes these over and dials if no other is idle. So every answer with the request's id on a connection belongs to its one send there. It holds for refusals, misdirected requests and any other answer after which a request is sent again, directly and through relays.

--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -66,7 +66,7 @@
   // HttpResponse::rest; 0: the client's own limit.
   std::chrono::milliseconds bodyTimeout{ 0 };
   // The client's connections that have carried the request, for all of its
-  // sends together. Null: it is sent once.
+  // sends together. None of them carries it again. Null: it is sent once.
   std::shared_ptr<std::vector<std::uint64_t>> carriers;
 
   // Empty where there is none; names are compared without case.
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -28,7 +28,7 @@
   // An error without the header that must come back is taken as the request's
   // own.
   kUnidentified,
-  // An idle connection has carried the request before.
+  // An idle connection has carried the request before, and is passed over.
   kSameConnection,
 };
 
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -293,8 +293,9 @@
     CallId aCall, const std::string& aAddress, HttpRequest aRequest,
     std::chrono::steady_clock::time_point aDeadline)
   {
-    ConnectionPtr connection =
-      aRequest.needsOwnConnection ? nullptr : this->TakeIdle(aAddress);
+    ConnectionPtr connection = aRequest.needsOwnConnection
+                                 ? nullptr
+                                 : this->TakeIdle(aAddress, aRequest);
     if (!connection) {
       auto connected = co_await this->dialer->Dial(aAddress, aDeadline);
       if (!connected) {
@@ -346,9 +347,6 @@
 
   void NoteCarrier(Connection& aConnection, const HttpRequest& aRequest)
   {
-    if (HasCarried(aConnection, aRequest)) {
-      this->TellDoubt(AnswerDoubt::kSameConnection);
-    }
     if (aConnection.number == 0) {
       aConnection.number = ++this->lastConnection;
     }
@@ -543,12 +541,20 @@
            (!aResponse.held || aResponse.held->GrowTo(most));
   }
 
-  ConnectionPtr TakeIdle(const std::string& aAddress)
+  // The connection that was used last and has not carried the request: a second
+  // answer to an earlier send may still come on one that has.
+  ConnectionPtr TakeIdle(const std::string& aAddress,
+                         const HttpRequest& aRequest)
   {
     std::vector<ConnectionPtr>& idle = this->idleByAddress[aAddress];
-    while (!idle.empty()) {
-      ConnectionPtr connection = std::move(idle.back());
-      idle.pop_back();
+    for (auto place = idle.end(); place != idle.begin();) {
+      --place;
+      if (HasCarried(**place, aRequest)) {
+        this->TellDoubt(AnswerDoubt::kSameConnection);
+        continue;
+      }
+      ConnectionPtr connection = std::move(*place);
+      place = idle.erase(place);
       if (IsUsable(*connection) && this->MayReuse(aAddress, *connection)) {
         return connection;
       }
