An error without the request's id says nothing of the request

Callers got 503 for requests that ran, and requests that may run once were sent again while they ran.

Cause: from status 400 on, an answer without an id was taken as the request's own, with all that it says. Bytes of a faulty upstream that look like a refusal and bear no id thus ended a request that its upstream had begun as not run. Upstreams echo the id in every answer, so such bytes may belong to anything.

Why this works: such an answer ends its attempt as one that may have run, and none of its other fields is read. A request that may run again is sent again, another one fails as unknown; the connection is not used again, as the real answer may still come over it. Waiting for that answer instead would hold the callers of servers that reject before they have read an id.

--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -64,6 +64,9 @@
 struct UpstreamResponse
 {
   transport::HttpResponse message;
+  // It bears the request's id. Without it, it may be about another request, and
+  // says nothing of this one.
+  bool isIdentified = true;
   // The upstream states that it did not run the request.
   bool notRun = false;
   // The upstream at the address is not the one that was meant, or does not own
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -504,10 +504,16 @@
   const state::ServiceName service = request->service;
   const int status = aResponse.message.status;
   request->connection = aResponse.message.connection;
-  if (!aResponse.wrongUpstream || aResponse.respondedBy == request->upstream) {
+  if (aResponse.isIdentified && (!aResponse.wrongUpstream ||
+                                 aResponse.respondedBy == request->upstream)) {
     this->ApplySignals(*request, aResponse.signals);
   }
-  if (aResponse.wrongUpstream) {
+  if (!aResponse.isIdentified) {
+    this->EndAttempt(*request, AttemptResult::kFailed, aResponse.load,
+                     "unidentified");
+    ++request->mayHaveRunAt;
+    this->Retry(request, ErrorKind::kUpstreamFailed);
+  } else if (aResponse.wrongUpstream) {
     this->EndAttempt(*request, AttemptResult::kRefused, aResponse.load,
                      "wrong-upstream");
     if (!aResponse.respondedBy.value.empty() &&
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -424,9 +424,12 @@
         co_return head.error();
       }
       if (this->IsOwn(*head, aEcho)) {
+        // Behind an error without an id, the request's answer may follow.
+        const bool isReusable = aReusable && foreign == 0 &&
+                                head->Header(this->options.echoHeader) == aEcho;
         co_return co_await this->ReadBody(aAddress, aConnection, parser,
-                                          std::move(*head),
-                                          aReusable && foreign == 0, aLimits);
+                                          std::move(*head), isReusable,
+                                          aLimits);
       }
       this->TellDoubt(AnswerDoubt::kForeign);
       if (!co_await DiscardBody(*aConnection, *parser, foreignBytes,
