An upstream's error is passed on as a promise only if the upstream makes it

Callers got 503, 429 or 408 for requests that may run once and had run (REFUSED).

Cause: an upstream's answer went to the caller with its status, whatever it was. An upstream says that it has not run a request with a header of its own; callers read the same from the status alone. A 503 without that header, of an upstream that failed while it ran the request, thus became a promise on its way.

Why this works: for requests that may run once, such an answer ends the attempt as one that may have run, and the caller gets the host's own 502, without the upstream's signature. Requests that may run again are answered as before: for them the status promises nothing that matters.

--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -1,8 +1,10 @@
 // A request from its arrival to its response.
 
 #include "routing/internal/dispatcherparts.h"
+#include "transport/httpstatus.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <numeric>
 #include <utility>
@@ -44,6 +46,16 @@
   return aStatus >= 500;
 }
 
+// Whether callers take the status alone for a promise that the request has not
+// run and will not.
+bool PromisesNotRun(int aStatus)
+{
+  using namespace transport::status;
+  constexpr std::array kStatuses = { kRequestTimeout, kMisdirected,
+                                     kTooManyRequests, kUnavailable };
+  return std::ranges::find(kStatuses, aStatus) != kStatuses.end();
+}
+
 bool IsSuccess(int aStatus)
 {
   return aStatus >= 200 && aStatus < 300;
@@ -538,6 +550,12 @@
     } else {
       this->Retry(request, ErrorKind::kUpstreamShed);
     }
+  } else if (PromisesNotRun(status) &&
+             !IsIdempotent(request->route->kind)) {
+    this->EndAttempt(*request, AttemptResult::kFailed, aResponse.load,
+                     "unpromised");
+    ++request->mayHaveRunAt;
+    this->Fail(request, ErrorKind::kUpstreamFailed);
   } else if (IsSuccess(status) && !aResponse.isSigned) {
     this->EndAttempt(*request, AttemptResult::kFailed, aResponse.load,
                      "unsigned");
--- a/src/transport/httpstatus.h
+++ b/src/transport/httpstatus.h
@@ -7,6 +7,7 @@
 inline constexpr int kOk = 200;
 inline constexpr int kBadRequest = 400;
 inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
 inline constexpr int kConflict = 409;
 inline constexpr int kGone = 410;
 inline constexpr int kPreconditionFailed = 412;
