Interim answers are read over, also with the request's id

Cause: an interim answer with the request's id was taken as its final one. One without the id was read over as another request's, and the connection was given up.

Evidence: EarlyEndTest, which cuts answers at each byte, directly and through a relay, by an end and by a reset, failed on this case alone. The others held before: a head that ends early is no answer, wherever it ends.

Why this works: heads are read up to the first with a final status, eight interim ones at most, before the id is looked at.

--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -418,8 +418,9 @@
     // Of their bodies; they are not wanted and may have no end.
     std::size_t foreignBytes = 64U << 10U;
     for (int foreign = 0; foreign < kMostForeign; ++foreign) {
-      auto parser = std::make_shared<ResponseParser>();
-      Result<HttpResponse> head = co_await this->ReadHead(aConnection, *parser);
+      std::shared_ptr<ResponseParser> parser;
+      Result<HttpResponse> head =
+        co_await this->ReadFinalHead(aConnection, parser);
       if (!head) {
         co_return head.error();
       }
@@ -427,9 +428,8 @@
         // Behind an error without an id, the request's answer may follow.
         const bool isReusable = aReusable && foreign == 0 &&
                                 head->Header(this->options.echoHeader) == aEcho;
-        co_return co_await this->ReadBody(aAddress, aConnection, parser,
-                                          std::move(*head), isReusable,
-                                          aLimits);
+        co_return co_await this->ReadBody(
+          aAddress, aConnection, parser, std::move(*head), isReusable, aLimits);
       }
       this->TellDoubt(AnswerDoubt::kForeign);
       if (!co_await DiscardBody(*aConnection, *parser, foreignBytes,
@@ -461,6 +461,22 @@
     return isUnidentified;
   }
 
+  // Reads over interim answers, also those that bear the request's id.
+  asio::awaitable<Result<HttpResponse>> ReadFinalHead(
+    ConnectionPtr aConnection, std::shared_ptr<ResponseParser>& aParser)
+  {
+    constexpr int kMostInterim = 8;
+    for (int interim = 0; interim <= kMostInterim; ++interim) {
+      aParser = std::make_shared<ResponseParser>();
+      Result<HttpResponse> head =
+        co_await this->ReadHead(aConnection, *aParser);
+      if (!head || head->status >= status::kOk) {
+        co_return head;
+      }
+    }
+    co_return make_error_code(TransportError::kMalformed);
+  }
+
   asio::awaitable<Result<HttpResponse>> ReadHead(ConnectionPtr aConnection,
                                                  ResponseParser& aParser)
   {
