The connections of a relay are reset when its process is killed

Callers got 200 with the first part of a body, framed as whole (MIXED): a host reached an upstream through a peer, and the peer's process was killed in the middle of an answer without a length.

Cause: such an answer ends with its connection. A relay passes the upstream's end on as an end and everything else as a reset, but only while it runs. For a killed process the system ends the connections in order, which looks like the upstream's end.

Why this works: the socket lingers for no time from its opening on, so that any close is a reset, by whomever. The upstream's end is a shutdown, which ends the connection in order, and a relayed answer without a length is still whole (testResponseWithoutALengthEndsWithItsServer).

--- a/src/transport/internal/relayserver.cpp
+++ b/src/transport/internal/relayserver.cpp
@@ -68,11 +68,18 @@
   return *std::ranges::find(kRefusals, aRefusal, &RefusalEntry::refusal);
 }
 
-// Closes with a reset, so that what was passed on does not look complete.
-void Reset(tcp::socket& aSocket)
+// From now on the connection is reset when it is closed, also by the system for
+// a process that was killed: what was passed on must not look complete.
+void ResetOnClose(tcp::socket& aSocket)
 {
   beast::error_code ignored;
   aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
+void Reset(tcp::socket& aSocket)
+{
+  ResetOnClose(aSocket);
+  beast::error_code ignored;
   aSocket.close(ignored);
 }
 
@@ -186,6 +193,7 @@
       co_await this->Refuse(RelayRefusal::kUnreachableServer);
       co_return;
     }
+    ResetOnClose(this->peer);
     if (!co_await this->Reply(http::status::ok)) {
       this->End();
       co_return;
@@ -343,7 +351,8 @@
     this->End();
   }
 
-  // The server's end is passed on as an end, everything else as a reset.
+  // The server's end is passed on as an end, everything else as a reset. A close
+  // is a reset here, a shutdown an end.
   asio::awaitable<void> PassResponses()
   {
     Buffer buffer{};
--- a/src/transport/tests/relay_test.cpp
+++ b/src/transport/tests/relay_test.cpp
@@ -5,11 +5,18 @@
 #include "transport/httpserver.h"
 #include "transport/iothread.h"
 #include "transport/relayserver.h"
+#include "transport/tests/scriptedserver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <filesystem>
 #include <future>
 #include <memory>
 #include <optional>
@@ -40,6 +47,8 @@
   CPPUNIT_TEST(testRelaysOfAPeerAreBounded);
   CPPUNIT_TEST(testEndOfTheCallEndsTheWork);
   CPPUNIT_TEST(testCutResponseDoesNotLookComplete);
+  CPPUNIT_TEST(testResponseOfAKilledRelayDoesNotLookComplete);
+  CPPUNIT_TEST(testResponseWithoutALengthEndsWithItsServer);
   CPPUNIT_TEST(testStoppingRelayFinishesWhatRuns);
   CPPUNIT_TEST(testRequestThatWaitedThroughAPauseIsNotPassedOn);
   CPPUNIT_TEST_SUITE_END();
@@ -194,6 +203,37 @@
     CPPUNIT_ASSERT(!isWhole);
   }
 
+  // Guards against the same where the relay's process is killed, and the system
+  // closes its connections.
+  void testResponseOfAKilledRelayDoesNotLookComplete()
+  {
+    const tests::ScriptedServer scripted(
+      kNobody, [](const tests::ScriptedServer::Request&) {
+        return tests::ScriptedServer::Answer{
+          { { "HTTP/1.1 200 OK\r\n\r\nbegin" } }
+        };
+      });
+    auto call = this->StartCall("hello", kNobody);
+    CPPUNIT_ASSERT(this->Await([this] { return this->opened == 1; }));
+    std::this_thread::sleep_for(milliseconds(100));
+    this->RunOnThread([] { CloseLikeTheSystem(kRelayAddress); });
+    CPPUNIT_ASSERT(!call.get().has_value());
+  }
+
+  void testResponseWithoutALengthEndsWithItsServer()
+  {
+    const tests::ScriptedServer scripted(
+      kNobody, [](const tests::ScriptedServer::Request&) {
+        return tests::ScriptedServer::Answer{
+          { { "HTTP/1.1 200 OK\r\n\r\nwhole" } },
+          tests::ScriptedServer::End::kClose
+        };
+      });
+    const auto response = this->Call("hello", kNobody);
+    CPPUNIT_ASSERT(response.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("whole"), response->body);
+  }
+
   void testStoppingRelayFinishesWhatRuns()
   {
     const auto respond = std::make_shared<HttpServer::Respond>();
@@ -233,6 +273,29 @@
   }
 
 private:
+  // Closes the connections that were accepted at an address, and their
+  // descriptors' owners do not know.
+  static void CloseLikeTheSystem(const std::string& aAddress)
+  {
+    const auto wanted = ParseAddress(aAddress).value();
+    std::vector<int> found;
+    for (const auto& entry :
+         std::filesystem::directory_iterator("/proc/self/fd")) {
+      const int one = std::stoi(entry.path().filename().string());
+      boost::asio::ip::tcp::endpoint local;
+      boost::asio::ip::tcp::endpoint peer;
+      auto size = static_cast<socklen_t>(local.capacity());
+      auto peerSize = size;
+      if (getsockname(one, local.data(), &size) == 0 && local == wanted &&
+          getpeername(one, peer.data(), &peerSize) == 0) {
+        found.push_back(one);
+      }
+    }
+    const int nothing = open("/dev/null", O_RDWR | O_CLOEXEC);
+    std::ranges::for_each(found, [nothing](int aOne) { dup2(nothing, aOne); });
+    close(nothing);
+  }
+
   RelayServer::Options RelayOptions()
   {
     RelayServer::Options options;
