No request is taken behind the last answer of a connection

During a planned stop requests ran whose callers got no answer (LOST), and a caller that took such a request for unread could send it once more (TWICE).

Cause: a connection's last answer is chosen before it is written, but requests were read and passed on until it was written as a whole, and then dropped. The same held behind a refusal of the server itself: an upload that was refused as too slow could still be read to its end, and run.

Why this works: from the choice on, and from a refusal on, the connection takes no request; what comes is read and dropped, and counts as unread for its caller, who was asked to close.

--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -176,6 +176,7 @@
   void Answer(const ExchangePtr& aExchange, HttpResponse aResponse);
   void OnGone();
   bool IsCallerThere();
+  bool TakesRequests() const { return !this->ending && !this->isClosing; }
   void Wake() { this->wake.cancel(); }
   void Expect(std::chrono::milliseconds aWithin);
   void Close();
@@ -191,6 +192,8 @@
   bool reading = true;
   bool ending = false;
   bool gone = false;
+  // The last answer of the connection is there: no further request is taken.
+  bool isClosing = false;
   // A request has begun and has not wholly come.
   bool midRequest = false;
 };
@@ -385,9 +388,9 @@
     this->Refuse(ServerRefusal::kTooManyConnections);
   } else {
     bool more = true;
-    while (more && !this->ending) {
+    while (more && this->TakesRequests()) {
       more = co_await this->ReadOne();
-      while (more && !this->ending &&
+      while (more && this->TakesRequests() &&
              this->exchanges.size() >= this->state->options.pipelined) {
         co_await this->wake.async_wait(kAwait);
       }
@@ -413,7 +416,7 @@
     }
     const auto [error] =
       co_await this->socket.async_wait(tcp::socket::wait_read, kAwait);
-    if (error || this->ending) {
+    if (error || !this->TakesRequests()) {
       co_return false;
     }
   }
@@ -435,7 +438,7 @@
   }
   // The answers' coroutine may have ended the connection meanwhile; a request
   // that crosses its end is not begun.
-  if (this->ending) {
+  if (!this->TakesRequests()) {
     co_return false;
   }
   this->due = TimePoint::max();
@@ -492,10 +495,10 @@
 // connection.
 asio::awaitable<bool> HttpServer::Session::SendContinue()
 {
-  while (!this->exchanges.empty() && !this->ending && !this->gone) {
+  while (!this->exchanges.empty() && this->TakesRequests() && !this->gone) {
     co_await this->wake.async_wait(kAwait);
   }
-  if (this->ending || this->gone) {
+  if (!this->TakesRequests() || this->gone) {
     co_return false;
   }
   http::response<http::empty_body> message(http::status::continue_, 11);
@@ -579,6 +582,7 @@
   const auto exchange = std::make_shared<Exchange>();
   exchange->keepAlive = false;
   exchange->response = std::move(aResponse);
+  this->isClosing = true;
   this->exchanges.push_back(exchange);
   this->state->busy.fetch_add(1);
   this->Wake();
@@ -637,6 +641,7 @@
     const bool isLast = this->exchanges.size() == 1;
     const bool keepAlive =
       first->keepAlive && !(isLast && (this->state->draining || this->ending));
+    this->isClosing = this->isClosing || !keepAlive;
     if (response.status == kNoAnswer) {
       open = false;
     } else {
--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -146,6 +146,7 @@
   CPPUNIT_TEST(testLateReadRequestOfAGoneCallerIsNotSentOn);
   CPPUNIT_TEST(testStopLosesNoRequest);
   CPPUNIT_TEST(testStopAnswersAllThatWasRead);
+  CPPUNIT_TEST(testRequestBehindTheLastAnswerIsNotBegun);
   CPPUNIT_TEST(testAnswerOfAnotherIsNotTaken);
   CPPUNIT_TEST(testConnectionThatWentSilentAtRestIsNotUsedAgain);
   CPPUNIT_TEST(testRequestThatIsNoLongerValidIsNotSent);
@@ -415,6 +416,29 @@
     CPPUNIT_ASSERT(close != std::string::npos && close > second);
   }
 
+  // Guards against a request that runs behind the last answer of its connection
+  // and gets none.
+  void testRequestBehindTheLastAnswerIsNotBegun()
+  {
+    // More than the sockets take at once.
+    constexpr std::size_t kBodyBytes = 32U << 20U;
+    std::atomic<int> begun{ 0 };
+    this->respond = [&](const HttpRequest&,
+                        const HttpServer::Respond& aRespond) {
+      ++begun;
+      aRespond({ .body = std::string(kBodyBytes, 'x') });
+    };
+    this->server->Drain();
+    RawCaller caller;
+    caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    caller.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(1, begun.load());
+    CPPUNIT_ASSERT(caller.ReadAll().size() > kBodyBytes);
+    CPPUNIT_ASSERT_EQUAL(1, begun.load());
+  }
+
   // The answer to a request that was given up on comes late, in the place of
   // the next one's: the next caller must not get it.
   // A call on a connection that had gone silent took its whole time-out.
