--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -550,8 +550,7 @@
     } else {
       this->Retry(request, ErrorKind::kUpstreamShed);
     }
-  } else if (PromisesNotRun(status) &&
-             !IsIdempotent(request->route->kind)) {
+  } else if (PromisesNotRun(status) && !IsIdempotent(request->route->kind)) {
     this->EndAttempt(*request, AttemptResult::kFailed, aResponse.load,
                      "unpromised");
     ++request->mayHaveRunAt;
--- a/src/transport/internal/relayserver.cpp
+++ b/src/transport/internal/relayserver.cpp
@@ -351,8 +351,8 @@
     this->End();
   }
 
-  // The server's end is passed on as an end, everything else as a reset. A close
-  // is a reset here, a shutdown an end.
+  // The server's end is passed on as an end, everything else as a reset. A
+  // close is a reset here, a shutdown an end.
   asio::awaitable<void> PassResponses()
   {
     Buffer buffer{};
--- a/src/transport/tests/scriptedserver.h
+++ b/src/transport/tests/scriptedserver.h
@@ -132,7 +132,8 @@
   {
     sockaddr unspecified{};
     unspecified.sa_family = AF_UNSPEC;
-    ::connect(aSocket.native_handle(), &unspecified, sizeof(unspecified));
+    static_cast<void>(
+      ::connect(aSocket.native_handle(), &unspecified, sizeof(unspecified)));
   }
 
   const Script script;
