--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -474,7 +474,7 @@
         co_return head;
       }
     }
-    co_return make_error_code(TransportError::kMalformed);
+    co_return make_error_code(TransportError::kCrossed);
   }
 
   asio::awaitable<Result<HttpResponse>> ReadHead(ConnectionPtr aConnection,
