The client looks at an answer's id once

Whether an answer is the request's own was asked by a predicate that also counted, and once more by comparing the header, to know whether the connection may be used again. One function now says what is doubtful about an answer; counting and reuse follow from it. No change of behaviour.

--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -22,6 +22,7 @@
 #include <array>
 #include <charconv>
 #include <limits>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -424,14 +425,16 @@
       if (!head) {
         co_return head.error();
       }
-      if (this->IsOwn(*head, aEcho)) {
+      const auto doubt = this->DoubtAbout(*head, aEcho);
+      if (doubt) {
+        this->TellDoubt(*doubt);
+      }
+      if (doubt != AnswerDoubt::kForeign) {
         // Behind an error without an id, the request's answer may follow.
-        const bool isReusable = aReusable && foreign == 0 &&
-                                head->Header(this->options.echoHeader) == aEcho;
+        const bool isReusable = aReusable && foreign == 0 && !doubt;
         co_return co_await this->ReadBody(
           aAddress, aConnection, parser, std::move(*head), isReusable, aLimits);
       }
-      this->TellDoubt(AnswerDoubt::kForeign);
       if (!co_await DiscardBody(*aConnection, *parser, foreignBytes,
                                 aLimits.whole)) {
         break;
@@ -447,18 +450,17 @@
     }
   }
 
-  bool IsOwn(const HttpResponse& aResponse, const std::string& aEcho) const
+  // Empty for the request's own answer.
+  std::optional<AnswerDoubt> DoubtAbout(const HttpResponse& aResponse,
+                                        const std::string& aEcho) const
   {
     const std::string_view echo = aResponse.Header(this->options.echoHeader);
     if (echo == aEcho) {
-      return true;
+      return std::nullopt;
     }
     const bool isUnidentified = !this->options.errorsNeedEcho && echo.empty() &&
                                 aResponse.status >= status::kFirstError;
-    if (isUnidentified) {
-      this->TellDoubt(AnswerDoubt::kUnidentified);
-    }
-    return isUnidentified;
+    return isUnidentified ? AnswerDoubt::kUnidentified : AnswerDoubt::kForeign;
   }
 
   // Reads over interim answers, also those that bear the request's id.
