--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -212,8 +212,6 @@
   request->route = this->routes->FindRoute(request->caller.hostName,
                                            request->caller.message.target);
   request->mayHaveRunAt = request->caller.earlierRuns;
-  request->caller.message.carriers =
-    std::make_shared<std::vector<std::uint64_t>>();
   const TimePoint arrived = request->caller.arrived;
   if (request->route == nullptr) {
     request->deadline = this->deadlines.end();
@@ -319,6 +317,10 @@
   }
   aRequest->sentAt = now;
   aRequest->connection = 0;
+  auto& carriers = aRequest->caller.message.carriers;
+  if (!carriers) {
+    carriers = std::make_shared<std::vector<std::uint64_t>>();
+  }
   aRequest->requestsAhead = aUpstream.Outstanding();
   aRequest->tried.push_back(aUpstream.entry.id);
   ++aRequest->attemptCount;
