Tests of the transport: one set of relay hooks, no names of the platform

RelayTest and EarlyEndTest built the same hooks, and EarlyEndTest used headers of the platform, which the transport does not know. Assertions are unchanged.

--- a/src/transport/tests/earlyend_test.cpp
+++ b/src/transport/tests/earlyend_test.cpp
@@ -3,6 +3,7 @@
 
 #include "transport/httpclient.h"
 #include "transport/iothread.h"
+#include "transport/tests/relayhooks.h"
 #include "transport/tests/scriptedserver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -11,7 +12,6 @@
 #include <future>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -24,9 +24,10 @@
 constexpr auto kAddress = "127.0.99.6:18130";
 constexpr auto kRelayAddress = "127.0.99.6:18131";
 constexpr std::chrono::milliseconds kTimeout{ 2000 };
-const std::string kId = "Request-Id: r-1\r\n";
+const std::string kEcho = "Echo";
+const std::string kId = kEcho + ": r-1\r\n";
 const std::string kHead =
-  "HTTP/1.1 200 OK\r\n" + kId + "Response-Signature: signed\r\n";
+  "HTTP/1.1 200 OK\r\n" + kId + "Content-Type: text/plain\r\n";
 
 struct Case
 {
@@ -63,8 +64,8 @@
       "HTTP/1.1 103 Early Hints\r\n" + kId + "\r\n", withLength,
       withLength.size() },
     { "after another request's answer",
-      "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nContent-Length: 2\r\n\r\nno",
-      withLength, withLength.size() },
+      "HTTP/1.1 200 OK\r\nEcho: r-0\r\nContent-Length: 2\r\n\r\nno", withLength,
+      withLength.size() },
   };
 }
 
@@ -100,8 +101,7 @@
   void testAnswerThatEndsEarlyIsNoAnswer()
   {
     this->client = std::make_unique<HttpClient>(
-      this->thread->Context(),
-      HttpClient::Options{ .echoHeader = "Request-Id" });
+      this->thread->Context(), HttpClient::Options{ .echoHeader = kEcho });
     this->CheckAll();
   }
 
@@ -114,22 +114,10 @@
                  ? ScriptedServer::Answer{ { { "HTTP/1.1 200 OK\r\n\r\n" } } }
                  : this->NextAnswer();
       });
-    const auto hooks = std::make_shared<DialHooks>();
-    hooks->plan = [](const std::string&) {
-      return DialPlan{ false, std::chrono::milliseconds(0) };
-    };
-    hooks->chooseRelay = [](const std::set<std::string>&) {
-      return std::optional(RelayPeer{ "peer", kRelayAddress });
-    };
-    hooks->onOutcome = [](const std::string&, DialOutcome, TimePoint) {};
-    hooks->onRelayLost = [](const std::string&) {};
-    hooks->mayReuse = [](const std::string&, const std::string&, TimePoint) {
-      return true;
-    };
-    hooks->takeProbe = [](const std::string&) { return false; };
     this->client = std::make_unique<HttpClient>(
       this->thread->Context(),
-      HttpClient::Options{ .echoHeader = "Request-Id", .dial = hooks });
+      HttpClient::Options{ .echoHeader = kEcho,
+                           .dial = tests::MakeRelayHooks(kRelayAddress) });
     this->CheckAll();
   }
 
@@ -176,7 +164,7 @@
     std::promise<Result<HttpResponse>> promise;
     this->thread->Post([&] {
       HttpRequest request;
-      request.headers = { { "Request-Id", "r-1" } };
+      request.headers = { { kEcho, "r-1" } };
       this->client->Send(kAddress, std::move(request), kTimeout,
                          [&promise](Result<HttpResponse> aResponse) {
                            promise.set_value(std::move(aResponse));
--- a/src/transport/tests/relay_test.cpp
+++ b/src/transport/tests/relay_test.cpp
@@ -5,6 +5,7 @@
 #include "transport/httpserver.h"
 #include "transport/iothread.h"
 #include "transport/relayserver.h"
+#include "transport/tests/relayhooks.h"
 #include "transport/tests/scriptedserver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -316,18 +317,9 @@
 
   std::shared_ptr<const DialHooks> MakeDialHooks()
   {
-    auto hooks = std::make_shared<DialHooks>();
+    auto hooks = tests::MakeRelayHooks(kRelayAddress);
     hooks->plan = [this](const std::string&) { return this->plan; };
-    hooks->chooseRelay = [](const std::set<std::string>& aTried) {
-      return aTried.empty() ? std::optional(RelayPeer{ "peer", kRelayAddress })
-                            : std::nullopt;
-    };
-    hooks->onOutcome = [](const std::string&, DialOutcome, TimePoint) {};
     hooks->onRelayLost = [this](const std::string&) { ++this->lostRelays; };
-    hooks->mayReuse = [](const std::string&, const std::string&, TimePoint) {
-      return true;
-    };
-    hooks->takeProbe = [](const std::string&) { return false; };
     return hooks;
   }
 
