--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -72,7 +72,7 @@
                            std::to_string(count) + " times, answered " +
                            std::to_string(status));
       }
-      if (status == 503 || status == 429 || status == 408 || status == 421) {
+      if (IsPromise(status)) {
         ++refused;
         this->record.Write("REFUSED " + request + " ran, answered " +
                            std::to_string(status));
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -734,6 +735,33 @@
   std::string path;
 };
 
+// Whether the status promises that the request has not run and will not.
+inline bool IsPromise(int aStatus)
+{
+  return aStatus == 503 || aStatus == 429 || aStatus == 408 || aStatus == 421;
+}
+
+// Drops what comes from an address, like a link that is down; empty: heals it.
+// Connections inherit the filter of their listener.
+inline void SetLinkCut(int aSocket, const std::string& aFromIp)
+{
+  const int unused = 0;
+  setsockopt(aSocket, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+  if (aFromIp.empty()) {
+    return;
+  }
+  const std::uint32_t source = ntohl(inet_addr(aFromIp.c_str()));
+  sock_filter code[] = {
+    BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+             static_cast<std::uint32_t>(SKF_NET_OFF + 12)),
+    BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, source, 0, 1),
+    BPF_STMT(BPF_RET | BPF_K, 0),
+    BPF_STMT(BPF_RET | BPF_K, 0xffffffff),
+  };
+  const sock_fprog program{ std::size(code), code };
+  setsockopt(aSocket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 inline nlohmann::json InstanceEntry(const std::string& aService, int aPort,
                                     const std::string& aZone, int aSlots,
                                     const std::string& aIp = kLoopback)
