Entries of another writer that name no upstream are not used

Callers' requests went to what an entry of another writer named: with one odd field (slots of or true, no zone, a warm-up that is no duration, a field given twice) an entry was taken, its numbers narrowed without a check of their range; with an address that cannot be dialled each choice of it cost an attempt. An id with a line break stood in a header of the requests sent.

Cause: the parser read each field with a conversion that accepts any number and replaced what it could not read by a default, and never looked at the address.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -95,6 +95,7 @@
   kPeerTraffic = 6013,
   kLinksLost = 6014,
   kLinksBack = 6015,
+  kRowInvalid = 6016,
 
   kAnswerCrossed = 7001,
   kAnswerTruncated = 7002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -176,6 +176,8 @@
               "links to upstreams are down; peers relay the connections" },
   EventEntry{ Event::kLinksBack, "links-back", kInfo,
               "all links to upstreams in use are up again" },
+  EventEntry{ Event::kRowInvalid, "row-invalid", kWarn,
+              "a row that another process wrote cannot be used" },
 
   EventEntry{
     Event::kAnswerCrossed, "answer-crossed", kError,
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -151,6 +151,10 @@
   void SendAllNotices(const std::string& aPeer);
   void OnNotices(const protocol::Notices& aNotices);
   void OnSaidLeaving(const state::UpstreamId& aId, std::int64_t aStartedMs);
+  std::optional<routing::UpstreamEntry> ReadUpstreamRow(
+    const state::StoredRow& aRow);
+  void ReportInvalidRow(std::string_view aTable, const state::StoredRow& aRow,
+                        const std::error_code& aFault);
   // Upstreams may be used no more, or again.
   void OnUsableUpstreamsChanged();
   void OnRest(const routing::UpstreamRest& aRest);
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -208,9 +208,7 @@
   std::size_t leavingCount = 0;
   std::size_t removedCount = 0;
   for (const state::StoredRow& row : aChanged) {
-    const auto entry = row.removed
-                         ? std::nullopt
-                         : platform::ParseUpstreamEntry(row.key, row.value);
+    const auto entry = this->ReadUpstreamRow(row);
     if (entry) {
       const routing::EntryChange change = this->upstreams.PutEntry(*entry, now);
       if (change == routing::EntryChange::kNewIncarnation) {
@@ -247,6 +245,39 @@
   this->OnUsableUpstreamsChanged();
 }
 
+// Returns nullopt if the row was removed or names no upstream.
+std::optional<routing::UpstreamEntry> Gateway::Impl::ReadUpstreamRow(
+  const state::StoredRow& aRow)
+{
+  if (aRow.removed) {
+    return std::nullopt;
+  }
+  auto entry = platform::ParseUpstreamEntry(aRow.key, aRow.value);
+  if (!entry) {
+    this->ReportInvalidRow(platform::kUpstreamTable, aRow, entry.error());
+    return std::nullopt;
+  }
+  return std::move(*entry);
+}
+
+void Gateway::Impl::ReportInvalidRow(std::string_view aTable,
+                                     const state::StoredRow& aRow,
+                                     const std::error_code& aFault)
+{
+  const std::string fault = aFault.message();
+  this->log.Write(Event::kRowInvalid, { { "table", aTable },
+                                        { "row", aRow.key },
+                                        { "version", aRow.version },
+                                        { "fault", fault } });
+  this->metrics
+    .GetOrCreateCounter(
+      "kumquat_invalid_rows_total",
+      "Rows that another process wrote and that cannot be "
+      "used, by table and fault.",
+      { { "table", std::string(aTable) }, { "fault", fault } })
+    .Add();
+}
+
 void Gateway::Impl::OnUsableUpstreamsChanged()
 {
   this->keyedServices->OnUpstreamsChanged();
