A host that starts survives odd rows of the hosts' table

A host that read a row of the hosts' table whose name or address is a number, or whose processors are a text, ended, and ended again at each start: its callers' connections broke and the data centre lost it for as long as the row stood.

Cause: reading the row's fields throws for a value of another type, and nothing on the serving thread catches that.

The row is read through the checked reader; one with a fault names no host, and is logged and counted like an entry. testGatewayStartsBesideOddRowsOfHosts ended the test program before (type must be string, but is number) and passes now.

--- a/src/node/internal/gatewaypeers.cpp
+++ b/src/node/internal/gatewaypeers.cpp
@@ -176,11 +176,9 @@
 
 void Gateway::Impl::SetHosts(const std::vector<state::StoredRow>& aRows)
 {
-  std::vector<HostAddress> hosts =
-    this->hostRows.Parse(aRows, [this](const std::string& aKey) {
-      this->log.Write(
-        Event::kPeerRefused,
-        { { "peer", aKey }, { "why", "row is not a JSON object" } });
+  std::vector<HostAddress> hosts = this->hostRows.Parse(
+    aRows, [this](const state::StoredRow& aRow, const std::error_code& aFault) {
+      this->ReportInvalidRow(kHostTable, aRow, aFault);
     });
   this->topology.SetHosts(std::move(hosts));
   this->upstreams.SetCellRange(this->topology.Cells().OwnRange());
--- a/src/node/internal/hostrows.cpp
+++ b/src/node/internal/hostrows.cpp
@@ -10,22 +10,19 @@
 
 namespace {
 
-std::optional<HostAddress> ParseRow(const state::StoredRow& aRow)
+HostAddress AddressOf(const HostRow& aHost)
 {
-  const auto host = HostFromRow(aRow);
-  if (!host) {
-    return std::nullopt;
-  }
-  return HostAddress{ { host->host, host->dataCentre, host->processors },
-                      host->address,
-                      host->relayAddress };
+  return { { aHost.host, aHost.dataCentre, aHost.processors },
+           aHost.address,
+           aHost.relayAddress };
 }
 
 } // namespace
 
 std::vector<HostAddress> HostRows::Parse(
   const std::vector<state::StoredRow>& aRows,
-  const std::function<void(const std::string&)>& aOnInvalid)
+  const std::function<void(const state::StoredRow&, const std::error_code&)>&
+    aOnInvalid)
 {
   std::map<std::string, ParsedRow> current;
   std::vector<HostAddress> hosts;
@@ -35,9 +32,11 @@
     if (!known.empty() && known.mapped().version == row.version) {
       entry = std::move(known.mapped());
     } else {
-      entry = { row.version, ParseRow(row) };
-      if (!entry.host) {
-        aOnInvalid(row.key);
+      entry.version = row.version;
+      if (const auto host = HostFromRow(row)) {
+        entry.host = AddressOf(*host);
+      } else {
+        aOnInvalid(row, host.error());
       }
     }
     if (entry.host) {
--- a/src/node/internal/hostrows.h
+++ b/src/node/internal/hostrows.h
@@ -19,11 +19,12 @@
 {
 public:
   // Returns the hosts of the rows, which are all there are now. Calls
-  // aOnInvalid with the key of each new row that cannot be parsed; such a row
+  // aOnInvalid with each new row that cannot be parsed, and why; such a row
   // names no host.
   std::vector<HostAddress> Parse(
     const std::vector<state::StoredRow>& aRows,
-    const std::function<void(const std::string&)>& aOnInvalid);
+    const std::function<void(const state::StoredRow&, const std::error_code&)>&
+      aOnInvalid);
 
 private:
   struct ParsedRow
--- a/src/node/internal/registration.cpp
+++ b/src/node/internal/registration.cpp
@@ -5,7 +5,7 @@
 
 #include "framework/rendezvous.h"
 #include "node/internal/tablereplicas.h"
-#include "protocol/errorkind.h"
+#include "state/rowreader.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -37,6 +37,7 @@
 constexpr milliseconds kReadInterval{ 30'000 };
 
 constexpr long kMaxMilliprocessors = 9'999'999;
+constexpr double kMaxProcessors = 9999;
 // Number of pseudo-random positions among hosts of equal size.
 constexpr std::uint64_t kOrderCount = 0x10000;
 
@@ -62,16 +63,18 @@
 
 Result<HostRow> HostFromRow(const state::StoredRow& aRow)
 {
-  const auto text = nlohmann::json::parse(aRow.value, nullptr, false);
-  if (!text.is_object()) {
-    return make_error_code(protocol::ErrorKind::kInternal);
-  }
+  state::RowReader row(aRow.value);
   HostRow host;
-  host.host.value = text.value("host", "");
-  host.address = text.value("address", "");
-  host.dataCentre.value = text.value("data_centre", "");
-  host.processors = text.value("processors", host.processors);
-  host.relayAddress = text.value("relay_address", "");
+  host.host.value = row.Text("host");
+  host.address = row.Text("address");
+  host.dataCentre.value = row.Text("data_centre");
+  if (row.Has("processors")) {
+    host.processors = row.Number("processors", 0, kMaxProcessors);
+  }
+  host.relayAddress = row.OptionalText("relay_address");
+  if (row.Error()) {
+    return row.Error();
+  }
   return host;
 }
 
--- a/src/node/internal/registration.h
+++ b/src/node/internal/registration.h
@@ -39,7 +39,7 @@
 // Larger hosts have lower row keys, so that reads return them first. Hosts of
 // equal size are in a pseudo-random order.
 state::StoredRow ToRow(const HostRow& aHost);
-// kInternal if the row's value is not a JSON object.
+// A state::RowFault if the row names no host.
 Result<HostRow> HostFromRow(const state::StoredRow& aRow);
 
 class Registration
