A claim that cannot be read ends no host, and hides no predecessor

A host that read the row of a keyed service's assigner with a field of another type ended, as with rows of hosts. If the row was no JSON object, it went on and took itself for the first assigner ever: it granted keys without waiting for leases that the assigner in the row may still renew.

Cause: as before for the exception; and a claim without a readable name counted as no claim.

The claim is read through the checked reader. One with a fault stands for a host of unknown name, so that its successor waits like behind any assigner that cannot be reached. testKeysAreAssignedBesideAnOddClaim ended the test program before and passes now; that keys had two owners was not seen in a run.

--- a/src/node/internal/keyrows.cpp
+++ b/src/node/internal/keyrows.cpp
@@ -2,8 +2,11 @@
 
 #include "node/internal/keyrows.h"
 
+#include "state/rowreader.h"
+
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <utility>
 
 namespace kumquat::node {
@@ -14,6 +17,10 @@
 constexpr const char* kClaimKey = "assigner";
 constexpr const char* kAssignmentKey = "assignment";
 constexpr const char* kLayoutKey = "layout";
+// Stands for the assigner of a claim that cannot be read. It may still renew
+// leases, so its successor must not count as the first assigner.
+constexpr const char* kUnknownHost = "unknown-host";
+constexpr auto kMaxIncarnation = std::numeric_limits<state::Incarnation>::max();
 
 std::string SerializeHost(const state::HostRef& aHost)
 {
@@ -34,11 +41,14 @@
 void TakeClaim(ownership::AssignmentRows& aRows, const state::StoredRow& aRow)
 {
   aRows.claimVersion = aRow.version;
-  const auto text = nlohmann::json::parse(aRow.value, nullptr, false);
-  if (text.is_object()) {
-    aRows.assigner = { { text.value("host", "") },
-                       text.value("incarnation", state::Incarnation{ 0 }) };
-    aRows.isClosed = text.value("closed", false);
+  state::RowReader row(aRow.value);
+  // The first claim of a part that is closed names no host.
+  aRows.assigner = { { row.OptionalText("host") },
+                     row.Integer("incarnation", 0, kMaxIncarnation) };
+  aRows.isClosed = row.Has("closed") && row.Boolean("closed");
+  if (row.Error()) {
+    aRows.assigner = { { kUnknownHost }, 0 };
+    aRows.isClosed = false;
   }
 }
 
