One row that cannot be read does not stop the following of its table

A page of the store's rows was dropped as a whole for one row with a field of another type, and a key with characters such as '&' or a space at the end of a page made the request for the next page malformed. In both cases the table counted as unavailable, and a host that starts never learned its rows.

Rows that cannot be read are passed over, counted and logged (rows-skipped); a page without any readable row ends the read.

--- a/src/framework/events.h
+++ b/src/framework/events.h
@@ -96,6 +96,7 @@
   kLinksLost = 6014,
   kLinksBack = 6015,
   kRowInvalid = 6016,
+  kRowsSkipped = 6017,
 
   kAnswerCrossed = 7001,
   kAnswerTruncated = 7002,
--- a/src/framework/internal/events.cpp
+++ b/src/framework/internal/events.cpp
@@ -178,6 +178,8 @@
               "all links to upstreams in use are up again" },
   EventEntry{ Event::kRowInvalid, "row-invalid", kWarn,
               "a row that another process wrote cannot be used" },
+  EventEntry{ Event::kRowsSkipped, "rows-skipped", kWarn,
+              "the store sent rows that cannot be read" },
 
   EventEntry{
     Event::kAnswerCrossed, "answer-crossed", kError,
--- a/src/node/internal/gatewayimpl.cpp
+++ b/src/node/internal/gatewayimpl.cpp
@@ -198,6 +198,9 @@
       },
       [this](state::StoreCall aCall, const std::string& aTable) {
         this->OnStoreCall(aCall, aTable);
+      },
+      [this](const std::string& aTable, std::size_t aCount) {
+        this->ReportSkippedRows(aTable, aCount);
       } });
   for (const std::error_code error :
        { this->ListenForPeers(), this->ListenForRelays(),
--- a/src/node/internal/gatewayimpl.h
+++ b/src/node/internal/gatewayimpl.h
@@ -155,6 +155,7 @@
     const state::StoredRow& aRow);
   void ReportInvalidRow(std::string_view aTable, const state::StoredRow& aRow,
                         const std::error_code& aFault);
+  void ReportSkippedRows(const std::string& aTable, std::size_t aCount);
   // Upstreams may be used no more, or again.
   void OnUsableUpstreamsChanged();
   void OnRest(const routing::UpstreamRest& aRest);
--- a/src/node/internal/gatewaytables.cpp
+++ b/src/node/internal/gatewaytables.cpp
@@ -278,6 +278,19 @@
     .Add();
 }
 
+void Gateway::Impl::ReportSkippedRows(const std::string& aTable,
+                                      std::size_t aCount)
+{
+  this->log.Write(
+    Event::kRowsSkipped,
+    { { "table", aTable }, { "count", static_cast<std::int64_t>(aCount) } });
+  this->metrics
+    .GetOrCreateCounter("kumquat_skipped_rows_total",
+                        "Rows in responses of the store that cannot be read.",
+                        { { "table", aTable } })
+    .Add(aCount);
+}
+
 void Gateway::Impl::OnUsableUpstreamsChanged()
 {
   this->keyedServices->OnUpstreamsChanged();
--- a/src/node/internal/storeclient.cpp
+++ b/src/node/internal/storeclient.cpp
@@ -74,9 +74,9 @@
   return options;
 }
 
-std::unique_ptr<state::RowStore> MakeStore(
-  transport::HttpClient& aClient, const std::string& aAddress,
-  const platform::Store::OnCall& aOnCall)
+std::unique_ptr<state::RowStore> MakeStore(transport::HttpClient& aClient,
+                                           const std::string& aAddress,
+                                           const StoreClient::Hooks& aHooks)
 {
   return std::make_unique<platform::Store>(
     aAddress,
@@ -84,7 +84,7 @@
                milliseconds aTimeout, transport::HttpClient::Done aDone) {
       aClient.Send(aTo, std::move(aRequest), aTimeout, std::move(aDone));
     },
-    aOnCall);
+    aHooks.callStarted, aHooks.rowsSkipped);
 }
 
 } // namespace
@@ -93,10 +93,10 @@
 {
   TableFollower(std::string aTable, boost::asio::io_context& aContext,
                 const std::string& aAddress, const std::string& aLocalAddress,
-                const platform::Store::OnCall& aOnCall)
+                const StoreClient::Hooks& aHooks)
     : table(std::move(aTable))
     , client(aContext, this->FollowerOptions(aLocalAddress))
-    , store(MakeStore(this->client, aAddress, aOnCall))
+    , store(MakeStore(this->client, aAddress, aHooks))
     , timer(aContext)
   {
   }
@@ -159,12 +159,12 @@
   , random(std::random_device{}())
   , maxRetryPause(kMaxRetryPause)
 {
-  this->store = MakeStore(this->client, aAddress, this->hooks.callStarted);
+  this->store = MakeStore(this->client, aAddress, this->hooks);
   std::ranges::transform(aTables, std::back_inserter(this->followers),
                          [&](const std::string& aTable) {
                            return std::make_shared<TableFollower>(
                              aTable, aThread.Context(), aAddress, aLocalAddress,
-                             this->hooks.callStarted);
+                             this->hooks);
                          });
   this->followers.front()->watchWait = kProbeWatchWait;
 }
--- a/src/node/internal/storeclient.h
+++ b/src/node/internal/storeclient.h
@@ -44,6 +44,8 @@
     std::function<void(const TableReadResult&)> readEnded;
     // A call about the table is sent to the store.
     std::function<void(state::StoreCall, const std::string&)> callStarted;
+    // A response held so many rows of the table that cannot be read.
+    std::function<void(const std::string&, std::size_t)> rowsSkipped;
   };
 
   StoreClient(transport::DutyThread& aThread, const std::string& aAddress,
