A refusal that is cut in its head does not speak for the answer behind it

Callers could get 503 for a request that ran, and the host could send it again so that it ran twice: an upstream breaks an extra refusal off within a line of its head and sends the request's own answer behind it. The two were parsed as one head, with the refusal's status and Not-Executed and the request's id.

The end of a cut head can only be told from the status line that then stands within a reason phrase or a field's value; a cut anywhere else is no head.

Such a head is malformed now: the attempt may have run, its connection is not used again, and it is counted as cut-head. testRefusalThatIsCutAndFollowedByTheAnswer cuts two refusals at each byte; before, a request ran twice in it, now it passes.

--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -30,6 +30,8 @@
   kUnidentified,
   // An idle connection has carried the request before, and is passed over.
   kSameConnection,
+  // Its head was cut and goes on with the head of another answer.
+  kCutHead,
 };
 
 // The name of a doubt in metrics.
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -140,12 +140,44 @@
   std::string_view name;
 };
 
-constexpr std::array<DoubtEntry, 3> kDoubts{ {
+constexpr std::array<DoubtEntry, 4> kDoubts{ {
   { AnswerDoubt::kForeign, "foreign" },
   { AnswerDoubt::kUnidentified, "unidentified" },
   { AnswerDoubt::kSameConnection, "same-connection" },
+  { AnswerDoubt::kCutHead, "cut-head" },
 } };
 
+// Whether the text holds the beginning of a status line, as "HTTP/1.1 200".
+bool HoldsStatusLine(std::string_view aText)
+{
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kStatusLineBytes = kVersion.size() + 5;
+  for (auto at = aText.find(kVersion); at != std::string_view::npos;
+       at = aText.find(kVersion, at + 1)) {
+    const std::string_view rest =
+      aText.substr(at, kStatusLineBytes).substr(kVersion.size());
+    if (rest.size() == 5 && rest[1] == ' ' &&
+        std::ranges::all_of(rest.substr(2), [](char aOne) {
+          return aOne >= '0' && aOne <= '9';
+        })) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// An answer that breaks off within a line of its head, with the next answer
+// behind it, is parsed as one head with fields of both.
+bool IsOfTwoAnswers(const ResponseParser::value_type& aHead)
+{
+  return HoldsStatusLine(
+           std::string_view(aHead.reason().data(), aHead.reason().size())) ||
+         std::any_of(aHead.begin(), aHead.end(), [](const auto& aField) {
+           return HoldsStatusLine(
+             std::string_view(aField.value().data(), aField.value().size()));
+         });
+}
+
 bool HasCarried(const Connection& aConnection, const HttpRequest& aRequest)
 {
   return aRequest.carriers &&
@@ -494,6 +526,10 @@
     }
     aConnection->heardAt = std::chrono::steady_clock::now();
     this->TellProgress();
+    if (IsOfTwoAnswers(aParser.get())) {
+      this->TellDoubt(AnswerDoubt::kCutHead);
+      co_return make_error_code(TransportError::kMalformed);
+    }
     HttpResponse response;
     response.connection = aConnection->number;
     response.status = static_cast<int>(aParser.get().result_int());
