No request is begun behind an answer that is passed on in pieces

A caller that sent a further request while it read a long answer lost it when the upstream broke that answer off: the further request had been passed on and had run, and the connection ended with the broken answer.

Cause: as in the case of the last answer of a connection, what ends a connection came while requests behind it were taken.

A request that is read while such an answer is there waits until it has ended, and is not begun if the connection ends with it; its caller may send it again. testRequestBehindAStreamedAnswerIsNotBegun failed before (2 begun for 1). A request that was begun before the head of such an answer came is still lost with it: to exclude that, no request could run beside another one of its connection.

--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -149,6 +149,8 @@
     std::shared_ptr<CallerLink> link = std::make_shared<CallerLink>();
     std::optional<HttpResponse> response;
     bool keepAlive = true;
+    // The answer is there, and the rest of its body is passed on in pieces.
+    bool isStreamed = false;
   };
 
   using ExchangePtr = std::shared_ptr<Exchange>;
@@ -177,6 +179,7 @@
   void OnGone();
   bool IsCallerThere();
   bool TakesRequests() const { return !this->ending && !this->isClosing; }
+  bool IsStreaming() const;
   void Wake() { this->wake.cancel(); }
   void Expect(std::chrono::milliseconds aWithin);
   void Close();
@@ -403,6 +406,13 @@
   this->Wake();
 }
 
+bool HttpServer::Session::IsStreaming() const
+{
+  return std::ranges::any_of(this->exchanges, [](const ExchangePtr& aExchange) {
+    return aExchange->isStreamed;
+  });
+}
+
 // True where the connection may carry another request.
 asio::awaitable<bool> HttpServer::Session::ReadOne()
 {
@@ -436,6 +446,11 @@
   if (!isWhole) {
     co_return false;
   }
+  // An answer that is passed on in pieces may break off, and the connection
+  // ends with it.
+  while (this->IsStreaming() && this->TakesRequests() && !this->gone) {
+    co_await this->wake.async_wait(kAwait);
+  }
   // The answers' coroutine may have ended the connection meanwhile; a request
   // that crosses its end is not begun.
   if (!this->TakesRequests()) {
@@ -563,6 +578,7 @@
 {
   aExchange->link->onGone = nullptr;
   if (!aExchange->response && !this->gone) {
+    aExchange->isStreamed = static_cast<bool>(aResponse.rest);
     aExchange->response = std::move(aResponse);
     this->Wake();
   }
--- a/src/transport/tests/http_test.cpp
+++ b/src/transport/tests/http_test.cpp
@@ -147,6 +147,8 @@
   CPPUNIT_TEST(testStopLosesNoRequest);
   CPPUNIT_TEST(testStopAnswersAllThatWasRead);
   CPPUNIT_TEST(testRequestBehindTheLastAnswerIsNotBegun);
+  CPPUNIT_TEST(testRequestBehindAStreamedAnswerIsNotBegun);
+  CPPUNIT_TEST(testRequestBehindAStreamedAnswerIsBegunAfterIt);
   CPPUNIT_TEST(testAnswerOfAnotherIsNotTaken);
   CPPUNIT_TEST(testConnectionThatWentSilentAtRestIsNotUsedAgain);
   CPPUNIT_TEST(testRequestThatIsNoLongerValidIsNotSent);
@@ -439,6 +441,62 @@
     CPPUNIT_ASSERT_EQUAL(1, begun.load());
   }
 
+  // Guards against a request that runs behind an answer that breaks off, and
+  // gets none.
+  void testRequestBehindAStreamedAnswerIsNotBegun()
+  {
+    std::atomic<int> begun{ 0 };
+    std::function<void(Result<std::string>)> take;
+    std::promise<void> isStreaming;
+    this->respond = [&](const HttpRequest&,
+                        const HttpServer::Respond& aRespond) {
+      if (++begun > 1) {
+        aRespond({ .body = "further" });
+        return;
+      }
+      HttpResponse response;
+      response.body = "first";
+      response.length = 100;
+      response.rest = [&](std::function<void(Result<std::string>)> aTake) {
+        take = std::move(aTake);
+        isStreaming.set_value();
+      };
+      aRespond(std::move(response));
+    };
+    RawCaller caller;
+    caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    isStreaming.get_future().wait();
+    caller.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(1, begun.load());
+    take(make_error_code(TransportError::kTruncated));
+    CPPUNIT_ASSERT(caller.ReadAll().ends_with("first"));
+    CPPUNIT_ASSERT_EQUAL(1, begun.load());
+  }
+
+  // Guards against requests that wait for ever behind an answer that came
+  // whole.
+  void testRequestBehindAStreamedAnswerIsBegunAfterIt()
+  {
+    this->respond = [](const HttpRequest& aRequest,
+                       const HttpServer::Respond& aRespond) {
+      HttpResponse response;
+      response.body = aRequest.target;
+      if (aRequest.target == "/1") {
+        response.rest =
+          [](const std::function<void(Result<std::string>)>& aTake) {
+            aTake(std::string());
+          };
+      }
+      aRespond(std::move(response));
+    };
+    RawCaller caller;
+    caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(caller.ReadAll().ends_with("/2"));
+  }
+
   // The answer to a request that was given up on comes late, in the place of
   // the next one's: the next caller must not get it.
   // A call on a connection that had gone silent took its whole time-out.
