Uploads that come steadily are not refused for their length

Cause: the limit for a header was that of the whole request. An earlier trial gave bodies time by their rate and failed testCallersThatSendWithoutEndAreClosed, as a caller that frames each byte with an 8 kB chunk extension has a body that grows at the least rate.

The limit is the header's now.

--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -44,7 +44,8 @@
     std::size_t maxHeaderBytes = 16U << 10U;
     std::size_t maxBodyBytes = 1U << 20U;
     std::size_t maxConnections = 4096;
-    // From a request's first byte to its last.
+    // From a request's first byte to the last of its header. A body has as long
+    // again, and longer if it comes steadily.
     std::chrono::milliseconds readTimeout{ 10'000 };
     // For each piece of an answer.
     std::chrono::milliseconds writeTimeout{ 10'000 };
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -48,6 +48,10 @@
 constexpr std::chrono::milliseconds kSweepEvery{ 500 };
 // How long a caller may take to notice that its connection ends.
 constexpr std::chrono::milliseconds kLinger{ 2000 };
+// A body that comes more slowly holds its bytes for too long.
+constexpr std::size_t kMinBodyBytesPerSecond = 128U << 10U;
+// Of what frames the chunks of a body.
+constexpr std::size_t kMaxFramingBytes = 1U << 20U;
 // Of a request's body that is read along with its header.
 constexpr std::size_t kReadAheadBytes = 64U << 10U;
 
@@ -491,6 +495,8 @@
   if (ExpectsContinue(aParser.get()) && !co_await this->SendContinue()) {
     co_return false;
   }
+  const TimePoint begin = std::chrono::steady_clock::now();
+  std::size_t read = 0;
   while (!aParser.is_done()) {
     const auto [error, bytes] = co_await http::async_read_some(
       this->socket, this->buffer, aParser, kAwait);
@@ -498,7 +504,18 @@
       this->OnReadError(error);
       co_return false;
     }
-    if (!hold(aParser.get().body().size())) {
+    read += bytes;
+    const std::size_t size = aParser.get().body().size();
+    if (read > size + kMaxFramingBytes) {
+      this->Refuse(ServerRefusal::kMalformed, CopyHead(aParser.get()));
+      co_return false;
+    }
+    if (this->exchanges.empty()) {
+      this->due =
+        begin + options.readTimeout +
+        std::chrono::milliseconds(1000 * size / kMinBodyBytesPerSecond);
+    }
+    if (!hold(size)) {
       this->Refuse(ServerRefusal::kTooManyBytes, CopyHead(aParser.get()));
       co_return false;
     }
--- a/src/transport/tests/endlesscallers_test.cpp
+++ b/src/transport/tests/endlesscallers_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -103,6 +104,7 @@
   CPPUNIT_TEST_SUITE(EndlessCallersTest);
   CPPUNIT_TEST(testCallersThatSendWithoutEndAreClosed);
   CPPUNIT_TEST(testSlowCallerIsClosedWhereNothingIsAnswered);
+  CPPUNIT_TEST(testSteadyUploadOutlastsTheReadTimeout);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -176,6 +178,32 @@
                                    milliseconds(20), kSilentAddress));
   }
 
+  // Guards against refusing uploads whose bytes come steadily, but not all of
+  // them within the time for a header.
+  void testSteadyUploadOutlastsTheReadTimeout()
+  {
+    constexpr std::size_t kPieceBytes = 64U << 10U;
+    constexpr int kPieces = 12;
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(*ParseAddress(kAddress));
+    asio::write(socket, asio::buffer("POST / HTTP/1.1\r\nHost: h\r\n"
+                                     "Content-Length: " +
+                                     std::to_string(kPieces * kPieceBytes) +
+                                     "\r\n\r\n"));
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < kPieces; ++i) {
+      std::this_thread::sleep_for(kReadTimeout / 3);
+      boost::system::error_code ignored;
+      asio::write(socket, asio::buffer(std::string(kPieceBytes, 'x')), ignored);
+    }
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start > 3 * kReadTimeout);
+    std::string answer;
+    boost::system::error_code ignored;
+    asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n", ignored);
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), answer.substr(0, 12));
+  }
+
 private:
   static constexpr std::size_t kMaxHeld = 4U << 20U;
 
