Reader of rows and the store: one lookup with its type, skipped rows counted once

Nothing that callers see changes.

- RowReader: each getter looked its field up and checked its type by itself; Find now does both, given the type's check.
- The store: RowsRead::skipped was filled for a page and not summed over the pages of a read, and each of three places reported it.

--- a/src/state/internal/rowreader.cpp
+++ b/src/state/internal/rowreader.cpp
@@ -107,11 +107,11 @@
 
 std::string RowReader::Text(std::string_view aName)
 {
-  if (!this->Has(aName)) {
-    this->AddFault(RowFault::kMissingField);
+  const json* const value = this->Find(aName, &json::is_string);
+  if (value == nullptr) {
     return {};
   }
-  std::string text = this->OptionalText(aName);
+  const auto& text = value->get_ref<const std::string&>();
   if (text.empty()) {
     this->AddFault(RowFault::kOutOfRange);
   }
@@ -120,29 +120,16 @@
 
 std::string RowReader::OptionalText(std::string_view aName)
 {
-  if (!this->Has(aName)) {
-    return {};
-  }
-  const json& value = *this->row.find(aName);
-  if (!value.is_string()) {
-    this->AddFault(RowFault::kWrongType);
-    return {};
-  }
-  return value.get<std::string>();
+  const json* const value =
+    this->Has(aName) ? this->Find(aName, &json::is_string) : nullptr;
+  return value == nullptr ? std::string() : value->get<std::string>();
 }
 
 std::int64_t RowReader::Integer(std::string_view aName, std::int64_t aLeast,
                                 std::int64_t aMost)
 {
-  const json* const value = this->Find(aName);
-  if (value == nullptr) {
-    return aLeast;
-  }
-  if (!value->is_number()) {
-    this->AddFault(RowFault::kWrongType);
-    return aLeast;
-  }
-  const auto number = WholeNumber(*value);
+  const json* const value = this->Find(aName, &json::is_number);
+  const auto number = value == nullptr ? std::nullopt : WholeNumber(*value);
   if (!number || *number < aLeast || *number > aMost) {
     this->AddFault(RowFault::kOutOfRange);
     return aLeast;
@@ -152,15 +139,8 @@
 
 double RowReader::Number(std::string_view aName, double aLeast, double aMost)
 {
-  const json* const value = this->Find(aName);
-  if (value == nullptr) {
-    return aLeast;
-  }
-  if (!value->is_number()) {
-    this->AddFault(RowFault::kWrongType);
-    return aLeast;
-  }
-  const auto number = value->get<double>();
+  const json* const value = this->Find(aName, &json::is_number);
+  const double number = value == nullptr ? aLeast : value->get<double>();
   if (!(number >= aLeast && number <= aMost)) {
     this->AddFault(RowFault::kOutOfRange);
     return aLeast;
@@ -170,15 +150,8 @@
 
 bool RowReader::Boolean(std::string_view aName)
 {
-  const json* const value = this->Find(aName);
-  if (value == nullptr) {
-    return false;
-  }
-  if (!value->is_boolean()) {
-    this->AddFault(RowFault::kWrongType);
-    return false;
-  }
-  return value->get<bool>();
+  const json* const value = this->Find(aName, &json::is_boolean);
+  return value != nullptr && value->get<bool>();
 }
 
 std::chrono::milliseconds RowReader::Time(std::string_view aName)
@@ -208,13 +181,18 @@
   }
 }
 
-const json* RowReader::Find(std::string_view aName)
+const json* RowReader::Find(std::string_view aName, TypeCheck aIsOfType)
 {
   if (!this->Has(aName)) {
     this->AddFault(RowFault::kMissingField);
     return nullptr;
   }
-  return &*this->row.find(aName);
+  const json& value = *this->row.find(aName);
+  if (!(value.*aIsOfType)()) {
+    this->AddFault(RowFault::kWrongType);
+    return nullptr;
+  }
+  return &value;
 }
 
 } // namespace kumquat::state
--- a/src/state/rowreader.h
+++ b/src/state/rowreader.h
@@ -59,8 +59,10 @@
   std::error_code Error() const { return make_error_code(this->fault); }
 
 private:
-  // Returns null, with a fault, if the field is missing.
-  const nlohmann::json* Find(std::string_view aName);
+  using TypeCheck = bool (nlohmann::json::*)() const noexcept;
+
+  // Returns null, with a fault, if the field is missing or of another type.
+  const nlohmann::json* Find(std::string_view aName, TypeCheck aIsOfType);
 
   nlohmann::json row;
   RowFault fault = RowFault::kNone;
--- a/src/state/rowstore.h
+++ b/src/state/rowstore.h
@@ -37,8 +37,6 @@
   bool historyLost = false;
   // Of the first rows: there are more.
   bool isPartial = false;
-  // Rows of the response that cannot be read and are not in `rows`.
-  std::size_t skipped = 0;
 };
 
 struct RowCondition
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -151,11 +151,9 @@
 bool HoldsStatusLine(std::string_view aText)
 {
   constexpr std::string_view kVersion = "HTTP/1.";
-  constexpr std::size_t kStatusLineBytes = kVersion.size() + 5;
   for (auto at = aText.find(kVersion); at != std::string_view::npos;
        at = aText.find(kVersion, at + 1)) {
-    const std::string_view rest =
-      aText.substr(at, kStatusLineBytes).substr(kVersion.size());
+    const std::string_view rest = aText.substr(at + kVersion.size(), 5);
     if (rest.size() == 5 && rest[1] == ' ' &&
         std::ranges::all_of(rest.substr(2), [](char aOne) {
           return aOne >= '0' && aOne <= '9';
