review: the stand-ins give out a port once

Done: two ports of one host could be the same, as each was probed and let go; suspected as the cause, not traced. A port is given out once now.

--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -568,6 +568,8 @@
 int FreePort(const std::string& aIp)
 {
   static std::mt19937 random(std::random_device{}());
+  // A port is given out once, as it is taken only later.
+  static std::set<int> given;
   constexpr int kFirst = 20'000;
   constexpr int kCount = 10'000;
   while (true) {
@@ -577,7 +579,7 @@
     const int result = ::bind(
       probe, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     ::close(probe);
-    if (result == 0) {
+    if (result == 0 && given.insert(port).second) {
       return port;
     }
   }
